Set up the build, the value types and the ports between slices

Cause: the slices are to be built side by side, so the typed messages and the ports between them have to be fixed first.

--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/address/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which entries a client account should call.
+ */
+package org.bramleyscale.internal.address;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/ServiceCall.java
@@ -0,0 +1,20 @@
+package org.bramleyscale.internal.endpoint;
+
+import java.time.Duration;
+import java.util.Map;
+
+import org.bramleyscale.RequestId;
+
+/**
+ * A call to a plain service.
+ *
+ * @param id the request
+ * @param method the HTTP method
+ * @param path the path below the service, starting with a slash, query included
+ * @param headers the caller's headers that are passed on
+ * @param body the body, possibly empty
+ * @param timeLeft how long the call may still take
+ */
+public record ServiceCall(RequestId id, String method, String path, Map<String, String> headers, byte[] body,
+		Duration timeLeft) {
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The exact account of each endpoint, kept by its owner.
+ */
+package org.bramleyscale.internal.endpoint;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP adapters towards callers, operators and endpoints.
+ */
+package org.bramleyscale.internal.http;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/lease/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Leases with numbers that fence off late holders.
+ */
+package org.bramleyscale.internal.lease;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which daemons exist and answer.
+ */
+package org.bramleyscale.internal.membership;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One daemon assembled from its slices.
+ */
+package org.bramleyscale.internal.node;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between daemons over TCP.
+ */
+package org.bramleyscale.internal.peer;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A request's life, its record, and its single outcome.
+ */
+package org.bramleyscale.internal.request;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which endpoint a request goes to.
+ */
+package org.bramleyscale.internal.routing;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What operators see.
+ */
+package org.bramleyscale.internal.status;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/steward/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Leased jobs: model loads, role changes, status summaries.
+ */
+package org.bramleyscale.internal.steward;
