Add the platform stand-in and the object API over HTTP

Everything that lasts lives in the platform's object API, so its port needs an adapter and something to run against.

HttpObjectStore ends each call within its timeout on the scheduler's thread; a write without a reply ends with an unknown outcome. After a timeout it uses new connections until the pool has dropped its old ones, since a silent pooled connection would fail one call after another.

--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/HttpObjectStore.java
@@ -0,0 +1,278 @@
+package org.bramleyscale.internal.platform;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bramleyscale.internal.http.HttpExecution;
+import org.bramleyscale.internal.time.Scheduler;
+import ratpack.func.Action;
+import ratpack.http.HttpMethod;
+import ratpack.http.client.HttpClient;
+import ratpack.http.client.ReceivedResponse;
+import ratpack.http.client.RequestSpec;
+
+/**
+ * The platform's object API over HTTP.
+ *
+ * <p>
+ * Invariant: each call ends on the scheduler's thread within the timeout, a watch within
+ * the timeout after its wait. A write or delete without a reply ends as
+ * {@link PlatformException.Kind#UNKNOWN_OUTCOME} unless the connection was never made.
+ * Confined to the scheduler's thread.
+ */
+public final class HttpObjectStore implements ObjectStore {
+
+	private final Scheduler scheduler;
+
+	private final HttpExecution execution;
+
+	private final URI base;
+
+	private final Duration timeout;
+
+	private final MetricRegistry metrics;
+
+	private long freshUntil;
+
+	/**
+	 * Creates the adapter.
+	 * @param scheduler the daemon's scheduler
+	 * @param execution the shared HTTP clients
+	 * @param address {@code host:port} of the platform
+	 * @param timeout how long a call may take
+	 * @param metrics takes a timer per operation and a counter per kind of failure
+	 */
+	public HttpObjectStore(Scheduler scheduler, HttpExecution execution, String address, Duration timeout,
+			MetricRegistry metrics) {
+		if (timeout.isNegative() || timeout.isZero()) {
+			throw new IllegalArgumentException("platform timeout must be positive, was " + timeout);
+		}
+		this.scheduler = scheduler;
+		this.execution = execution;
+		this.base = URI.create("http://" + address + "/");
+		this.timeout = timeout;
+		this.metrics = metrics;
+		this.freshUntil = scheduler.nanos();
+	}
+
+	@Override
+	public CompletableFuture<Optional<StoredObject>> read(ObjectKey key) {
+		return call("read", Call.reading(path(key)), (reply) -> readReply(key, reply));
+	}
+
+	@Override
+	public CompletableFuture<WatchBatch> list(String kind) {
+		String path = PlatformPaths.OBJECTS + "/" + kind;
+		return call("list", Call.reading(path), (reply) -> PlatformCodec.readBatch(kind, reply.require().body()));
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
+		if (value.length > LARGEST_VALUE) {
+			return CompletableFuture.failedFuture(new PlatformException(PlatformException.Kind.TOO_LARGE,
+					key + " with " + value.length + " bytes exceeds " + LARGEST_VALUE));
+		}
+		Call call = new Call(HttpMethod.PUT, conditional(key, expected), value, Duration.ZERO);
+		return call("write", call, (reply) -> new StoredObject(key, reply.require().version(), value));
+	}
+
+	@Override
+	public CompletableFuture<Void> delete(ObjectKey key, long expected) {
+		Call call = new Call(HttpMethod.DELETE, conditional(key, expected), new byte[0], Duration.ZERO);
+		return call("delete", call, (reply) -> {
+			reply.require();
+			return null;
+		});
+	}
+
+	@Override
+	public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
+		String path = PlatformPaths.OBJECTS + "/" + kind + "?" + PlatformPaths.AFTER + "=" + after + "&"
+				+ PlatformPaths.WAIT_MILLIS + "=" + wait.toMillis();
+		Call call = new Call(HttpMethod.GET, path, new byte[0], wait);
+		return call("watch", call, (reply) -> PlatformCodec.readBatch(kind, reply.require().body()));
+	}
+
+	@Override
+	public CompletableFuture<List<VmRecord>> vms() {
+		return call("vms", Call.reading(PlatformPaths.VMS), (reply) -> PlatformCodec.readVms(reply.require().body()));
+	}
+
+	private <T> CompletableFuture<T> call(String operation, Call call, Decoder<T> decoder) {
+		long sent = this.scheduler.nanos();
+		CompletableFuture<T> result = new CompletableFuture<>();
+		Duration limit = this.timeout.plus(call.hold());
+		HttpClient client = client();
+		this.execution.call(limit, () -> {
+			URI uri = this.base.resolve(call.path());
+			return client.request(uri, request(call, limit)).map(Reply::of);
+		}).whenComplete((reply, failure) -> {
+			Duration took = Duration.ofNanos(this.scheduler.nanos() - sent);
+			this.metrics.timer("platform." + operation).update(took);
+			complete(result, call, decoder, reply, failure);
+		});
+		return result;
+	}
+
+	private <T> void complete(CompletableFuture<T> result, Call call, Decoder<T> decoder, Reply reply,
+			Throwable failure) {
+		try {
+			if (failure != null) {
+				throw failed(call, failure);
+			}
+			result.complete(decoder.decode(reply));
+		}
+		catch (PlatformException ex) {
+			this.metrics.counter("platform.failed." + ex.kind().name().toLowerCase(Locale.ROOT)).inc();
+			result.completeExceptionally(ex);
+		}
+		catch (IOException | RuntimeException ex) {
+			result.completeExceptionally(unanswered(call, "a reply that can't be read: " + ex.getMessage()));
+		}
+	}
+
+	private PlatformException failed(Call call, Throwable failure) {
+		if (failure instanceof ConnectException) {
+			return new PlatformException(PlatformException.Kind.UNAVAILABLE,
+					call + " could not connect: " + failure.getMessage());
+		}
+		if (failure instanceof TimeoutException) {
+			avoidPool();
+		}
+		return unanswered(call, failure.toString());
+	}
+
+	private static PlatformException unanswered(Call call, String reason) {
+		PlatformException.Kind kind = (call.changes()) ? PlatformException.Kind.UNKNOWN_OUTCOME
+				: PlatformException.Kind.UNAVAILABLE;
+		return new PlatformException(kind, call + " brought no reply: " + reason);
+	}
+
+	/**
+	 * Leaves the pooled connections alone for a while.
+	 * <p>
+	 * A pooled connection may have gone silent: each call over it would time out again
+	 * while the platform is well, which shows as a row of timeouts on one daemon only.
+	 * Twice the pool's idle timeout is enough for it to drop its connections.
+	 */
+	private void avoidPool() {
+		this.freshUntil = this.scheduler.nanos() + this.execution.poolIdleTimeout().multipliedBy(2).toNanos();
+	}
+
+	private HttpClient client() {
+		boolean fresh = this.scheduler.nanos() - this.freshUntil < 0;
+		return (fresh) ? this.execution.freshClient() : this.execution.client();
+	}
+
+	private static Action<RequestSpec> request(Call call, Duration limit) {
+		return (spec) -> {
+			spec.method(call.method());
+			spec.readTimeout(limit);
+			spec.redirects(0);
+			if (call.method().isPut()) {
+				spec.getBody().type("application/octet-stream").bytes(call.body());
+			}
+		};
+	}
+
+	private static Optional<StoredObject> readReply(ObjectKey key, Reply reply) throws PlatformException {
+		if (reply.status() == Reply.NOT_FOUND) {
+			return Optional.empty();
+		}
+		reply.require();
+		return Optional.of(new StoredObject(key, reply.version(), reply.body()));
+	}
+
+	private static String path(ObjectKey key) {
+		return PlatformPaths.OBJECTS + "/" + key;
+	}
+
+	private static String conditional(ObjectKey key, long expected) {
+		return path(key) + "?" + PlatformPaths.EXPECTED + "=" + expected;
+	}
+
+	/**
+	 * Makes a result of a reply.
+	 *
+	 * @param <T> the type of the result
+	 */
+	@FunctionalInterface
+	private interface Decoder<T> {
+
+		T decode(Reply reply) throws PlatformException, IOException;
+
+	}
+
+	/**
+	 * One call to the platform.
+	 */
+	private record Call(HttpMethod method, String path, byte[] body, Duration hold) {
+
+		static Call reading(String path) {
+			return new Call(HttpMethod.GET, path, new byte[0], Duration.ZERO);
+		}
+
+		boolean changes() {
+			return !this.method.isGet();
+		}
+
+		@Override
+		public String toString() {
+			return this.method.getName() + " " + this.path;
+		}
+
+	}
+
+	/**
+	 * The parts of a response that outlive its buffer.
+	 */
+	private record Reply(int status, String versionText, byte[] body) {
+
+		private static final int NOT_FOUND = 404;
+
+		private static final int CONFLICT = 409;
+
+		private static final int TOO_LARGE = 413;
+
+		private static final int TOO_MANY = 429;
+
+		private static final int UNAVAILABLE = 503;
+
+		static Reply of(ReceivedResponse response) {
+			return new Reply(response.getStatusCode(), response.getHeaders().get(PlatformPaths.VERSION_HEADER),
+					response.getBody().getBytes());
+		}
+
+		long version() {
+			return Long.parseLong(this.versionText);
+		}
+
+		Reply require() throws PlatformException {
+			switch (this.status) {
+				case 200, 204 -> {
+					return this;
+				}
+				case CONFLICT -> throw refused(PlatformException.Kind.CONFLICT);
+				case TOO_LARGE -> throw refused(PlatformException.Kind.TOO_LARGE);
+				case TOO_MANY, UNAVAILABLE -> throw refused(PlatformException.Kind.UNAVAILABLE);
+				default -> throw new IllegalStateException("status " + this.status);
+			}
+		}
+
+		private PlatformException refused(PlatformException.Kind kind) {
+			String text = new String(this.body, StandardCharsets.UTF_8);
+			return new PlatformException(kind, "status " + this.status + ": " + text);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/bramleyscale/standins/platform/PlatformOperation.java
@@ -0,0 +1,34 @@
+package org.bramleyscale.standins.platform;
+
+/**
+ * The operations of the platform's object API.
+ */
+public enum PlatformOperation {
+
+	/** Reading one object. */
+	READ,
+
+	/** Reading all objects of a kind. */
+	LIST,
+
+	/** Writing an object. */
+	WRITE,
+
+	/** Deleting an object. */
+	DELETE,
+
+	/** Waiting for changes of a kind. */
+	WATCH,
+
+	/** Reading the list of VMs. */
+	VMS;
+
+	/**
+	 * Whether the operation counts against the rate of writes.
+	 * @return false if it counts against the rate of reads
+	 */
+	public boolean changes() {
+		return this == WRITE || this == DELETE;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/bramleyscale/standins/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A stand-in for the platform: its object API and list of VMs, in memory and over HTTP.
+ */
+package org.bramleyscale.standins.platform;
