--- a/standins/src/test/java/org/bramleyscale/standins/platform/HttpFixture.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/HttpFixture.java
@@ -44,7 +44,7 @@
 
 	@Override
 	public ObjectStore impatientStore() {
-		return store(Duration.ofMillis(300));
+		return store(Duration.ofMillis(400));
 	}
 
 	@Override
@@ -55,7 +55,7 @@
 	@Override
 	public void pass(Duration time) throws Exception {
 		CountDownLatch passed = new CountDownLatch(1);
-		this.loop.schedule(time, passed::countDown);
+		change((service) -> service.scheduler().schedule(time, passed::countDown));
 		passed.await(LONGEST_SECONDS, TimeUnit.SECONDS);
 	}
 
--- a/standins/src/test/java/org/bramleyscale/standins/platform/InMemoryFixture.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/InMemoryFixture.java
@@ -49,7 +49,7 @@
 
 	@Override
 	public ObjectStore impatientStore() {
-		return new InMemoryObjectStore(this.scheduler, this.service, Duration.ofMillis(300));
+		return new InMemoryObjectStore(this.scheduler, this.service, Duration.ofMillis(400));
 	}
 
 	@Override
--- a/standins/src/test/java/org/bramleyscale/standins/platform/ObjectStoreContractTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/ObjectStoreContractTests.java
@@ -35,6 +35,8 @@
 
 	private static final Duration SECONDS_20 = Duration.ofSeconds(20);
 
+	private static final Duration DELAY = Duration.ofMillis(800);
+
 	private static final byte[] VALUE = bytes("value");
 
 	@ParameterizedTest
@@ -123,13 +125,13 @@
 	@MethodSource("faults")
 	void namesWhatTheCallerKnowsAfterAFault(Implementation implementation, FaultCase faultCase) throws Exception {
 		try (StoreFixture fixture = implementation.start(LIMITS)) {
-			ObjectStore store = fixture.impatientStore();
-			PlatformFault fault = PlatformFault.of(faultCase.fault).by(Duration.ofMillis(600));
+			ObjectStore store = (faultCase.answered()) ? fixture.store() : fixture.impatientStore();
+			PlatformFault fault = PlatformFault.of(faultCase.fault).by(DELAY);
 			fixture.change((service) -> service.faults().inject(fault.times(1)));
 			Supplier<CompletableFuture<?>> call = () -> faultCase.call.apply(store, KEY);
 			PlatformException failure = failure(fixture, call);
 			Truth.assertThat(failure.kind()).isEqualTo(faultCase.expected);
-			fixture.pass(Duration.ofMillis(1200));
+			fixture.pass((faultCase.fault == PlatformFault.Kind.SLOW) ? DELAY : Duration.ZERO);
 			boolean stored = fixture.call(() -> fixture.store().read(KEY)).isPresent();
 			Truth.assertThat(stored).isEqualTo(faultCase.stored);
 		}
@@ -308,6 +310,10 @@
 			this.stored = stored;
 		}
 
+		boolean answered() {
+			return this.fault == PlatformFault.Kind.DOWN || this.fault == PlatformFault.Kind.CONFLICT;
+		}
+
 		private static CompletableFuture<?> write(ObjectStore store, ObjectKey key) {
 			return store.write(key, VALUE, 0);
 		}
--- a/standins/src/test/java/org/bramleyscale/standins/platform/StoreFixture.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/StoreFixture.java
@@ -32,7 +32,8 @@
 	void change(Consumer<PlatformService> change) throws Exception;
 
 	/**
-	 * Lets so much time pass for the platform, at least.
+	 * Lets so much time pass on the platform's own scheduler, so that what was due there
+	 * before has happened.
 	 * @param time the time
 	 * @throws Exception if interrupted
 	 */
