--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
@@ -0,0 +1,125 @@
+package org.bramleyscale.internal.peer;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Writes peer messages as MessagePack and reads them back.
+ *
+ * <p>
+ * A frame's payload is the array {@code [protocolVersion, code, body]}; the body is the
+ * message's components in order. Components may be appended to a message without a new
+ * protocol version: a reader ignores what it doesn't know and takes null or zero for what
+ * is missing. Immutable and safe for use by multiple threads.
+ */
+public final class MessageCodec {
+
+	/** The version of the frames that this code writes and reads. */
+	public static final int PROTOCOL_VERSION = 1;
+
+	private static final int FRAME_PARTS = 3;
+
+	private final MessageCatalog catalog;
+
+	private final ObjectMapper mapper = PeerMapper.create();
+
+	public MessageCodec(MessageCatalog catalog) {
+		this.catalog = catalog;
+	}
+
+	/**
+	 * Writes a message.
+	 * @param message a message whose type is in the catalog
+	 * @return the payload of one frame, without its length
+	 */
+	public byte[] encode(PeerMessage message) {
+		int code = this.catalog.code(message.getClass());
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try (JsonGenerator generator = this.mapper.createGenerator(bytes)) {
+			generator.writeStartArray(null, FRAME_PARTS);
+			generator.writeNumber(PROTOCOL_VERSION);
+			generator.writeNumber(code);
+			this.mapper.writeValue(generator, message);
+			generator.writeEndArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("peer message " + message.getClass().getName() + " can't be written", ex);
+		}
+		return bytes.toByteArray();
+	}
+
+	/**
+	 * Reads a message.
+	 * @param peer the sender, for the error
+	 * @param payload the payload of one frame, without its length
+	 * @return the message, or empty if this version doesn't know its code
+	 * @throws PeerProtocolException if the payload isn't a frame of this protocol
+	 */
+	public Optional<PeerMessage> decode(String peer, byte[] payload) throws PeerProtocolException {
+		checkLengths(peer, payload);
+		try (JsonParser parser = this.mapper.createParser(payload)) {
+			expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a frame must be an array");
+			int version = nextInt(peer, parser);
+			if (version != PROTOCOL_VERSION) {
+				throw new PeerProtocolException(PeerProtocolException.Kind.WRONG_VERSION, peer,
+						"protocol version must be " + PROTOCOL_VERSION + ", was " + version);
+			}
+			Optional<Class<? extends PeerMessage>> type = this.catalog.type(nextInt(peer, parser));
+			if (type.isEmpty()) {
+				return Optional.empty();
+			}
+			expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a message must be an array");
+			PeerMessage message = this.mapper.readValue(parser, type.get());
+			expect(peer, parser.nextToken() == JsonToken.END_ARRAY, "a frame must have three parts");
+			return Optional.of(message);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw malformed(peer, ex.getMessage());
+		}
+	}
+
+	/**
+	 * Refuses a payload whose inner lengths exceed it. The unpacker allocates what a
+	 * binary value's header claims before it reads the value, so that five bytes from a
+	 * stranger could claim two gigabytes and end the daemon with an OutOfMemoryError.
+	 * Skipping the value allocates nothing.
+	 * @param peer the sender, for the error
+	 * @param payload the payload
+	 * @throws PeerProtocolException if a length exceeds the payload
+	 */
+	private static void checkLengths(String peer, byte[] payload) throws PeerProtocolException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+			unpacker.skipValue();
+			expect(peer, unpacker.getTotalReadBytes() == payload.length, "a frame must be one value");
+		}
+		catch (IOException | MessagePackException ex) {
+			throw malformed(peer, ex.getMessage());
+		}
+	}
+
+	private static int nextInt(String peer, JsonParser parser) throws IOException, PeerProtocolException {
+		expect(peer, parser.nextToken() == JsonToken.VALUE_NUMBER_INT, "version and code must be whole numbers");
+		return parser.getIntValue();
+	}
+
+	private static void expect(String peer, boolean condition, String message) throws PeerProtocolException {
+		if (!condition) {
+			throw malformed(peer, message);
+		}
+	}
+
+	private static PeerProtocolException malformed(String peer, String message) {
+		return new PeerProtocolException(PeerProtocolException.Kind.MALFORMED, peer, message);
+	}
+
+}
