--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading the settings file.
+ */
+package org.bramleyscale.internal.settings;
