--- a/bramleyscale/src/main/java/org/bramleyscale/SettingKey.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/SettingKey.java
@@ -99,7 +99,7 @@
 
 	/** How long a platform watch waits. */
 	public static final SettingKey<Duration> PLATFORM_WATCH_WAIT = optional("timeouts.platformWatch",
-			duration("500ms", "1m"), "2s", "How long the platform may hold a waiting watch when nothing changes");
+			duration("200ms", "1m"), "1s", "How long the platform may hold a waiting watch when nothing changes");
 
 	/** The time to connect. */
 	public static final SettingKey<Duration> CONNECT_TIMEOUT = optional("timeouts.connect", duration("50ms", "30s"),
--- a/bramleyscale/src/main/java/org/bramleyscale/SettingRelations.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/SettingRelations.java
@@ -27,7 +27,7 @@
 		SettingRelations relations = new SettingRelations(values);
 		relations.differ(SettingKey.PEER_ADDRESS, SettingKey.HTTP_ADDRESS);
 		relations.atLeast(SettingKey.LEASE_DURATION, SettingKey.PLATFORM_CALL_TIMEOUT, 3);
-		relations.moreThan(SettingKey.CONFIGURATION_STALE_AFTER, SettingKey.PLATFORM_WATCH_WAIT);
+		relations.atLeast(SettingKey.CONFIGURATION_STALE_AFTER, SettingKey.PLATFORM_WATCH_WAIT, 4);
 		relations.moreThan(SettingKey.MAX_FRAME_BYTES, SettingKey.MAX_BODY_BYTES);
 		relations.moreThan(SettingKey.MAX_QUEUED_BYTES, SettingKey.MAX_FRAME_BYTES);
 		return relations.problems;
