--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/admission/TokenBucket.java
@@ -0,0 +1,93 @@
+package org.bramleyscale.internal.admission;
+
+import java.time.Duration;
+
+/**
+ * A token bucket that may go into debt by one request.
+ *
+ * <p>
+ * A request larger than the burst is taken when the bucket is full, since it could never
+ * be taken otherwise; the debt then delays what follows, so the long-term rate holds.
+ * Invariant: the level never exceeds the burst. Not safe for use by multiple threads.
+ */
+final class TokenBucket {
+
+	private double rate;
+
+	private double burst;
+
+	private double level;
+
+	private long updated;
+
+	TokenBucket(double rate, double burst, long now) {
+		this.rate = rate;
+		this.burst = burst;
+		this.level = burst;
+		this.updated = now;
+	}
+
+	/**
+	 * Changes the limit; what has accumulated stays, up to the new burst.
+	 * @param newRate tokens a second
+	 * @param newBurst most tokens that accumulate
+	 * @param now the time
+	 */
+	void limit(double newRate, double newBurst, long now) {
+		if (newRate == this.rate && newBurst == this.burst) {
+			return;
+		}
+		refill(now);
+		this.rate = newRate;
+		this.burst = newBurst;
+		this.level = Math.min(this.level, newBurst);
+	}
+
+	double rate() {
+		return this.rate;
+	}
+
+	double level(long now) {
+		refill(now);
+		return this.level;
+	}
+
+	boolean holds(double tokens, long now) {
+		refill(now);
+		return this.level >= needed(tokens);
+	}
+
+	void take(double tokens) {
+		this.level -= tokens;
+	}
+
+	void giveBack(double tokens) {
+		this.level = Math.min(this.burst, this.level + tokens);
+	}
+
+	/**
+	 * When a request could be taken if nothing else is.
+	 * @param tokens its tokens
+	 * @param now the time
+	 * @return the time to wait, rounded up to a millisecond
+	 */
+	Duration until(double tokens, long now) {
+		refill(now);
+		double missing = needed(tokens) - this.level;
+		if (missing <= 0) {
+			return Duration.ZERO;
+		}
+		return Duration.ofMillis((long) Math.ceil(missing / this.rate * 1000));
+	}
+
+	private double needed(double tokens) {
+		return Math.min(tokens, this.burst);
+	}
+
+	private void refill(long now) {
+		double seconds = (now - this.updated) / 1e9;
+		this.updated = now;
+		this.level = Math.min(this.burst, this.level + seconds * this.rate);
+	}
+
+}
