Split account limits among entries by demand

An account's callers use several entries, so each needs a part of the limit. The home entry hears each entry's demand and answers with shares that expire; an entry cut off falls back to an equal part.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/admission/AccountLimits.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/admission/AccountLimits.java
@@ -62,6 +62,29 @@
 		return account.bucket;
 	}
 
+	/**
+	 * Notes what an account asks for, whether it is admitted or not.
+	 * @param id the account
+	 * @param tokens the tokens
+	 */
+	void asked(ClientAccountId id, double tokens) {
+		Account account = this.accounts.get(id);
+		if (account != null) {
+			account.asked += tokens;
+		}
+	}
+
+	Map<ClientAccountId, Double> takeDemand() {
+		Map<ClientAccountId, Double> demand = new HashMap<>();
+		this.accounts.forEach((id, account) -> {
+			if (account.asked > 0) {
+				demand.put(id, account.asked);
+				account.asked = 0;
+			}
+		});
+		return demand;
+	}
+
 	void giveBack(ClientAccountId id, double tokens) {
 		Account account = this.accounts.get(id);
 		if (account != null && account.bucket != null) {
@@ -104,6 +127,8 @@
 
 		private long lastUse;
 
+		private double asked;
+
 		double rate(AccountRule rule, long now) {
 			double cautious = (double) rule.tokensPerSecond() / Math.max(1, rule.entries());
 			if (!this.shared) {
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/admission/AccountShares.java
@@ -0,0 +1,26 @@
+package org.bramleyscale.internal.admission;
+
+import java.util.List;
+
+import org.bramleyscale.internal.peer.PeerMessage;
+
+/**
+ * The receiving entry's shares of client accounts' limits, from the accounts' home entry.
+ *
+ * @param accounts the accounts
+ * @param tokensPerSecond for each account, the share
+ * @param validForMillis how long the shares hold
+ */
+public record AccountShares(List<String> accounts, List<Double> tokensPerSecond,
+		long validForMillis) implements PeerMessage {
+
+	public AccountShares {
+		accounts = List.copyOf(accounts);
+		tokensPerSecond = List.copyOf(tokensPerSecond);
+		if (accounts.size() != tokensPerSecond.size()) {
+			throw new IllegalArgumentException(
+					accounts.size() + " accounts but " + tokensPerSecond.size() + " rates in shares");
+		}
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/admission/FairAdmission.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/admission/FairAdmission.java
@@ -80,6 +80,7 @@
 		long now = this.scheduler.nanos();
 		long cost = expectedTokens(request);
 		TokenBucket bucket = this.limits.bucket(rule, now);
+		this.limits.asked(request.account(), cost);
 		checkDeadline(request);
 		checkRoom(request);
 		checkLimit(request, bucket, cost, now);
@@ -134,6 +135,14 @@
 		this.limits.share(account, tokensPerSecond, this.scheduler.nanos() + validFor.toNanos());
 	}
 
+	/**
+	 * What accounts with a limit asked for since the last call, admitted or not.
+	 * @return tokens by account
+	 */
+	Map<ClientAccountId, Double> takeDemand() {
+		return this.limits.takeDemand();
+	}
+
 	@Override
 	public String name() {
 		return "admission";
