--- /dev/null
+++ b/daemon/src/main/java/org/bramleyscale/daemon/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The subcommands, one class each.
+ */
+package org.bramleyscale.daemon.command;
