--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorError.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorError.java
@@ -19,7 +19,7 @@
 
 	static OperatorError of(ServingException failure) {
 		long retryAfter = failure.retryAfter().map(Duration::toMillis).orElse(0L);
-		return new OperatorError(lower(failure.code()), lower(failure.ran()), lower(failure.step()), failure.peer(),
+		return new OperatorError(failure.code().name(), lower(failure.ran()), lower(failure.step()), failure.peer(),
 				retryAfter, failure.getMessage());
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorHandlers.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorHandlers.java
@@ -214,7 +214,7 @@
 	private static void fail(Context context, ServingException failure) {
 		try {
 			failure.retryAfter().ifPresent((wait) -> context.header("Retry-After", wait.toSeconds() + 1));
-			json(context, failure.code().httpStatus(), OperatorError.of(failure));
+			json(context, failure.code().httpStatus(), Map.of("error", OperatorError.of(failure)));
 		}
 		catch (JsonProcessingException ex) {
 			context.error(ex);
