Add leases kept as objects of the platform

Leased jobs need one holder at a time, also when the holder is paused, when a reply is lost after the write took effect and when the platform is slow. A holder counts from before it sent a renewal, less a margin; a claimant takes over only what it saw unchanged for the duration plus a margin, by its own monotonic clock, with a conditional write. A nonce in each write lets the holder recognise its own after a lost reply. The fencing number is the object's version at the taking, so it grows without anybody having to read the old value.

Ruled out: expiry by time of day, and deleting a released lease, which would start its numbers anew.

--- /dev/null
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/LeaseCluster.java
@@ -0,0 +1,164 @@
+package org.bramleyscale.standins.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.truth.Truth;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.lease.Lease;
+import org.bramleyscale.internal.lease.LeaseManager;
+import org.bramleyscale.internal.lease.LeaseSettings;
+import org.bramleyscale.internal.lease.Leases.LeaseListener;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * Several lease managers over one platform on a manual clock, all seeking one lease.
+ *
+ * <p>
+ * While time passes it checks that never two of them hold the lease, and that each later
+ * tenure has a greater number.
+ */
+final class LeaseCluster {
+
+	static final String LEASE = "loads-quan1";
+
+	static final LeaseSettings SETTINGS = LeaseSettings.DEFAULT;
+
+	private static final Duration STEP = Duration.ofMillis(50);
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final PlatformService platform = new PlatformService(this.scheduler, PlatformLimits.DEFAULT);
+
+	private final List<Seat> seats;
+
+	private final List<Long> numbers = new ArrayList<>();
+
+	LeaseCluster(int size) {
+		this.seats = IntStream.range(0, size).mapToObj((index) -> new Seat(index, CALL_TIMEOUT)).toList();
+	}
+
+	ManualScheduler scheduler() {
+		return this.scheduler;
+	}
+
+	PlatformService platform() {
+		return this.platform;
+	}
+
+	PlatformFaults faults() {
+		return this.platform.faults();
+	}
+
+	Seat seat(int index) {
+		return this.seats.get(index);
+	}
+
+	/**
+	 * A daemon beside the others that waits longer for a reply.
+	 * @param timeout how long
+	 * @return the seat
+	 */
+	Seat patientSeat(Duration timeout) {
+		return new Seat(this.seats.size(), timeout);
+	}
+
+	List<Seat> holders() {
+		return this.seats.stream().filter(Seat::holds).toList();
+	}
+
+	List<Long> numbers() {
+		return this.numbers;
+	}
+
+	/**
+	 * Lets the first seat take the lease, then lets the others seek it.
+	 * @return this cluster
+	 */
+	LeaseCluster started() {
+		for (Seat seat : this.seats) {
+			seat.seek();
+			pass(Duration.ofMillis(100));
+		}
+		Truth.assertThat(holders()).containsExactly(seat(0));
+		return this;
+	}
+
+	void pass(Duration time) {
+		long end = this.scheduler.nanos() + time.toNanos();
+		while (this.scheduler.nanos() < end) {
+			long left = end - this.scheduler.nanos();
+			this.scheduler.advance(Duration.ofNanos(Math.min(left, STEP.toNanos())));
+			Truth.assertThat(holders().size()).isAtMost(1);
+			Truth.assertThat(this.numbers).isInStrictOrder();
+		}
+	}
+
+	/**
+	 * One daemon's leases.
+	 */
+	final class Seat implements LeaseListener {
+
+		private final PausableScheduler own;
+
+		private final InMemoryObjectStore store;
+
+		private final LeaseManager manager;
+
+		private final List<String> events = new ArrayList<>();
+
+		private Seat(int index, Duration timeout) {
+			LeaseCluster cluster = LeaseCluster.this;
+			this.own = new PausableScheduler(cluster.scheduler);
+			this.store = new InMemoryObjectStore(this.own, cluster.platform, timeout);
+			Incarnation self = new Incarnation(new VmId("entry-" + index), 1);
+			this.manager = new LeaseManager(this.own, this.store, self, SETTINGS, new Random(index),
+					new MetricRegistry());
+		}
+
+		PausableScheduler scheduler() {
+			return this.own;
+		}
+
+		InMemoryObjectStore store() {
+			return this.store;
+		}
+
+		LeaseManager manager() {
+			return this.manager;
+		}
+
+		List<String> events() {
+			return this.events;
+		}
+
+		void seek() {
+			this.manager.seek(LEASE, this);
+		}
+
+		boolean holds() {
+			return this.manager.lease(LEASE).filter(Lease::held).isPresent();
+		}
+
+		@Override
+		public void taken(Lease lease) {
+			this.events.add("taken " + lease.number());
+			LeaseCluster.this.numbers.add(lease.number());
+		}
+
+		@Override
+		public void lost(Lease lease) {
+			Truth.assertThat(lease.held()).isFalse();
+			this.events.add("lost " + lease.number());
+		}
+
+	}
+
+}
