Connect daemons over TCP and replace connections gone silent

Daemons need one connection a pair that survives what fails in the field: a connection can go silent for good without an error while new ones work. Each connection carries heartbeats; one on which nothing is heard for 3 s gets a second one beside it and is closed once that one has greeted. The greeting proves a shared key by an HMAC over both nonces and identities; whoever speaks nonsense, another version or another key is cut off and counted.

Which connection to open, use and close is decided by PeerConnections without sockets. Left out: a full mesh; a VM that nobody wants a connection to is dialled when there is something to send and let go after an idle minute.

Of two crossed connections both sides keep the smaller name's. Keeping the one seen first was ruled out, since each side can close the other's choice.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
@@ -84,7 +84,7 @@
 			return Optional.of(message);
 		}
 		catch (IOException | RuntimeException ex) {
-			throw malformed(peer, ex.getMessage());
+			throw malformed(peer, ex.toString());
 		}
 	}
 
@@ -103,7 +103,7 @@
 			expect(peer, unpacker.getTotalReadBytes() == payload.length, "a frame must be one value");
 		}
 		catch (IOException | MessagePackException ex) {
-			throw malformed(peer, ex.getMessage());
+			throw malformed(peer, ex.toString());
 		}
 	}
 
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerCounters.java
@@ -0,0 +1,79 @@
+package org.bramleyscale.internal.peer;
+
+import java.util.Locale;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * What the peer slice counts. Safe for use by multiple threads.
+ */
+final class PeerCounters {
+
+	private final MetricRegistry metrics;
+
+	private final Counter opened;
+
+	private final Counter silent;
+
+	private final Counter refusedSends;
+
+	private final Counter lostPending;
+
+	private final Counter staleFrames;
+
+	private final Counter unknownMessages;
+
+	private final Counter bytesSent;
+
+	private final Counter bytesReceived;
+
+	PeerCounters(MetricRegistry metrics) {
+		this.metrics = metrics;
+		this.opened = metrics.counter("peer.connections.opened");
+		this.silent = metrics.counter("peer.connections.silent");
+		this.refusedSends = metrics.counter("peer.sends.refused");
+		this.lostPending = metrics.counter("peer.sends.lost-before-connection");
+		this.staleFrames = metrics.counter("peer.frames.stale-incarnation");
+		this.unknownMessages = metrics.counter("peer.frames.unknown-code");
+		this.bytesSent = metrics.counter("peer.bytes.sent");
+		this.bytesReceived = metrics.counter("peer.bytes.received");
+	}
+
+	void opened() {
+		this.opened.inc();
+	}
+
+	void silent() {
+		this.silent.inc();
+	}
+
+	void refusedSend() {
+		this.refusedSends.inc();
+	}
+
+	void lostPending(int messages) {
+		this.lostPending.inc(messages);
+	}
+
+	void staleFrame() {
+		this.staleFrames.inc();
+	}
+
+	void unknownMessage() {
+		this.unknownMessages.inc();
+	}
+
+	void sent(int bytes) {
+		this.bytesSent.inc(bytes);
+	}
+
+	void received(int bytes) {
+		this.bytesReceived.inc(bytes);
+	}
+
+	void cutOff(PeerProtocolException.Kind kind) {
+		this.metrics.counter("peer.cut-off." + kind.name().toLowerCase(Locale.ROOT).replace('_', '-')).inc();
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerDialler.java
@@ -0,0 +1,23 @@
+package org.bramleyscale.internal.peer;
+
+import org.bramleyscale.VmId;
+
+/**
+ * Opens connections.
+ *
+ * <p>
+ * Each dial ends in exactly one call of {@link PeerConnections#opened} or
+ * {@link PeerConnections#dialFailed}, later and on the scheduler's thread.
+ */
+@FunctionalInterface
+interface PeerDialler {
+
+	/**
+	 * Starts to open a connection.
+	 * @param vm the VM expected at the address
+	 * @param address {@code host:port}
+	 * @param replacing whether an earlier connection went silent
+	 */
+	void dial(VmId vm, String address, boolean replacing);
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerIdentity.java
@@ -0,0 +1,26 @@
+package org.bramleyscale.internal.peer;
+
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.Incarnation;
+
+/**
+ * Who a daemon is and where it can be reached.
+ *
+ * <p>
+ * Immutable and safe for use by multiple threads.
+ *
+ * @param incarnation its VM and start
+ * @param dataCentre where it runs
+ * @param peerAddress {@code host:port} on which it listens for peers
+ * @param httpAddress {@code host:port} on which it listens for callers
+ */
+public record PeerIdentity(Incarnation incarnation, DataCentre dataCentre, String peerAddress, String httpAddress) {
+
+	public PeerIdentity {
+		if (incarnation == null || dataCentre == null || peerAddress == null || httpAddress == null) {
+			throw new IllegalArgumentException("peer identity must be complete, was " + incarnation + ", " + dataCentre
+					+ ", " + peerAddress + ", " + httpAddress);
+		}
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerState.java
@@ -0,0 +1,173 @@
+package org.bramleyscale.internal.peer;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+
+/**
+ * What {@link PeerConnections} knows of one VM.
+ *
+ * <p>
+ * Confined to the scheduler's thread. Times are monotonic nanoseconds.
+ */
+final class PeerState {
+
+	private final VmId vm;
+
+	private final List<TrackedLink> links = new ArrayList<>();
+
+	private final Deque<byte[]> pending = new ArrayDeque<>();
+
+	private Incarnation incarnation;
+
+	private boolean dialling;
+
+	private int failures;
+
+	private long nextDialAt;
+
+	private long withoutLinkSince;
+
+	private long pendingSince;
+
+	private long pendingBytes;
+
+	PeerState(VmId vm, long now) {
+		this.vm = vm;
+		this.withoutLinkSince = now;
+		this.nextDialAt = now;
+	}
+
+	VmId vm() {
+		return this.vm;
+	}
+
+	Incarnation incarnation() {
+		return this.incarnation;
+	}
+
+	void meet(Incarnation newest) {
+		this.incarnation = newest;
+	}
+
+	List<TrackedLink> links() {
+		return this.links;
+	}
+
+	/**
+	 * The link to send on: the newest that isn't silent, else the newest.
+	 * @param silentBefore links heard last before this are silent
+	 * @return the link, or empty if there is none
+	 */
+	Optional<TrackedLink> best(long silentBefore) {
+		TrackedLink best = null;
+		for (TrackedLink link : this.links) {
+			if (best == null || !link.silent(silentBefore) || best.silent(silentBefore)) {
+				best = link;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	void add(TrackedLink link) {
+		this.links.add(link);
+		this.dialling &= !link.link().dialled();
+		this.failures = 0;
+	}
+
+	/**
+	 * Removes a link.
+	 * @param link the link
+	 * @param now the time
+	 * @return whether it was there
+	 */
+	boolean remove(PeerLink link, long now) {
+		boolean removed = this.links.removeIf((tracked) -> tracked.link() == link);
+		if (removed && this.links.isEmpty()) {
+			this.withoutLinkSince = now;
+		}
+		return removed;
+	}
+
+	boolean mayDial(long now) {
+		return !this.dialling && now - this.nextDialAt >= 0;
+	}
+
+	boolean dialling() {
+		return this.dialling;
+	}
+
+	void dialStarted() {
+		this.dialling = true;
+	}
+
+	void dialEnded() {
+		this.dialling = false;
+	}
+
+	/**
+	 * Notes a failed dial.
+	 * @return how many dials in a row have failed
+	 */
+	int dialFailed() {
+		this.dialling = false;
+		return ++this.failures;
+	}
+
+	void dialNotBefore(long at) {
+		this.nextDialAt = at;
+	}
+
+	long nextDialAt() {
+		return this.nextDialAt;
+	}
+
+	int failures() {
+		return this.failures;
+	}
+
+	long withoutLinkSince() {
+		return this.withoutLinkSince;
+	}
+
+	boolean hasPending() {
+		return !this.pending.isEmpty();
+	}
+
+	long pendingBytes() {
+		return this.pendingBytes;
+	}
+
+	long pendingSince() {
+		return this.pendingSince;
+	}
+
+	void enqueue(byte[] payload, long now) {
+		if (this.pending.isEmpty()) {
+			this.pendingSince = now;
+		}
+		this.pending.add(payload);
+		this.pendingBytes += payload.length;
+	}
+
+	/**
+	 * Takes all waiting messages.
+	 * @return the payloads in the order of sending
+	 */
+	List<byte[]> drainPending() {
+		List<byte[]> payloads = new ArrayList<>();
+		for (Iterator<byte[]> iterator = this.pending.iterator(); iterator.hasNext();) {
+			payloads.add(iterator.next());
+			iterator.remove();
+		}
+		this.pendingBytes = 0;
+		return payloads;
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/Ping.java
@@ -0,0 +1,8 @@
+package org.bramleyscale.internal.peer;
+
+/**
+ * The heartbeat of one connection, sent when nothing else was sent on it lately.
+ */
+public record Ping() implements PeerMessage {
+
+}
