Deliver messages that arrive in one piece with the greeting

A run of TcpPeerNetworkTests failed with a message lost: frames that came in the same read as the greeting's last one were handed on while the decoder was being replaced, before the link existed. The link is now made first.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerChannel.java
@@ -107,13 +107,23 @@
 		}
 		this.greeting.receive(message.get()).ifPresent((reply) -> context.writeAndFlush(this.network.frame(reply)));
 		if (this.greeting.complete()) {
-			context.pipeline().replace(DECODER, DECODER, decoder(this.network.settings().largestFrame()));
-			this.link = new ChannelPeerLink(context.channel(), this.greeting, this.network);
-			this.network.greetingEnds();
-			this.network.opened(this.link);
+			open(context);
 		}
 	}
 
+	/**
+	 * Goes over from the greeting to messages. Replacing the decoder hands on frames that
+	 * arrived together with the greeting's last one, so the link must be there before;
+	 * otherwise the first messages of a busy peer would belong to no link and be lost.
+	 * @param context the channel's context
+	 */
+	private void open(ChannelHandlerContext context) {
+		this.link = new ChannelPeerLink(context.channel(), this.greeting, this.network);
+		this.network.greetingEnds();
+		this.network.opened(this.link);
+		context.pipeline().replace(DECODER, DECODER, decoder(this.network.settings().largestFrame()));
+	}
+
 	/**
 	 * Hands a message over to the scheduler's thread. That thread may lag behind the
 	 * network; without a bound the messages waiting for it would fill the heap, so
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/RawPeer.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/RawPeer.java
@@ -1,8 +1,10 @@
 package org.bramleyscale.internal.peer;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 
 import com.google.common.truth.Truth;
@@ -21,25 +23,31 @@
 
 	private final DataInputStream input;
 
-	private final DataOutputStream output;
+	private final OutputStream output;
 
 	RawPeer(MessageCodec codec, byte[] key, Socket socket) throws IOException {
 		this.codec = codec;
 		this.key = key;
 		this.socket = socket;
 		this.input = new DataInputStream(socket.getInputStream());
-		this.output = new DataOutputStream(socket.getOutputStream());
+		this.output = socket.getOutputStream();
 	}
 
 	/**
-	 * Greets the daemon at the other end.
+	 * Greets the daemon at the other end and sends messages in one piece with the last
+	 * frame of the greeting.
 	 */
-	Hello greet(PeerIdentity identity, VmId dialled) throws Exception {
+	Hello greet(PeerIdentity identity, VmId dialled, PeerMessage... messages) throws Exception {
 		Hello own = new Hello(new byte[Greeting.NONCE_BYTES], identity, false);
 		Greeting greeting = new Greeting(this.key, this.codec, own, dialled);
 		write(own);
 		Hello other = (Hello) read();
-		write(greeting.receive(other).orElseThrow());
+		ByteArrayOutputStream piece = new ByteArrayOutputStream();
+		write(this.codec.encode(greeting.receive(other).orElseThrow()), piece);
+		for (PeerMessage message : messages) {
+			write(this.codec.encode(message), piece);
+		}
+		this.output.write(piece.toByteArray());
 		greeting.receive(read());
 		Truth.assertThat(greeting.complete()).isTrue();
 		return other;
@@ -74,8 +82,13 @@
 	}
 
 	void write(byte[] payload) throws IOException {
-		this.output.writeInt(payload.length);
-		this.output.write(payload);
+		write(payload, this.output);
+	}
+
+	private static void write(byte[] payload, OutputStream target) throws IOException {
+		DataOutputStream data = new DataOutputStream(target);
+		data.writeInt(payload.length);
+		data.write(payload);
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/TcpPeerNetworkTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/TcpPeerNetworkTests.java
@@ -75,6 +75,19 @@
 		Truth.assertThat(a.notes.take()).isEqualTo("b~1 7 0");
 	}
 
+	/**
+	 * Symptom: a peer's first message is lost. Sequence: it arrives in one piece with the
+	 * greeting's last frame. Cause: it is read before the link is there.
+	 */
+	@Test
+	void aMessageInOnePieceWithTheGreetingIsDelivered() throws Exception {
+		Daemon a = daemon("a", KEY);
+		try (RawPeer peer = new RawPeer(CODEC, KEY, new Socket(InetAddress.getLoopbackAddress(), a.port))) {
+			peer.greet(identity("b"), new VmId("a"), new Note(1, new byte[3]));
+			Truth.assertThat(a.notes.take()).isEqualTo("b~1 1 3");
+		}
+	}
+
 	@Test
 	void anObjectOfThePlatformsLargestSizeFits() throws Exception {
 		Daemon a = daemon("a", KEY);
