Run a caller's request from admission to its single end

Requests need one place that starts them, reads the answer and ends them. The request slice keeps a record for each request issued here, a pure state machine with one outcome, an answer log that callers read at offsets, and attempts that are resumed over a new connection when a stream goes silent.

Ruled out: dropping the ids of ended bookings after a time, since a late retry with a caller-chosen id would then be booked again; they are kept as keyed hashes for the incarnation's life instead.

--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/LocalRequests.java
@@ -0,0 +1,261 @@
+package org.bramleyscale.internal.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.ErrorCode;
+import org.bramleyscale.Ran;
+import org.bramleyscale.RequestId;
+import org.bramleyscale.ServingException;
+import org.bramleyscale.Step;
+import org.bramleyscale.internal.request.answer.AnswerLog;
+import org.bramleyscale.internal.request.answer.RecordReader;
+import org.bramleyscale.internal.request.attempt.Failures;
+import org.bramleyscale.internal.request.forward.HomeRequests;
+import org.bramleyscale.internal.request.life.LifeEvent;
+import org.bramleyscale.internal.request.life.Outcome;
+import org.bramleyscale.internal.request.life.RequestLife;
+import org.bramleyscale.internal.time.Cancellable;
+import org.bramleyscale.internal.time.Scheduler;
+
+/**
+ * The requests whose home is here: started once, read by any number of callers, replayed.
+ *
+ * <p>
+ * Invariants: a not-repeatable id is started at most once; a reader hears of exactly one
+ * end. A record that ended without having run may start again, since that is what its
+ * caller was told. Confined to the scheduler's thread.
+ */
+final class LocalRequests implements HomeRequests {
+
+	private static final Cancellable NOTHING = () -> {
+	};
+
+	private static final Duration LEAVING_PAUSE = Duration.ofMillis(100);
+
+	private final Scheduler scheduler;
+
+	private final RequestSettings settings;
+
+	private final RequestMetrics metrics;
+
+	private final RecordStore records;
+
+	private final SpentIds spent;
+
+	private final RequestIds ids;
+
+	private final AccessCheck access;
+
+	private final Dispatcher dispatcher;
+
+	private final RequestFlow flow;
+
+	private boolean leaving;
+
+	LocalRequests(RequestPorts ports, RequestSettings settings, RequestMetrics metrics, RequestParts parts) {
+		this.scheduler = ports.scheduler();
+		this.settings = settings;
+		this.metrics = metrics;
+		this.records = parts.records();
+		this.spent = parts.spent();
+		this.ids = parts.ids();
+		this.access = new AccessCheck(ports.configuration());
+		this.flow = parts.flow();
+		this.dispatcher = this.flow.dispatcher();
+	}
+
+	@Override
+	public Cancellable generate(GenerateRequest request, RecordReader reader) {
+		return submit(new Work.Generation(request), request.id(), reader);
+	}
+
+	@Override
+	public Cancellable call(PlainRequest request, RecordReader reader) {
+		return submit(new Work.Call(request), request.id(), reader);
+	}
+
+	@Override
+	public Cancellable attach(RequestId id, ClientAccountId account, RecordReader reader) {
+		Optional<RequestRecord> record = this.records.find(id).filter((found) -> found.account().equals(account));
+		if (record.isEmpty()) {
+			reader.failed(unknown(id));
+			return NOTHING;
+		}
+		return attach(record.get(), reader);
+	}
+
+	@Override
+	public void cancel(RequestId id, ClientAccountId account) {
+		this.records.find(id)
+			.filter((found) -> found.account().equals(account) && !found.life().ended())
+			.ifPresent(this.flow::cancelled);
+	}
+
+	/**
+	 * Starts a repeatable request whose home is gone, under an id of this daemon.
+	 *
+	 * <p>
+	 * That is safe since the request may run more than once, and the new id keeps frames
+	 * that the lost home's attempts may still produce apart from the new ones.
+	 * @param work what is asked; must be repeatable
+	 * @param old the id under which it was known
+	 * @param delivered the answer that its caller already has
+	 * @param reader takes the answer
+	 * @return takes the reader away
+	 */
+	Cancellable adopt(Work work, RequestId old, AnswerLog delivered, RecordReader reader) {
+		Optional<RequestRecord> known = this.records.find(old);
+		if (known.isPresent()) {
+			return again(known.get(), work, reader);
+		}
+		RequestLife life = new RequestLife(Ran.UNKNOWN);
+		if (delivered != null) {
+			life.continueAt(delivered.next());
+		}
+		RequestRecord record = new RequestRecord(this.ids.next(), work, life, delivered, this.scheduler.nanos(), 0);
+		Cancellable handle = start(record, reader);
+		if (!record.life().ended()) {
+			this.records.alias(old, record.id());
+		}
+		return handle;
+	}
+
+	boolean knows(RequestId id) {
+		return this.records.find(id).isPresent();
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	private Cancellable submit(Work work, Optional<RequestId> id, RecordReader reader) {
+		if (id.isEmpty()) {
+			return start(fresh(this.ids.next(), work, Ran.NO, 0), reader);
+		}
+		Optional<RequestRecord> known = this.records.find(id.get());
+		if (known.isPresent()) {
+			return again(known.get(), work, reader);
+		}
+		Optional<ServingException> used = used(id.get());
+		if (used.isPresent()) {
+			reader.failed(used.get());
+			return NOTHING;
+		}
+		return start(fresh(id.get(), work, Ran.NO, 0), reader);
+	}
+
+	private RequestRecord fresh(RequestId id, Work work, Ran earlier, int attempts) {
+		AnswerLog log = (work instanceof Work.Generation) ? new AnswerLog() : null;
+		return new RequestRecord(id, work, new RequestLife(earlier), log, this.scheduler.nanos(), attempts);
+	}
+
+	private Cancellable again(RequestRecord record, Work work, RecordReader reader) {
+		if (!record.fingerprint().equals(work.fingerprint())) {
+			reader.failed(new ServingException(ErrorCode.REQUEST_ID_REUSED, Ran.NO, Step.RECEIVE, "self",
+					"request id '" + record.id() + "' belongs to a different request"));
+			return NOTHING;
+		}
+		if (mayRestart(record)) {
+			this.records.restart(record);
+			Ran earlier = record.life().settledRan();
+			return start(fresh(record.id(), work, earlier, record.attempts()), reader);
+		}
+		this.metrics.replayed();
+		return attach(record, reader);
+	}
+
+	private static boolean mayRestart(RequestRecord record) {
+		boolean incomplete = record.life().outcome().filter((outcome) -> outcome != Outcome.COMPLETED).isPresent();
+		return incomplete && (record.repeatable() || record.life().settledRan() == Ran.NO);
+	}
+
+	private Cancellable start(RequestRecord record, RecordReader reader) {
+		try {
+			checkOpen();
+			this.access.check(record.work());
+			this.dispatcher.admit(record);
+			spend(record);
+		}
+		catch (ServingException ex) {
+			ServingException refusal = Failures.withRan(ex, record.life().ran());
+			this.metrics.ended(Outcome.REFUSED, refusal.ran());
+			record.life().apply(new LifeEvent.Refused());
+			reader.failed(refusal);
+			return NOTHING;
+		}
+		record.life().apply(new LifeEvent.Admitted());
+		record.life().apply(new LifeEvent.Queued());
+		this.metrics.admitted();
+		this.records.add(record);
+		Duration timeLeft = Duration.ofNanos(record.deadline() - this.scheduler.nanos());
+		record.deadlineTimer(this.scheduler.schedule(timeLeft, () -> this.flow.expired(record)));
+		this.dispatcher.askForPass();
+		return attach(record, reader);
+	}
+
+	private void checkOpen() throws ServingException {
+		if (this.leaving) {
+			throw new ServingException(ErrorCode.LEAVING, Ran.NO, Step.ADMIT, "self",
+					"this daemon is leaving; ask for another address", LEAVING_PAUSE);
+		}
+	}
+
+	private void spend(RequestRecord record) throws ServingException {
+		if (record.repeatable() || RequestIds.hasIssuedForm(record.id())) {
+			return;
+		}
+		if (!this.spent.add(record.id())) {
+			this.dispatcher.ended(record, true, 0);
+			throw new ServingException(ErrorCode.OVERLOADED, Ran.NO, Step.ADMIT, "self",
+					"this daemon can't remember more caller-chosen request ids; leave the id to the daemon");
+		}
+	}
+
+	private Cancellable attach(RequestRecord record, RecordReader reader) {
+		if (!reader.begin(record.log())) {
+			reader.failed(new ServingException(ErrorCode.BAD_REQUEST, record.life().ran(), Step.RESUME, "self",
+					"the answer of request '" + record.id() + "' can't be read from the offset asked for"));
+			return NOTHING;
+		}
+		reader.admitted(record.id());
+		if (record.life().ended()) {
+			record.replay(reader);
+			return NOTHING;
+		}
+		record.add(reader);
+		record.stopOrphanTimer();
+		if (record.log() != null) {
+			reader.grew(record.log());
+		}
+		return () -> detach(record, reader);
+	}
+
+	private void detach(RequestRecord record, RecordReader reader) {
+		record.remove(reader);
+		if (record.unread() && record.repeatable() && !record.life().ended()) {
+			record.orphanTimer(this.scheduler.schedule(this.settings.orphanGrace(), () -> this.flow.abandoned(record)));
+		}
+	}
+
+	private Optional<ServingException> used(RequestId id) {
+		if (RequestIds.hasIssuedForm(id)) {
+			return Optional.of((this.ids.issued(id)) ? unknown(id)
+					: new ServingException(ErrorCode.BAD_REQUEST, Ran.NO, Step.RECEIVE, "self",
+							"request id '" + id + "' has the form of an issued one but was never issued"));
+		}
+		return this.spent.find(id).filter((ran) -> ran != Ran.NO).map((ran) -> unknown(id));
+	}
+
+	private ServingException unknown(RequestId id) {
+		Ran ran = this.spent.find(id).orElse(Ran.UNKNOWN);
+		return new ServingException(ErrorCode.UNKNOWN_REQUEST, ran, Step.RECEIVE, "self",
+				"there is no record of request '" + id + "' any more");
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestSettings.java
@@ -0,0 +1,268 @@
+package org.bramleyscale.internal.request;
+
+import java.time.Duration;
+
+/**
+ * How long the request slice waits for what, and how much it keeps.
+ *
+ * <p>
+ * Immutable and safe for use by multiple threads.
+ */
+public final class RequestSettings {
+
+	private final Duration streamSilence;
+
+	private final Duration orphanGrace;
+
+	private final Duration forwardAcknowledgement;
+
+	private final Duration keepNotRepeatable;
+
+	private final Duration keepRepeatable;
+
+	private final int recordCount;
+
+	private final long recordBytes;
+
+	private final int spentIds;
+
+	private final int maxBodyBytes;
+
+	private final double retryShare;
+
+	private final double retriesPerSecond;
+
+	private final int maxAttempts;
+
+	private RequestSettings(Builder builder) {
+		this.streamSilence = positive("stream silence", builder.streamSilence);
+		this.orphanGrace = positive("orphan grace", builder.orphanGrace);
+		this.forwardAcknowledgement = positive("forward acknowledgement", builder.forwardAcknowledgement);
+		this.keepNotRepeatable = positive("time to keep records", builder.keepNotRepeatable);
+		this.keepRepeatable = positive("time to keep records", builder.keepRepeatable);
+		this.recordCount = positive("record count", builder.recordCount);
+		this.recordBytes = positive("record bytes", builder.recordBytes);
+		this.spentIds = positive("spent ids", builder.spentIds);
+		this.maxBodyBytes = positive("largest body", builder.maxBodyBytes);
+		this.retryShare = builder.retryShare;
+		this.retriesPerSecond = builder.retriesPerSecond;
+		this.maxAttempts = positive("attempts", builder.maxAttempts);
+	}
+
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * How long a stream may bring nothing before it is resumed over a new connection.
+	 * @return 5 s by default
+	 */
+	public Duration streamSilence() {
+		return this.streamSilence;
+	}
+
+	/**
+	 * How long a repeatable request without a reader goes on.
+	 * @return 10 s by default
+	 */
+	public Duration orphanGrace() {
+		return this.orphanGrace;
+	}
+
+	/**
+	 * How long to wait for the home of a request to acknowledge a forward.
+	 * @return 2 s by default
+	 */
+	public Duration forwardAcknowledgement() {
+		return this.forwardAcknowledgement;
+	}
+
+	/**
+	 * How long past its deadline the record of a not-repeatable request is kept.
+	 * @return 2 min by default
+	 */
+	public Duration keepNotRepeatable() {
+		return this.keepNotRepeatable;
+	}
+
+	/**
+	 * How long past its end the record of a repeatable request is kept.
+	 * @return 30 s by default
+	 */
+	public Duration keepRepeatable() {
+		return this.keepRepeatable;
+	}
+
+	/**
+	 * How many ended records are kept.
+	 * @return 20,000 by default
+	 */
+	public int recordCount() {
+		return this.recordCount;
+	}
+
+	/**
+	 * How much memory ended records may take.
+	 * @return 16 MiB by default
+	 */
+	public long recordBytes() {
+		return this.recordBytes;
+	}
+
+	/**
+	 * How many caller-chosen ids of not-repeatable requests one incarnation takes.
+	 * @return 1.5 million by default
+	 */
+	public int spentIds() {
+		return this.spentIds;
+	}
+
+	/**
+	 * The largest prompt or body, in bytes.
+	 * @return 16 MiB by default
+	 */
+	public int maxBodyBytes() {
+		return this.maxBodyBytes;
+	}
+
+	/**
+	 * Retries allowed for each first attempt.
+	 * @return 0.1 by default
+	 */
+	public double retryShare() {
+		return this.retryShare;
+	}
+
+	/**
+	 * Retries a second allowed besides.
+	 * @return 0.5 by default
+	 */
+	public double retriesPerSecond() {
+		return this.retriesPerSecond;
+	}
+
+	/**
+	 * How many attempts one request may have.
+	 * @return 3 by default
+	 */
+	public int maxAttempts() {
+		return this.maxAttempts;
+	}
+
+	private static Duration positive(String name, Duration value) {
+		if (value.isNegative() || value.isZero()) {
+			throw new IllegalArgumentException(name + " must be positive, was " + value);
+		}
+		return value;
+	}
+
+	private static int positive(String name, int value) {
+		return (int) positive(name, (long) value);
+	}
+
+	private static long positive(String name, long value) {
+		if (value <= 0) {
+			throw new IllegalArgumentException(name + " must be positive, was " + value);
+		}
+		return value;
+	}
+
+	/**
+	 * Collects settings; not safe for use by multiple threads.
+	 */
+	public static final class Builder {
+
+		private Duration streamSilence = Duration.ofSeconds(5);
+
+		private Duration orphanGrace = Duration.ofSeconds(10);
+
+		private Duration forwardAcknowledgement = Duration.ofSeconds(2);
+
+		private Duration keepNotRepeatable = Duration.ofMinutes(2);
+
+		private Duration keepRepeatable = Duration.ofSeconds(30);
+
+		private int recordCount = 20_000;
+
+		private long recordBytes = 16 << 20;
+
+		private int spentIds = 1_500_000;
+
+		private int maxBodyBytes = 16 << 20;
+
+		private double retryShare = 0.1;
+
+		private double retriesPerSecond = 0.5;
+
+		private int maxAttempts = 3;
+
+		private Builder() {
+		}
+
+		public Builder streamSilence(Duration value) {
+			this.streamSilence = value;
+			return this;
+		}
+
+		public Builder orphanGrace(Duration value) {
+			this.orphanGrace = value;
+			return this;
+		}
+
+		public Builder forwardAcknowledgement(Duration value) {
+			this.forwardAcknowledgement = value;
+			return this;
+		}
+
+		public Builder keepNotRepeatable(Duration value) {
+			this.keepNotRepeatable = value;
+			return this;
+		}
+
+		public Builder keepRepeatable(Duration value) {
+			this.keepRepeatable = value;
+			return this;
+		}
+
+		public Builder recordCount(int value) {
+			this.recordCount = value;
+			return this;
+		}
+
+		public Builder recordBytes(long value) {
+			this.recordBytes = value;
+			return this;
+		}
+
+		public Builder spentIds(int value) {
+			this.spentIds = value;
+			return this;
+		}
+
+		public Builder maxBodyBytes(int value) {
+			this.maxBodyBytes = value;
+			return this;
+		}
+
+		public Builder retryShare(double value) {
+			this.retryShare = value;
+			return this;
+		}
+
+		public Builder retriesPerSecond(double value) {
+			this.retriesPerSecond = value;
+			return this;
+		}
+
+		public Builder maxAttempts(int value) {
+			this.maxAttempts = value;
+			return this;
+		}
+
+		public RequestSettings build() {
+			return new RequestSettings(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/answer/PlainReader.java
@@ -0,0 +1,58 @@
+package org.bramleyscale.internal.request.answer;
+
+import org.bramleyscale.RequestId;
+import org.bramleyscale.ServingException;
+import org.bramleyscale.internal.endpoint.EngineUsage;
+import org.bramleyscale.internal.endpoint.ServiceReply;
+import org.bramleyscale.internal.request.PlainSink;
+
+/**
+ * Hands a plain service's answer to one caller.
+ *
+ * <p>
+ * Confined to the scheduler's thread.
+ */
+public final class PlainReader implements RecordReader {
+
+	private final PlainSink sink;
+
+	private boolean announced;
+
+	public PlainReader(PlainSink sink, boolean announced) {
+		this.sink = sink;
+		this.announced = announced;
+	}
+
+	@Override
+	public void admitted(RequestId id) {
+		if (!this.announced) {
+			this.announced = true;
+			this.sink.admitted(id);
+		}
+	}
+
+	@Override
+	public boolean begin(AnswerLog log) {
+		return log == null;
+	}
+
+	@Override
+	public void grew(AnswerLog log) {
+	}
+
+	@Override
+	public void completed(AnswerLog log, EngineUsage usage) {
+		throw new IllegalStateException("a call of a plain service got a generated answer");
+	}
+
+	@Override
+	public void replied(ServiceReply reply) {
+		this.sink.completed(reply);
+	}
+
+	@Override
+	public void failed(ServingException failure) {
+		this.sink.failed(failure);
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/answer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The answer of a request as its record keeps it, and those who read it.
+ */
+package org.bramleyscale.internal.request.answer;
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestFixture.java
@@ -0,0 +1,221 @@
+package org.bramleyscale.internal.request;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.ModelName;
+import org.bramleyscale.RequestId;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.ServingException;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.admission.TokenEstimator;
+import org.bramleyscale.internal.configuration.AccountRule;
+import org.bramleyscale.internal.configuration.Configuration;
+import org.bramleyscale.internal.configuration.ConfigurationSource;
+import org.bramleyscale.internal.configuration.EndpointEntry;
+import org.bramleyscale.internal.configuration.ModelEntry;
+import org.bramleyscale.internal.configuration.Register;
+import org.bramleyscale.internal.configuration.Rules;
+import org.bramleyscale.internal.configuration.ServiceEntry;
+import org.bramleyscale.internal.endpoint.Reservations;
+import org.bramleyscale.internal.routing.RoutingChoice;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * Daemons' request slices over fakes of everything that they use.
+ */
+final class RequestFixture {
+
+	static final ClientAccountId ACCOUNT = new ClientAccountId("hire-desk");
+
+	static final ClientAccountId OTHER_ACCOUNT = new ClientAccountId("bus-stops");
+
+	static final ServiceName ASSISTANT = new ServiceName("hire-assistant");
+
+	static final ServiceName YARD = new ServiceName("yard-app");
+
+	static final ModelName MODEL = new ModelName("quote-7b");
+
+	static final Duration TIME = Duration.ofSeconds(60);
+
+	static final String ANSWER = "Two jaw crusher units are free on Monday.";
+
+	final ManualScheduler scheduler = new ManualScheduler();
+
+	final FakeEngines engines = new FakeEngines();
+
+	final FakePeers peers = new FakePeers(this.scheduler);
+
+	final Map<String, FakeAdmission> admissions = new LinkedHashMap<>();
+
+	final Map<String, MetricRegistry> metrics = new LinkedHashMap<>();
+
+	final List<GroupRequest> groups = new ArrayList<>();
+
+	final FakePool pool;
+
+	boolean fresh = true;
+
+	int promptTokens = 10;
+
+	private final Configuration configuration;
+
+	RequestFixture() {
+		this.configuration = new Configuration(1,
+				new Register(List.of(), List.of(new ModelEntry(MODEL, 1_000_000)),
+						List.of(new ServiceEntry(ASSISTANT, ServiceEntry.Kind.MODEL, TIME, true),
+								new ServiceEntry(YARD, ServiceEntry.Kind.PLAIN, TIME, false)),
+						List.of(endpoint("engine-1", ASSISTANT, MODEL), endpoint("engine-2", ASSISTANT, MODEL),
+								endpoint("engine-3", ASSISTANT, MODEL), endpoint("yard-1", YARD, null),
+								endpoint("yard-2", YARD, null))),
+				new Rules(Set.of(ASSISTANT), List.of(account(ACCOUNT), account(OTHER_ACCOUNT))));
+		this.pool = new FakePool(this.configuration);
+	}
+
+	DefaultRequestService daemon(String vm) {
+		return daemon(vm, 1);
+	}
+
+	DefaultRequestService daemon(String vm, long start) {
+		return daemon(vm, start, RequestSettings.builder().build());
+	}
+
+	DefaultRequestService daemon(String vm, long start, RequestSettings settings) {
+		FakePeers.Peer peer = this.peers.join(new Incarnation(new VmId(vm), start));
+		this.admissions.put(vm, new FakeAdmission());
+		this.metrics.put(vm, new MetricRegistry());
+		return DefaultRequestService.builder()
+			.scheduler(this.scheduler)
+			.random(new Random(7))
+			.configuration(new Source())
+			.membership(peer)
+			.network(peer)
+			.admission(this.admissions.get(vm))
+			.estimator(new Estimator())
+			.policy((request, candidates, random) -> (candidates.isEmpty()) ? RoutingChoice.WAIT
+					: new RoutingChoice(0, 0, 0))
+			.pool(this.pool)
+			.reservations(new Groups())
+			.client(this.engines)
+			.metrics(this.metrics.get(vm))
+			.settings(settings)
+			.build();
+	}
+
+	long count(String vm, String metric) {
+		return this.metrics.get(vm).counter("request." + metric).getCount();
+	}
+
+	void advance(Duration span) {
+		this.scheduler.advance(span);
+	}
+
+	void run() {
+		this.scheduler.runDue();
+	}
+
+	static RequestId id(String vm, String suffix) {
+		return new RequestId(new Incarnation(new VmId(vm), 1), suffix);
+	}
+
+	static GenerateRequest quote(RequestId id, boolean repeatable) {
+		return new GenerateRequest(Optional.ofNullable(id), ACCOUNT, ASSISTANT, MODEL, "Which crushers are free?", 100,
+				repeatable, TIME);
+	}
+
+	static PlainRequest booking(RequestId id, boolean repeatable) {
+		return new PlainRequest(Optional.ofNullable(id), ACCOUNT, YARD, "POST", "/bookings", Map.of(),
+				"lowloader".getBytes(StandardCharsets.UTF_8), repeatable, TIME);
+	}
+
+	static EndpointEntry endpoint(String name, ServiceName service, ModelName model) {
+		List<ModelName> models = (model != null) ? List.of(model) : List.of();
+		return new EndpointEntry(new EndpointId(name), service, FakePeers.DATA_CENTRE, "127.0.0.1:1", models, true,
+				false);
+	}
+
+	private static AccountRule account(ClientAccountId name) {
+		return new AccountRule(name, name.value(), 1, 1000, 1000, List.of(), 2);
+	}
+
+	/**
+	 * One reservation asked for.
+	 *
+	 * @param kvTokens how much
+	 * @param reserved tells that it is held
+	 * @param failed tells that it can't be held
+	 */
+	record GroupRequest(long kvTokens, Consumer<List<Reservations.GroupMember>> reserved,
+			Consumer<ServingException> failed) {
+	}
+
+	/**
+	 * Notes reservations.
+	 */
+	private final class Groups implements Reservations {
+
+		@Override
+		public Reservation reserve(RequestId request, ServiceName service, ModelName model, long kvTokens,
+				Duration within, Consumer<List<GroupMember>> reserved, Consumer<ServingException> failed) {
+			GroupRequest asked = new GroupRequest(kvTokens, reserved, failed);
+			RequestFixture.this.groups.add(asked);
+			return () -> RequestFixture.this.groups.remove(asked);
+		}
+
+		@Override
+		public long largest(ServiceName service, ModelName model) {
+			return 300_000;
+		}
+
+	}
+
+	/**
+	 * Estimates what the test says.
+	 */
+	private final class Estimator implements TokenEstimator {
+
+		@Override
+		public int estimate(ModelName model, String prompt) {
+			return RequestFixture.this.promptTokens;
+		}
+
+		@Override
+		public void learn(ModelName model, String prompt, int tokens) {
+		}
+
+	}
+
+	/**
+	 * The configuration in force.
+	 */
+	private final class Source implements ConfigurationSource {
+
+		@Override
+		public Configuration current() {
+			return RequestFixture.this.configuration;
+		}
+
+		@Override
+		public boolean fresh() {
+			return RequestFixture.this.fresh;
+		}
+
+		@Override
+		public void onChange(Consumer<Configuration> listener) {
+		}
+
+	}
+
+}
