Forward requests to the daemon that issued their id

A retry that reached another daemon was answered HOME_GONE even though its home was alive. Lost messages are made good by asking again under a new number, which is safe as the home starts an id once. A home that is gone leaves a not-repeatable request UNKNOWN; a repeatable one goes on here under a new id.

Ruled out: saying that a request did not run because the forward never left the entry. Its caller may have sent it to the home before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/DefaultRequestService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/DefaultRequestService.java
@@ -5,11 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.ClientAccountId;
-import org.bramleyscale.ErrorCode;
-import org.bramleyscale.Ran;
 import org.bramleyscale.RequestId;
-import org.bramleyscale.ServingException;
-import org.bramleyscale.Step;
 import org.bramleyscale.internal.admission.Admission;
 import org.bramleyscale.internal.admission.TokenEstimator;
 import org.bramleyscale.internal.configuration.ConfigurationSource;
@@ -20,6 +16,8 @@
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.request.answer.AnswerReader;
 import org.bramleyscale.internal.request.answer.PlainReader;
+import org.bramleyscale.internal.request.forward.InboundForwards;
+import org.bramleyscale.internal.request.forward.OutboundForwards;
 import org.bramleyscale.internal.routing.RoutingPolicy;
 import org.bramleyscale.internal.status.StateDump;
 import org.bramleyscale.internal.time.Cancellable;
@@ -35,9 +33,6 @@
  */
 public final class DefaultRequestService implements RequestService {
 
-	private static final Cancellable NOTHING = () -> {
-	};
-
 	private static final Duration SWEEP_PAUSE = Duration.ofSeconds(1);
 
 	private final MembershipView membership;
@@ -46,6 +41,8 @@
 
 	private final LocalRequests local;
 
+	private final OutboundForwards outbound;
+
 	private final StateDump stateDump;
 
 	private DefaultRequestService(Builder builder) {
@@ -58,7 +55,11 @@
 		RequestFlow flow = new RequestFlow(ports, settings, metrics, this.records, spent);
 		RequestIds ids = new RequestIds(this.membership.self());
 		this.local = new LocalRequests(ports, settings, metrics, new RequestParts(this.records, spent, ids, flow));
-		this.stateDump = new RequestDump(ports.scheduler(), this.records, spent, flow);
+		this.outbound = new OutboundForwards(ports.scheduler(), ports.network(), this.membership, this.local, settings,
+				metrics);
+		InboundForwards inbound = new InboundForwards(ports.scheduler(), ports.network(), this.membership, this.local,
+				settings);
+		this.stateDump = new RequestDump(ports.scheduler(), this.records, spent, flow, this.outbound, inbound);
 		ports.scheduler().repeat(SWEEP_PAUSE, this.records::dropExpired);
 	}
 
@@ -71,8 +72,7 @@
 		if (request.id().filter(this::foreign).isEmpty()) {
 			return this.local.generate(request, new AnswerReader(sink, 0, false));
 		}
-		sink.failed(homeGone(request.id().get()));
-		return NOTHING;
+		return this.outbound.generate(request, sink);
 	}
 
 	@Override
@@ -80,13 +80,17 @@
 		if (!foreign(id)) {
 			return this.local.attach(id, account, new AnswerReader(sink, offset, false));
 		}
-		sink.failed(homeGone(id));
-		return NOTHING;
+		return this.outbound.resume(id, account, offset, sink);
 	}
 
 	@Override
 	public void cancel(RequestId id, ClientAccountId account) {
-		this.local.cancel(id, account);
+		if (foreign(id)) {
+			this.outbound.cancel(id, account);
+		}
+		else {
+			this.local.cancel(id, account);
+		}
 	}
 
 	@Override
@@ -94,8 +98,7 @@
 		if (request.id().filter(this::foreign).isEmpty()) {
 			return this.local.call(request, new PlainReader(sink, false));
 		}
-		sink.failed(homeGone(request.id().get()));
-		return NOTHING;
+		return this.outbound.call(request, sink);
 	}
 
 	@Override
@@ -105,7 +108,7 @@
 
 	@Override
 	public int unfinished() {
-		return this.records.unfinished();
+		return this.records.unfinished() + this.outbound.size();
 	}
 
 	/**
@@ -120,11 +123,6 @@
 		return !id.issuer().equals(this.membership.self()) && !this.local.knows(id);
 	}
 
-	private static ServingException homeGone(RequestId id) {
-		return new ServingException(ErrorCode.HOME_GONE, Ran.UNKNOWN, Step.FORWARD, id.issuer().vm().toString(),
-				"the daemon that issued request id '" + id + "' is gone");
-	}
-
 	/**
 	 * Collects what the service needs; not safe for use by multiple threads.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/LocalRequests.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/LocalRequests.java
@@ -93,23 +93,38 @@
 			.ifPresent(this.flow::cancelled);
 	}
 
-	/**
-	 * Starts a repeatable request whose home is gone, under an id of this daemon.
-	 *
-	 * <p>
-	 * That is safe since the request may run more than once, and the new id keeps frames
-	 * that the lost home's attempts may still produce apart from the new ones.
-	 * @param work what is asked; must be repeatable
-	 * @param old the id under which it was known
-	 * @param delivered the answer that its caller already has
-	 * @param reader takes the answer
-	 * @return takes the reader away
-	 */
-	Cancellable adopt(Work work, RequestId old, AnswerLog delivered, RecordReader reader) {
+	@Override
+	public Cancellable adopt(GenerateRequest request, AnswerLog delivered, RecordReader reader) {
+		return adopt(new Work.Generation(request), request.id().orElseThrow(), delivered, reader);
+	}
+
+	@Override
+	public Cancellable adopt(PlainRequest request, RecordReader reader) {
+		return adopt(new Work.Call(request), request.id().orElseThrow(), null, reader);
+	}
+
+	boolean knows(RequestId id) {
+		return this.records.find(id).isPresent();
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	private Cancellable adopt(Work work, RequestId old, AnswerLog delivered, RecordReader reader) {
+		if (!work.repeatable()) {
+			throw new IllegalArgumentException("request '" + old + "' may not be repeated");
+		}
 		Optional<RequestRecord> known = this.records.find(old);
 		if (known.isPresent()) {
 			return again(known.get(), work, reader);
 		}
+		// Safe since the request may run more than once. The new id keeps frames that the
+		// lost home's attempts may still produce apart from the new ones.
 		RequestLife life = new RequestLife(Ran.UNKNOWN);
 		if (delivered != null) {
 			life.continueAt(delivered.next());
@@ -122,18 +137,6 @@
 		return handle;
 	}
 
-	boolean knows(RequestId id) {
-		return this.records.find(id).isPresent();
-	}
-
-	void leave() {
-		this.leaving = true;
-	}
-
-	boolean leaving() {
-		return this.leaving;
-	}
-
 	private Cancellable submit(Work work, Optional<RequestId> id, RecordReader reader) {
 		if (id.isEmpty()) {
 			return start(fresh(this.ids.next(), work, Ran.NO, 0), reader);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestDump.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestDump.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.bramleyscale.internal.request.forward.InboundForwards;
+import org.bramleyscale.internal.request.forward.OutboundForwards;
 import org.bramleyscale.internal.request.life.RequestState;
 import org.bramleyscale.internal.status.StateDump;
 import org.bramleyscale.internal.time.Clock;
@@ -27,11 +29,18 @@
 
 	private final RequestFlow flow;
 
-	RequestDump(Clock clock, RecordStore records, SpentIds spent, RequestFlow flow) {
+	private final OutboundForwards outbound;
+
+	private final InboundForwards inbound;
+
+	RequestDump(Clock clock, RecordStore records, SpentIds spent, RequestFlow flow, OutboundForwards outbound,
+			InboundForwards inbound) {
 		this.clock = clock;
 		this.records = records;
 		this.spent = spent;
 		this.flow = flow;
+		this.outbound = outbound;
+		this.inbound = inbound;
 	}
 
 	@Override
@@ -50,7 +59,8 @@
 			.map(this::entry)
 			.toList();
 		return new Dump(states, this.records.unfinished(), this.records.endedCount(), this.records.endedBytes(),
-				this.spent.size(), this.spent.bytes(), this.flow.unconfirmedCancels(), unfinished);
+				this.spent.size(), this.spent.bytes(), this.flow.unconfirmedCancels(), this.outbound.size(),
+				this.inbound.size(), unfinished);
 	}
 
 	private Entry entry(RequestRecord record) {
@@ -71,10 +81,12 @@
 	 * @param spentIds caller-chosen ids of not-repeatable requests
 	 * @param spentBytes memory that they take
 	 * @param unconfirmedCancels cancels that no engine has confirmed yet
+	 * @param forwardsOut callers whose requests have their home elsewhere
+	 * @param forwardsIn entries elsewhere that read requests of this home
 	 * @param requests the first requests that have not ended
 	 */
 	record Dump(Map<RequestState, Integer> states, int unfinished, int kept, long keptBytes, int spentIds,
-			long spentBytes, int unconfirmedCancels, List<Entry> requests) {
+			long spentBytes, int unconfirmedCancels, int forwardsOut, int forwardsIn, List<Entry> requests) {
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/forward/HomeRequests.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/forward/HomeRequests.java
@@ -4,6 +4,7 @@
 import org.bramleyscale.RequestId;
 import org.bramleyscale.internal.request.GenerateRequest;
 import org.bramleyscale.internal.request.PlainRequest;
+import org.bramleyscale.internal.request.answer.AnswerLog;
 import org.bramleyscale.internal.request.answer.RecordReader;
 import org.bramleyscale.internal.time.Cancellable;
 
@@ -31,4 +32,21 @@
 
 	void cancel(RequestId id, ClientAccountId account);
 
+	/**
+	 * Starts a repeatable generation whose home, named by its id, is lost.
+	 * @param request the request, with the id under which it was known
+	 * @param delivered the answer that its caller already has
+	 * @param reader takes the answer from there on
+	 * @return takes the reader away
+	 */
+	Cancellable adopt(GenerateRequest request, AnswerLog delivered, RecordReader reader);
+
+	/**
+	 * Starts a repeatable call whose home, named by its id, is lost.
+	 * @param request the request, with the id under which it was known
+	 * @param reader takes the reply
+	 * @return takes the reader away
+	 */
+	Cancellable adopt(PlainRequest request, RecordReader reader);
+
 }
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/forward/OutboundForwards.java
@@ -0,0 +1,176 @@
+package org.bramleyscale.internal.request.forward;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.RequestId;
+import org.bramleyscale.internal.membership.MembershipView;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.request.AnswerSink;
+import org.bramleyscale.internal.request.GenerateRequest;
+import org.bramleyscale.internal.request.PlainRequest;
+import org.bramleyscale.internal.request.PlainSink;
+import org.bramleyscale.internal.request.RequestMetrics;
+import org.bramleyscale.internal.request.RequestSettings;
+import org.bramleyscale.internal.time.Cancellable;
+import org.bramleyscale.internal.time.Scheduler;
+
+/**
+ * The requests that callers brought here and whose home is another daemon.
+ *
+ * <p>
+ * Invariant: a number names one forward and is never used again. Confined to the
+ * scheduler's thread.
+ */
+public final class OutboundForwards {
+
+	private final Scheduler scheduler;
+
+	private final PeerNetwork network;
+
+	private final HomeLocator locator;
+
+	private final HomeRequests home;
+
+	private final RequestSettings settings;
+
+	private final RequestMetrics metrics;
+
+	private final Map<Long, OutboundForward> forwards = new LinkedHashMap<>();
+
+	private long numbers;
+
+	/**
+	 * Creates the registry and listens to the network.
+	 * @param scheduler the scheduler
+	 * @param network messages to homes
+	 * @param membership tells which homes are gone
+	 * @param home this daemon's own requests
+	 * @param settings how long to wait
+	 * @param metrics counts forwards
+	 */
+	public OutboundForwards(Scheduler scheduler, PeerNetwork network, MembershipView membership, HomeRequests home,
+			RequestSettings settings, RequestMetrics metrics) {
+		this.scheduler = scheduler;
+		this.network = network;
+		this.locator = new HomeLocator(membership);
+		this.home = home;
+		this.settings = settings;
+		this.metrics = metrics;
+		membership.onChange(this::checkHomes);
+		listen();
+	}
+
+	public Cancellable generate(GenerateRequest request, AnswerSink sink) {
+		return begin(new ForwardWork.Generation(request), new AnswerCaller(sink));
+	}
+
+	public Cancellable call(PlainRequest request, PlainSink sink) {
+		return begin(new ForwardWork.Call(request), new PlainCaller(sink));
+	}
+
+	public Cancellable resume(RequestId id, ClientAccountId account, long offset, AnswerSink sink) {
+		return begin(new ForwardWork.Resume(id, account, offset), new AnswerCaller(sink));
+	}
+
+	public void cancel(RequestId id, ClientAccountId account) {
+		send(id.issuer(), new CancelRequest(id.toString(), account.value()));
+	}
+
+	public int size() {
+		return this.forwards.size();
+	}
+
+	Scheduler scheduler() {
+		return this.scheduler;
+	}
+
+	HomeRequests home() {
+		return this.home;
+	}
+
+	RequestSettings settings() {
+		return this.settings;
+	}
+
+	RequestMetrics metrics() {
+		return this.metrics;
+	}
+
+	boolean mayReturn(RequestId id) {
+		return !this.locator.gone(id.issuer());
+	}
+
+	boolean send(Incarnation to, PeerMessage message) {
+		return this.network.send(to.vm(), message);
+	}
+
+	/**
+	 * Gives a forward a new number, so that messages under its old one are ignored.
+	 * @param forward the forward
+	 * @return the new number
+	 */
+	long renumber(OutboundForward forward) {
+		this.forwards.remove(forward.number());
+		this.numbers++;
+		this.forwards.put(this.numbers, forward);
+		return this.numbers;
+	}
+
+	void closed(OutboundForward forward) {
+		this.forwards.remove(forward.number());
+	}
+
+	private Cancellable begin(ForwardWork work, CallerSide caller) {
+		OutboundForward forward = new OutboundForward(this, work, caller);
+		if (this.locator.gone(work.id().issuer())) {
+			forward.homeLost();
+		}
+		else {
+			this.metrics.forwarded();
+			forward.begin();
+		}
+		return forward::detach;
+	}
+
+	private void checkHomes() {
+		for (OutboundForward forward : List.copyOf(this.forwards.values())) {
+			if (this.locator.gone(forward.id().issuer())) {
+				forward.homeLost();
+			}
+		}
+	}
+
+	private void listen() {
+		this.network.listen(ForwardBodyCredit.class,
+				(from, message) -> tell(from, message.forward(), (forward) -> forward.bodyTaken(message.parts())));
+		this.network.listen(ForwardAccepted.class, (from, message) -> tell(from, message.forward(),
+				(forward) -> forward.accepted(RequestId.parse(message.id()))));
+		this.network.listen(ForwardTokens.class,
+				(from, message) -> tell(from, message.forward(), (forward) -> forward.tokens(message)));
+		this.network.listen(ForwardDone.class,
+				(from, message) -> tell(from, message.forward(), (forward) -> forward.done(message)));
+		this.network.listen(ForwardReply.class,
+				(from, message) -> tell(from, message.forward(), (forward) -> forward.replied(message)));
+		this.network.listen(ForwardReplyPart.class, (from, message) -> tell(from, message.forward(),
+				(forward) -> forward.replyPart(message.index(), message.part())));
+		this.network.listen(ForwardFailed.class,
+				(from, message) -> tell(from, message.forward(), (forward) -> forward.failed(message)));
+	}
+
+	private void tell(Incarnation from, long number, Consumer<OutboundForward> event) {
+		OutboundForward forward = this.forwards.get(number);
+		if (forward != null && forward.id().issuer().vm().equals(from.vm())) {
+			event.accept(forward);
+		}
+		else {
+			this.metrics.lateFrame();
+		}
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/AtMostOnceTests.java
@@ -0,0 +1,233 @@
+package org.bramleyscale.internal.request;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.RequestId;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.endpoint.ServiceReply;
+import org.bramleyscale.internal.membership.Member;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.request.forward.ForwardAccepted;
+import org.bramleyscale.internal.request.forward.ForwardCall;
+import org.bramleyscale.internal.request.forward.ForwardReply;
+import org.bramleyscale.internal.request.forward.ForwardResume;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * A booking is made once, whatever is lost and wherever its caller retries.
+ */
+class AtMostOnceTests {
+
+	private static final RequestId BOOKING = RequestFixture.id("entry-1", "booking-7");
+
+	private final RequestFixture fixture = new RequestFixture();
+
+	private final DefaultRequestService home = this.fixture.daemon("entry-1");
+
+	private final DefaultRequestService other = this.fixture.daemon("entry-2");
+
+	private final RecordingSink first = new RecordingSink();
+
+	private final RecordingSink retry = new RecordingSink();
+
+	/**
+	 * Symptom: two lowloaders at one pit. Sequence: a caller sends a booking, gets no
+	 * answer in time or loses it, and sends it again, to the same or another daemon.
+	 * Cause: the second daemon doesn't know that the first has already passed it on.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "entry-1, entry-1, false", "entry-1, entry-1, true", "entry-1, entry-2, false",
+			"entry-1, entry-2, true", "entry-2, entry-1, false", "entry-2, entry-2, true" })
+	void retryGetsTheOneAnswer(String firstAt, String retryAt, boolean afterEnd) {
+		service(firstAt).call(RequestFixture.booking(BOOKING, false), this.first);
+		this.fixture.run();
+		if (afterEnd) {
+			reply();
+		}
+		service(retryAt).call(RequestFixture.booking(BOOKING, false), this.retry);
+		this.fixture.run();
+		if (!afterEnd) {
+			reply();
+		}
+		this.fixture.run();
+		Truth.assertThat(this.first.end()).isEqualTo("completed");
+		Truth.assertThat(this.retry.end()).isEqualTo("completed");
+		Truth.assertThat(this.retry.reply.status()).isEqualTo(201);
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(1);
+	}
+
+	static Stream<Arguments> lostMessages() {
+		return Stream.of(Arguments.of("request", is(ForwardCall.class)),
+				Arguments.of("acknowledgement", is(ForwardAccepted.class)),
+				Arguments.of("reply", is(ForwardReply.class)),
+				Arguments.of("asking again", is(ForwardReply.class, ForwardResume.class)));
+	}
+
+	/**
+	 * Symptom: a caller waits until its deadline for a booking that was made. Sequence: a
+	 * message between entry and home is lost with its connection. Cause: neither side is
+	 * told of the loss.
+	 */
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("lostMessages")
+	void oneLostMessageBetweenDaemonsDelaysTheAnswerOnly(String name, Predicate<PeerMessage> lost) {
+		this.fixture.peers.lost = once(lost);
+		this.other.call(RequestFixture.booking(BOOKING, false), this.first);
+		this.fixture.advance(Duration.ofSeconds(3));
+		reply();
+		this.fixture.advance(Duration.ofSeconds(20));
+		Truth.assertThat(this.first.end()).isEqualTo("completed");
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(1);
+	}
+
+	/**
+	 * Symptom: "not run" is said, the caller books again under a new id, two bookings.
+	 * Sequence: the forward reaches the home, all answers are lost. Cause: no
+	 * acknowledgement is taken for not having arrived.
+	 */
+	@Test
+	void silentHomeThatRunsTheRequestIsAnsweredUnknown() {
+		this.fixture.peers.lost = (message) -> !(message instanceof ForwardCall);
+		this.other.call(RequestFixture.booking(BOOKING, false), this.first);
+		this.fixture.advance(Duration.ofSeconds(9));
+		Truth.assertThat(this.first.end()).isEqualTo("HOME_GONE UNKNOWN");
+		Truth.assertThat(this.first.failure.retryAfter()).isPresent();
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(1);
+		this.fixture.peers.lost = (message) -> false;
+		this.other.call(RequestFixture.booking(BOOKING, false), this.retry);
+		this.fixture.run();
+		reply();
+		this.fixture.run();
+		Truth.assertThat(this.retry.end()).isEqualTo("completed");
+	}
+
+	/**
+	 * Symptom: as above. Sequence: the caller's first try went to the home itself; then
+	 * the entry of its retry has no connection to the home. Cause: that nothing left the
+	 * entry says nothing about the earlier try.
+	 */
+	@Test
+	void unreachableHomeIsAnsweredUnknownAtOnce() {
+		this.home.call(RequestFixture.booking(BOOKING, false), this.first);
+		this.fixture.run();
+		this.fixture.peers.unreachable.add(new VmId("entry-1"));
+		this.other.call(RequestFixture.booking(BOOKING, false), this.retry);
+		Truth.assertThat(this.retry.end()).isEqualTo("HOME_GONE UNKNOWN");
+		Truth.assertThat(this.retry.failure.retryAfter()).isPresent();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "false, HOME_GONE UNKNOWN, 1", "true, completed, 2" })
+	void deadHomeIsReplacedOnlyIfTheCallMayBeRepeated(boolean repeatable, String end, int worked) {
+		this.other.call(RequestFixture.booking(BOOKING, repeatable), this.first);
+		this.fixture.run();
+		this.fixture.peers.unreachable.add(new VmId("entry-1"));
+		this.fixture.peers.state(new Incarnation(new VmId("entry-1"), 1), Member.State.DEAD);
+		this.fixture.run();
+		if (repeatable) {
+			reply();
+		}
+		Truth.assertThat(this.first.end()).isEqualTo(end);
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(worked);
+	}
+
+	/**
+	 * Symptom: a booking is made twice after a daemon restarted. Sequence: booking, the
+	 * daemon starts anew on the same VM, the caller retries. Cause: the new start knows
+	 * no request of the old one.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "entry-1", "entry-2" })
+	void restartedHomeDoesNotRunTheOldId(String retryAt) {
+		this.home.call(RequestFixture.booking(BOOKING, false), this.first);
+		this.fixture.run();
+		DefaultRequestService restarted = this.fixture.daemon("entry-1", 2);
+		DefaultRequestService reached = ("entry-1".equals(retryAt)) ? restarted : this.other;
+		reached.call(RequestFixture.booking(BOOKING, false), this.retry);
+		this.fixture.run();
+		Truth.assertThat(this.retry.end()).isEqualTo("HOME_GONE UNKNOWN");
+		Truth.assertThat(this.retry.failure.retryAfter()).isEmpty();
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(1);
+	}
+
+	/**
+	 * Symptom: a late retry books again. Sequence: a booking with an id that its caller
+	 * chose ends, its record is dropped after its time, the caller retries. Cause: the
+	 * dropped id looks like a new one.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "booking-7", "_0" })
+	void retryAfterTheRecordIsDroppedIsNotRun(String suffix) {
+		boolean issued = suffix.startsWith("_");
+		this.home.call(RequestFixture.booking((issued) ? null : BOOKING, false), this.first);
+		this.fixture.run();
+		reply();
+		this.fixture.advance(Duration.ofMinutes(10));
+		this.home.call(RequestFixture.booking(RequestFixture.id("entry-1", suffix), false), this.retry);
+		this.fixture.run();
+		Truth.assertThat(this.retry.end()).isEqualTo("UNKNOWN_REQUEST " + ((issued) ? "UNKNOWN" : "YES"));
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(1);
+	}
+
+	@Test
+	void refusedBookingMayBeTriedAgainUnderItsId() {
+		this.fixture.admissions.get("entry-1").room = 0;
+		this.home.call(RequestFixture.booking(BOOKING, false), this.first);
+		Truth.assertThat(this.first.end()).isEqualTo("OVERLOADED NO");
+		this.fixture.admissions.get("entry-1").room = 10;
+		this.home.call(RequestFixture.booking(BOOKING, false), this.retry);
+		this.fixture.run();
+		reply();
+		Truth.assertThat(this.retry.end()).isEqualTo("completed");
+	}
+
+	@Test
+	void idOfADifferentRequestIsRefused() {
+		this.home.call(RequestFixture.booking(BOOKING, false), this.first);
+		this.home.generate(RequestFixture.quote(BOOKING, true), this.retry);
+		Truth.assertThat(this.retry.end()).isEqualTo("REQUEST_ID_REUSED NO");
+	}
+
+	@Test
+	void fullMemoryOfIdsRefusesFurtherChosenIdsOnly() {
+		DefaultRequestService small = this.fixture.daemon("entry-3", 1, RequestSettings.builder().spentIds(1).build());
+		small.call(RequestFixture.booking(RequestFixture.id("entry-3", "a"), false), this.first);
+		small.call(RequestFixture.booking(RequestFixture.id("entry-3", "b"), false), this.retry);
+		Truth.assertThat(this.retry.end()).isEqualTo("OVERLOADED NO");
+		RecordingSink issued = new RecordingSink();
+		small.call(RequestFixture.booking(null, false), issued);
+		this.fixture.run();
+		Truth.assertThat(this.first.end() + " " + issued.end()).isEqualTo("open open");
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(2);
+	}
+
+	private DefaultRequestService service(String vm) {
+		return ("entry-1".equals(vm)) ? this.home : this.other;
+	}
+
+	private void reply() {
+		FakeEngines.Sent sent = this.fixture.engines.calls.get(this.fixture.engines.calls.size() - 1);
+		sent.reply().complete(new ServiceReply(201, Map.of(), new byte[100_000]));
+	}
+
+	private static Predicate<PeerMessage> is(Class<?>... types) {
+		return (message) -> Stream.of(types).anyMatch((type) -> type.isInstance(message));
+	}
+
+	private static Predicate<PeerMessage> once(Predicate<PeerMessage> lost) {
+		Set<Class<?>> seen = new HashSet<>();
+		return (message) -> lost.test(message) && seen.add(message.getClass());
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/attempt/RetryBudgetTests.java
@@ -0,0 +1,46 @@
+package org.bramleyscale.internal.request.attempt;
+
+import java.time.Duration;
+
+import com.google.common.collect.Range;
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTests {
+
+	private final ManualScheduler clock = new ManualScheduler();
+
+	private final RetryBudget budget = new RetryBudget(this.clock, 0.1, 0.5, 10);
+
+	/**
+	 * Symptom: endpoints get several times the attempts of normal traffic while fewer
+	 * requests complete. Sequence: all endpoints fail, each request is tried three times.
+	 * Cause: retries without a bound amplify an outage.
+	 */
+	@Test
+	void bounds1000FailedRequestsToATenthMore() {
+		int retries = 0;
+		for (int request = 0; request < 1000; request++) {
+			this.budget.firstAttempt();
+			retries += take() + take();
+		}
+		Truth.assertThat(retries).isIn(Range.closed(100, 110));
+	}
+
+	@Test
+	void allowsAFewWithoutTraffic() {
+		int atOnce = 0;
+		while (this.budget.take()) {
+			atOnce++;
+		}
+		Truth.assertThat(atOnce).isEqualTo(10);
+		this.clock.advance(Duration.ofSeconds(2));
+		Truth.assertThat(take() + take()).isEqualTo(1);
+	}
+
+	private int take() {
+		return (this.budget.take()) ? 1 : 0;
+	}
+
+}
