Grant each entry its part of an endpoint through one owner

Entries sent work to endpoints by guess; nothing bounded the sum. The owner of a shard now polls the endpoint and answers demands with short-lived grants; the pool gives permits within them and lives on a halving share when it hears no owner. Expiry is counted from the sending of the demand, so it ends at the entry before it ends in the owner's account; counting from receipt was ruled out because a delayed grant would outlive it.

EndpointPool gains wanted(): routing passes over candidates without room, so the pool could not learn of a large request that waits.

--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointMessages.java
@@ -0,0 +1,32 @@
+package org.bramleyscale.internal.endpoint;
+
+import org.bramleyscale.internal.peer.MessageCatalog;
+
+/**
+ * The wire codes of this slice's messages, 30 to 49.
+ */
+public final class EndpointMessages {
+
+	private static final int DEMAND = 30;
+
+	private static final int GRANT = 31;
+
+	private static final int OWNER_ANNOUNCED = 32;
+
+	private static final int REDIRECT = 33;
+
+	private EndpointMessages() {
+	}
+
+	/**
+	 * Enters the messages.
+	 * @param catalog the catalog being built
+	 */
+	public static void register(MessageCatalog.Builder catalog) {
+		catalog.add(DEMAND, Demand.class);
+		catalog.add(GRANT, Grant.class);
+		catalog.add(OWNER_ANNOUNCED, OwnerAnnounced.class);
+		catalog.add(REDIRECT, Redirect.class);
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointPool.java
@@ -35,6 +35,16 @@
 	 */
 	Optional<Permit> acquire(EndpointId endpoint, long kvTokens, int promptTokens);
 
+	/**
+	 * Tells that a request waits because no candidate has room for it, so that room may
+	 * be collected for it; to be told again about once a second while it waits.
+	 * @param service the service
+	 * @param model the model, or null for a plain service
+	 * @param kvTokens memory the request may need at most, in tokens
+	 */
+	default void wanted(ServiceName service, ModelName model, long kvTokens) {
+	}
+
 	/**
 	 * Learns from one attempt.
 	 * @param endpoint the endpoint
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
@@ -0,0 +1,231 @@
+package org.bramleyscale.internal.endpoint;
+
+import java.time.Duration;
+
+/**
+ * The settings of pool, owner and reservations.
+ *
+ * <p>
+ * Invariant: all daemons of a fleet use the same values; a new owner waits for grants of
+ * a former one by its own settings. Immutable and safe for use by multiple threads.
+ */
+public final class EndpointSettings {
+
+	/** How many bytes a demand and its grant cost for one endpoint, names included. */
+	static final int PAIR_BYTES = 110;
+
+	private static final int MAX_PERIOD_MILLIS = 2_000;
+
+	private static final int RENEWALS_PER_LIFETIME = 2;
+
+	private static final int LIFETIME_MARGIN_MILLIS = 500;
+
+	private final int subsetSize;
+
+	private final int maxPairs;
+
+	private final int controlBytesPerSecond;
+
+	private final Duration demandPeriod;
+
+	private final Duration idlePeriod;
+
+	private final Duration grantLifetime;
+
+	private final Duration reportPeriod;
+
+	private final Duration reportIdlePeriod;
+
+	private final long floorKvTokens;
+
+	private EndpointSettings(Builder builder) {
+		this.subsetSize = builder.subsetSize;
+		this.maxPairs = builder.maxPairs;
+		this.controlBytesPerSecond = builder.controlBytesPerSecond;
+		this.demandPeriod = builder.demandPeriod;
+		this.idlePeriod = builder.idlePeriod;
+		this.grantLifetime = builder.grantLifetime;
+		this.reportPeriod = builder.reportPeriod;
+		this.reportIdlePeriod = builder.reportIdlePeriod;
+		this.floorKvTokens = builder.floorKvTokens;
+	}
+
+	public static EndpointSettings defaults() {
+		return builder().build();
+	}
+
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	public int subsetSize() {
+		return this.subsetSize;
+	}
+
+	public int maxPairs() {
+		return this.maxPairs;
+	}
+
+	public Duration demandPeriod() {
+		return this.demandPeriod;
+	}
+
+	public Duration idlePeriod() {
+		return this.idlePeriod;
+	}
+
+	public Duration reportPeriod() {
+		return this.reportPeriod;
+	}
+
+	public Duration reportIdlePeriod() {
+		return this.reportIdlePeriod;
+	}
+
+	public long floorKvTokens() {
+		return this.floorKvTokens;
+	}
+
+	/**
+	 * How often an entry sends demands, so that demands and grants stay within the bytes
+	 * allowed for them.
+	 * @param pairs how many endpoints it uses
+	 * @return the period in milliseconds
+	 */
+	public int periodMillis(int pairs) {
+		long needed = 1_000L * pairs * PAIR_BYTES / this.controlBytesPerSecond;
+		return (int) Math.max(this.demandPeriod.toMillis(), Math.min(MAX_PERIOD_MILLIS, needed));
+	}
+
+	/**
+	 * How long a grant is good for an entry that sends demands so often.
+	 * @param periodMillis the entry's period
+	 * @return the lifetime in milliseconds
+	 */
+	public int lifetimeMillis(int periodMillis) {
+		int bounded = Math.max(0, Math.min(MAX_PERIOD_MILLIS, periodMillis));
+		int renewable = RENEWALS_PER_LIFETIME * bounded + LIFETIME_MARGIN_MILLIS;
+		return Math.max((int) this.grantLifetime.toMillis(), renewable);
+	}
+
+	/**
+	 * The longest lifetime of a grant when entries use at most so many endpoints.
+	 * @param endpoints how many endpoints the register has
+	 * @return the lifetime in milliseconds
+	 */
+	public int longestLifetimeMillis(int endpoints) {
+		return lifetimeMillis(periodMillis(Math.min(endpoints, this.maxPairs)));
+	}
+
+	/**
+	 * Collects settings; not safe for use by multiple threads.
+	 */
+	public static final class Builder {
+
+		private int subsetSize = 30;
+
+		private int maxPairs = 60;
+
+		private int controlBytesPerSecond = 3_000;
+
+		private Duration demandPeriod = Duration.ofMillis(250);
+
+		private Duration idlePeriod = Duration.ofSeconds(5);
+
+		private Duration grantLifetime = Duration.ofSeconds(2);
+
+		private Duration reportPeriod = Duration.ofSeconds(1);
+
+		private Duration reportIdlePeriod = Duration.ofSeconds(5);
+
+		private long floorKvTokens = 32_768;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets how many endpoints of each service an entry uses at most.
+		 * @param value the number, at least 1
+		 * @return this builder
+		 */
+		public Builder subsetSize(int value) {
+			this.subsetSize = (int) positive("subset size", value);
+			return this;
+		}
+
+		/**
+		 * Sets how many endpoints an entry uses at most over all services.
+		 * @param value the number, at least 1
+		 * @return this builder
+		 */
+		public Builder maxPairs(int value) {
+			this.maxPairs = (int) positive("number of endpoints in use", value);
+			return this;
+		}
+
+		/**
+		 * Sets the bytes a second that demands and grants of an entry may cost.
+		 * @param value the bytes, at least 1
+		 * @return this builder
+		 */
+		public Builder controlBytesPerSecond(int value) {
+			this.controlBytesPerSecond = (int) positive("control bytes a second", value);
+			return this;
+		}
+
+		public Builder demandPeriod(Duration value) {
+			this.demandPeriod = positive("demand period", value);
+			return this;
+		}
+
+		public Builder idlePeriod(Duration value) {
+			this.idlePeriod = positive("idle period", value);
+			return this;
+		}
+
+		public Builder grantLifetime(Duration value) {
+			this.grantLifetime = positive("grant lifetime", value);
+			return this;
+		}
+
+		public Builder reportPeriod(Duration value) {
+			this.reportPeriod = positive("report period", value);
+			return this;
+		}
+
+		public Builder reportIdlePeriod(Duration value) {
+			this.reportIdlePeriod = positive("idle report period", value);
+			return this;
+		}
+
+		/**
+		 * Sets the KV tokens that an entry may use before it has heard any grant.
+		 * @param value the tokens, at least 1
+		 * @return this builder
+		 */
+		public Builder floorKvTokens(long value) {
+			this.floorKvTokens = positive("floor of KV tokens", value);
+			return this;
+		}
+
+		public EndpointSettings build() {
+			return new EndpointSettings(this);
+		}
+
+		private static long positive(String name, long value) {
+			if (value < 1) {
+				throw new IllegalArgumentException(name + " must be at least 1, was " + value);
+			}
+			return value;
+		}
+
+		private static Duration positive(String name, Duration value) {
+			if (value == null || value.isZero() || value.isNegative()) {
+				throw new IllegalArgumentException(name + " must be longer than zero, was " + value);
+			}
+			return value;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
@@ -0,0 +1,192 @@
+package org.bramleyscale.internal.endpoint.owner;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.internal.configuration.EndpointEntry;
+import org.bramleyscale.internal.endpoint.Amount;
+import org.bramleyscale.internal.endpoint.Demand;
+import org.bramleyscale.internal.endpoint.DemandItem;
+import org.bramleyscale.internal.endpoint.EngineClient;
+import org.bramleyscale.internal.endpoint.Grant;
+import org.bramleyscale.internal.endpoint.GrantItem;
+import org.bramleyscale.internal.endpoint.GrantedReport;
+import org.bramleyscale.internal.endpoint.LoadReport;
+import org.bramleyscale.internal.time.Clock;
+
+/**
+ * One endpoint with its account, its reports and its leaving mark.
+ *
+ * <p>
+ * Confined to the scheduler's thread.
+ */
+final class OwnedEndpoint {
+
+	/** How long a sign of leaving heard from an entry counts without confirmation. */
+	private static final long CLAIM_LIFETIME = Duration.ofSeconds(10).toNanos();
+
+	/**
+	 * A push may be lost with its connection. Without repetition an entry whose push was
+	 * lost would give work to a leaving endpoint until its grant expires; that shows as
+	 * requests started after the mark.
+	 */
+	private static final long REPEAT_LEAVING = Duration.ofSeconds(3).toNanos();
+
+	private static final long PUSH_PAUSE = Duration.ofMillis(20).toNanos();
+
+	private static final long IN_USE_FOR = Duration.ofSeconds(10).toNanos();
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
+	private final OwnedShard shard;
+
+	private final Clock clock;
+
+	private final EndpointAccount account;
+
+	private final ReportPoller poller;
+
+	private EndpointEntry entry;
+
+	private long claimedAt = NEVER;
+
+	private long leavingSince = NEVER;
+
+	private long usedAt = NEVER;
+
+	OwnedEndpoint(EndpointEntry entry, OwnedShard shard, EndpointAccount account, Clock clock, EngineClient engines) {
+		this.entry = entry;
+		this.shard = shard;
+		this.account = account;
+		this.clock = clock;
+		this.poller = new ReportPoller(clock, engines, this::reported);
+		this.leavingSince = entry.leaving() ? clock.nanos() : NEVER;
+	}
+
+	EndpointEntry entry() {
+		return this.entry;
+	}
+
+	EndpointAccount account() {
+		return this.account;
+	}
+
+	ReportPoller poller() {
+		return this.poller;
+	}
+
+	boolean belongsTo(OwnedShard other) {
+		return this.shard.epoch() == other.epoch() && this.shard.shard().equals(other.shard());
+	}
+
+	boolean used() {
+		return this.clock.nanos() - this.usedAt < IN_USE_FOR;
+	}
+
+	boolean leaving() {
+		return this.leavingSince != NEVER;
+	}
+
+	void update(EndpointEntry newer) {
+		this.entry = newer;
+		checkLeaving();
+	}
+
+	void poll(Duration period) {
+		this.poller.poll(this.entry, period);
+	}
+
+	/**
+	 * Takes in a demand.
+	 * @param from the entry
+	 * @param demand the message
+	 * @param item the item for this endpoint
+	 * @param lifetimeMillis the lifetime of grants to the entry
+	 * @return the grant in answer, or null if none is due
+	 */
+	GrantItem demanded(Incarnation from, Demand demand, DemandItem item, int lifetimeMillis) {
+		long now = this.clock.nanos();
+		if (item.leaving()) {
+			this.claimedAt = now;
+			checkLeaving();
+		}
+		EntryAccount entryAccount = this.account.demanded(from, item, demand.sentMillis(), lifetimeMillis, now);
+		if (entryAccount == null) {
+			return null;
+		}
+		if (entryAccount.resigned()) {
+			return item(entryAccount, GrantItem.REPORT_ONLY, Amount.NONE);
+		}
+		this.usedAt = now;
+		return grant(entryAccount, now);
+	}
+
+	/**
+	 * Grants that should go out unasked.
+	 * @return the grants with their receivers
+	 */
+	List<Push> pushes() {
+		long now = this.clock.nanos();
+		List<Push> pushes = new ArrayList<>();
+		for (EntryAccount receiver : receivers(now)) {
+			if (now - receiver.pushedAt() >= PUSH_PAUSE) {
+				Grant grant = new Grant(receiver.demandSentMillis(), receiver.lifetimeMillis(),
+						List.of(grant(receiver, now)));
+				pushes.add(new Push(receiver.entry(), grant));
+			}
+		}
+		return pushes;
+	}
+
+	private List<EntryAccount> receivers(long now) {
+		if (leaving()) {
+			return (now - this.leavingSince < REPEAT_LEAVING) ? List.copyOf(this.account.entries()) : List.of();
+		}
+		return this.account.unbalanced(now);
+	}
+
+	private GrantItem grant(EntryAccount receiver, long now) {
+		Amount amount = leaving() ? Amount.NONE : this.account.grantable(receiver, now);
+		return item(receiver, this.account.granted(receiver, amount, now), amount);
+	}
+
+	private GrantItem item(EntryAccount receiver, long number, Amount amount) {
+		GrantedReport report = null;
+		if (this.account.report() != null) {
+			int ageMillis = (int) Math.min(Integer.MAX_VALUE, this.poller.age() / 1_000_000);
+			report = GrantedReport.of(this.account.report(), ageMillis, receiver.demand().models());
+		}
+		return new GrantItem(this.entry.name(), this.shard.shard().code(), this.shard.epoch(), number, amount.slots(),
+				amount.kvTokens(), leaving(), report);
+	}
+
+	private void reported(LoadReport report) {
+		this.account.reported(report);
+		checkLeaving();
+	}
+
+	private void checkLeaving() {
+		LoadReport report = this.account.report();
+		long now = this.clock.nanos();
+		boolean sign = this.entry.leaving() || (report != null && report.leaving())
+				|| now - this.claimedAt < CLAIM_LIFETIME;
+		if (!sign) {
+			this.leavingSince = NEVER;
+		}
+		else if (this.leavingSince == NEVER) {
+			this.leavingSince = now;
+		}
+	}
+
+	/**
+	 * A grant on its way to one entry.
+	 *
+	 * @param to the entry
+	 * @param grant the grant
+	 */
+	record Push(Incarnation to, Grant grant) {
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointPermit.java
@@ -0,0 +1,56 @@
+package org.bramleyscale.internal.endpoint.pool;
+
+import org.bramleyscale.internal.configuration.EndpointEntry;
+import org.bramleyscale.internal.endpoint.Amount;
+import org.bramleyscale.internal.endpoint.Permit;
+
+/**
+ * A part of a grant in use; see {@link Permit}.
+ *
+ * <p>
+ * Confined to the scheduler's thread.
+ */
+final class EndpointPermit implements Permit {
+
+	private final EndpointEntry endpoint;
+
+	private final OwnUse use;
+
+	private final OwnUse.Prefill prefill;
+
+	private final Amount amount;
+
+	private final Runnable closed;
+
+	private boolean open = true;
+
+	EndpointPermit(EndpointState state, Amount amount, int promptTokens, long now, Runnable closed) {
+		this.endpoint = state.entry();
+		this.use = state.use();
+		this.amount = amount;
+		this.closed = closed;
+		this.prefill = this.use.begin(amount, promptTokens, now);
+	}
+
+	@Override
+	public EndpointEntry endpoint() {
+		return this.endpoint;
+	}
+
+	@Override
+	public void firstToken() {
+		this.use.computed(this.prefill);
+	}
+
+	@Override
+	public void close() {
+		if (!this.open) {
+			return;
+		}
+		this.open = false;
+		this.use.computed(this.prefill);
+		this.use.end(this.amount);
+		this.closed.run();
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/PoolDump.java
@@ -0,0 +1,46 @@
+package org.bramleyscale.internal.endpoint.pool;
+
+import java.util.Collection;
+import java.util.List;
+
+import org.bramleyscale.internal.endpoint.Amount;
+
+/**
+ * The pool's state as operators see it.
+ *
+ * @param endpoints how many endpoints are known
+ * @param periodMillis how often demands are sent
+ * @param states the first endpoints
+ */
+record PoolDump(int endpoints, int periodMillis, List<State> states) {
+
+	private static final int LONGEST = 100;
+
+	static PoolDump of(Collection<EndpointState> states, int periodMillis, long now, int sharing) {
+		List<State> first = states.stream().limit(LONGEST).map((state) -> State.of(state, now, sharing)).toList();
+		return new PoolDump(states.size(), periodMillis, first);
+	}
+
+	/**
+	 * One endpoint.
+	 *
+	 * @param endpoint the endpoint
+	 * @param owner the owner heard last, or an empty text
+	 * @param epoch the epoch of the last grant
+	 * @param share what may be in flight
+	 * @param inUse what is in flight
+	 * @param leaving whether it gets no new work because it is leaving
+	 * @param ejected whether it gets no new work because of its answers
+	 */
+	record State(String endpoint, String owner, long epoch, Amount share, Amount inUse, boolean leaving,
+			boolean ejected) {
+
+		private static State of(EndpointState state, long now, int sharing) {
+			String owner = state.knownOwner().map(Object::toString).orElse("");
+			return new State(state.entry().name().value(), owner, state.epoch(), state.share(now, sharing),
+					state.use().inUse(), state.leaving(), state.learner().ejected(now));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/Subsets.java
@@ -0,0 +1,125 @@
+package org.bramleyscale.internal.endpoint.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.configuration.Configuration;
+import org.bramleyscale.internal.configuration.EndpointEntry;
+import org.bramleyscale.internal.endpoint.EndpointSettings;
+import org.bramleyscale.internal.endpoint.Rendezvous;
+
+/**
+ * Which endpoints of each service this entry uses.
+ *
+ * <p>
+ * A fleet of thousands of endpoints is more than an entry can hold grants for. Each entry
+ * uses a subset by rendezvous hashing with its own name, two thirds of it from its own
+ * data centre where that has enough. The more services are in use here, the smaller the
+ * subsets. Confined to the scheduler's thread.
+ */
+final class Subsets {
+
+	private static final long SERVICE_IN_USE_FOR = Duration.ofSeconds(60).toNanos();
+
+	private static final int SMALLEST = 4;
+
+	private final EndpointSettings settings;
+
+	private final VmId self;
+
+	private final DataCentre dataCentre;
+
+	private final Map<ServiceName, Long> usedAt = new HashMap<>();
+
+	private final Map<ServiceName, List<EndpointEntry>> chosen = new HashMap<>();
+
+	private Configuration configuration = Configuration.NONE;
+
+	private int size;
+
+	Subsets(EndpointSettings settings, VmId self, DataCentre dataCentre) {
+		this.settings = settings;
+		this.self = self;
+		this.dataCentre = dataCentre;
+		this.size = settings.subsetSize();
+	}
+
+	void update(Configuration newer) {
+		this.configuration = newer;
+		this.chosen.clear();
+	}
+
+	/**
+	 * The endpoints of a service that this entry uses.
+	 * @param service the service
+	 * @param now the time
+	 * @return the endpoints in a stable order
+	 */
+	List<EndpointEntry> use(ServiceName service, long now) {
+		Long before = this.usedAt.put(service, now);
+		if (before == null) {
+			resize(now);
+		}
+		return of(service);
+	}
+
+	List<EndpointEntry> of(ServiceName service) {
+		return this.chosen.computeIfAbsent(service, this::choose);
+	}
+
+	/**
+	 * All endpoints worth a contact while idle: everything if the fleet is small, else
+	 * those of the services in use.
+	 * @param now the time
+	 * @return the endpoints
+	 */
+	Set<EndpointEntry> contacts(long now) {
+		this.usedAt.values().removeIf((used) -> now - used > SERVICE_IN_USE_FOR);
+		resize(now);
+		Set<EndpointEntry> result = new LinkedHashSet<>();
+		if (this.configuration.register().endpoints().size() <= this.settings.maxPairs()) {
+			this.configuration.register().services().forEach((service) -> result.addAll(of(service.name())));
+		}
+		this.usedAt.keySet().forEach((service) -> result.addAll(of(service)));
+		return result;
+	}
+
+	private void resize(long now) {
+		int inUse = Math.max(1, this.usedAt.size());
+		int affordable = Math.max(SMALLEST, this.settings.maxPairs() / inUse);
+		int wanted = Math.min(this.settings.subsetSize(), affordable);
+		boolean all = this.configuration.register().endpoints().size() <= this.settings.maxPairs();
+		int next = all ? this.settings.subsetSize() : wanted;
+		if (next != this.size) {
+			this.size = next;
+			this.chosen.clear();
+		}
+	}
+
+	private List<EndpointEntry> choose(ServiceName service) {
+		List<EndpointEntry> all = this.configuration.endpoints(service);
+		if (all.size() <= this.size) {
+			return all;
+		}
+		List<EndpointEntry> local = all.stream().filter((entry) -> entry.dataCentre().equals(this.dataCentre)).toList();
+		List<EndpointEntry> fromLocal = top(service, local, 2 * this.size / 3);
+		List<EndpointEntry> rest = new ArrayList<>(all);
+		rest.removeAll(Set.copyOf(fromLocal));
+		List<EndpointEntry> result = new ArrayList<>(fromLocal);
+		result.addAll(top(service, rest, this.size - fromLocal.size()));
+		return List.copyOf(result);
+	}
+
+	private List<EndpointEntry> top(ServiceName service, List<EndpointEntry> entries, int count) {
+		return Rendezvous.top(service + "/" + this.self, entries, (entry) -> entry.name().value(), count);
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/FakeLeases.java
@@ -0,0 +1,145 @@
+package org.bramleyscale.internal.endpoint;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.lease.Lease;
+import org.bramleyscale.internal.lease.Leases;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * Leases of several daemons: given in the order of seeking, with growing numbers.
+ */
+final class FakeLeases {
+
+	private final ManualScheduler scheduler;
+
+	private final Map<String, Long> numbers = new HashMap<>();
+
+	private final Map<String, Seeker> holders = new HashMap<>();
+
+	private final Map<String, Map<VmId, Seeker>> seekers = new HashMap<>();
+
+	private boolean down;
+
+	FakeLeases(ManualScheduler scheduler) {
+		this.scheduler = scheduler;
+	}
+
+	Leases of(VmId vm) {
+		return new View(vm);
+	}
+
+	/** The platform answers nobody; all leases lapse. */
+	void outage() {
+		this.down = true;
+		Map.copyOf(this.holders).forEach((name, holder) -> {
+			this.holders.remove(name);
+			holder.listener.lost(holder);
+		});
+	}
+
+	void recovered() {
+		this.down = false;
+		this.seekers.keySet().forEach(this::give);
+	}
+
+	/** The VM is gone: what it held may be taken by others. */
+	void died(VmId vm) {
+		this.seekers.forEach((name, waiting) -> waiting.remove(vm));
+		Map.copyOf(this.holders).forEach((name, holder) -> {
+			if (holder.vm.equals(vm)) {
+				this.holders.remove(name);
+				give(name);
+			}
+		});
+	}
+
+	Optional<VmId> holder(String name) {
+		return Optional.ofNullable(this.holders.get(name)).map((seeker) -> seeker.vm);
+	}
+
+	private void give(String name) {
+		Map<VmId, Seeker> waiting = this.seekers.getOrDefault(name, Map.of());
+		if (this.down || this.holders.containsKey(name) || waiting.isEmpty()) {
+			return;
+		}
+		Seeker next = waiting.values().iterator().next();
+		this.holders.put(name, next);
+		next.number = this.numbers.merge(name, 1L, Long::sum);
+		this.scheduler.execute(() -> {
+			if (this.holders.get(name) == next) {
+				next.listener.taken(next);
+			}
+		});
+	}
+
+	private final class View implements Leases {
+
+		private final VmId vm;
+
+		private View(VmId vm) {
+			this.vm = vm;
+		}
+
+		@Override
+		public void seek(String name, LeaseListener listener) {
+			FakeLeases.this.seekers.computeIfAbsent(name, (key) -> new LinkedHashMap<>())
+				.put(this.vm, new Seeker(name, this.vm, listener));
+			give(name);
+		}
+
+		@Override
+		public void release(String name) {
+			FakeLeases.this.seekers.getOrDefault(name, new HashMap<>()).remove(this.vm);
+			Seeker holder = FakeLeases.this.holders.get(name);
+			if (holder != null && holder.vm.equals(this.vm)) {
+				FakeLeases.this.holders.remove(name);
+				give(name);
+			}
+		}
+
+		@Override
+		public Optional<Lease> lease(String name) {
+			return Optional.ofNullable(FakeLeases.this.holders.get(name));
+		}
+
+	}
+
+	private final class Seeker implements Lease {
+
+		private final String name;
+
+		private final VmId vm;
+
+		private final Leases.LeaseListener listener;
+
+		private long number;
+
+		private Seeker(String name, VmId vm, Leases.LeaseListener listener) {
+			this.name = name;
+			this.vm = vm;
+			this.listener = listener;
+		}
+
+		@Override
+		public String name() {
+			return this.name;
+		}
+
+		@Override
+		public long number() {
+			return this.number;
+		}
+
+		@Override
+		public boolean held() {
+			return FakeLeases.this.holders.get(this.name) == this;
+		}
+
+	}
+
+}
