--- /dev/null
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
@@ -0,0 +1,352 @@
+package org.bramleyscale.standins.engine;
+
+import java.util.EnumSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.ErrorCode;
+import org.bramleyscale.Ran;
+import org.bramleyscale.internal.endpoint.CacheEvent;
+import org.bramleyscale.internal.endpoint.CancelResult;
+import org.bramleyscale.internal.endpoint.EngineHold;
+import org.bramleyscale.internal.endpoint.EngineOrder;
+import org.bramleyscale.internal.endpoint.LoadReport;
+import org.bramleyscale.internal.time.Cancellable;
+import org.bramleyscale.internal.time.Scheduler;
+
+/**
+ * A model engine without a model: its queue, its memory, its answers and its faults.
+ *
+ * <p>
+ * Invariants: memory in use plus memory held never exceeds the capacity; an attempt runs
+ * at most once; an attempt that was cancelled before it came is refused when it comes.
+ * Deterministic for a given scheduler. Confined to the scheduler's thread.
+ */
+public final class EngineState {
+
+	private final EndpointId name;
+
+	private final EngineParameters parameters;
+
+	private final Scheduler scheduler;
+
+	private final long boot;
+
+	private final Holds holds;
+
+	private final PrefixCache cache;
+
+	private final Batch batch;
+
+	private final Map<AttemptKey, Attempt> attempts = new LinkedHashMap<>();
+
+	private final Set<AttemptKey> cancelledUnseen = new LinkedHashSet<>();
+
+	private final Set<String> models;
+
+	private final Set<Fault> faults = EnumSet.noneOf(Fault.class);
+
+	private final EngineCounts counts = new EngineCounts();
+
+	private final Cancellable reporting;
+
+	private long kvInUse;
+
+	private long newestFence;
+
+	private long arrivals;
+
+	private String role = "";
+
+	private LoadReport report;
+
+	/**
+	 * Starts an engine with empty memory.
+	 * @param name its name
+	 * @param parameters how it behaves
+	 * @param scheduler its time
+	 * @param boot a number that differs at each start
+	 */
+	public EngineState(EndpointId name, EngineParameters parameters, Scheduler scheduler, long boot) {
+		this.name = name;
+		this.parameters = parameters;
+		this.scheduler = scheduler;
+		this.boot = boot;
+		this.holds = new Holds(scheduler);
+		this.cache = new PrefixCache(scheduler, parameters.cacheEventLag(), parameters.cacheEventGap());
+		this.batch = new Batch(parameters, scheduler, new Memory());
+		this.models = new LinkedHashSet<>(parameters.models());
+		this.report = currentReport(1);
+		this.reporting = scheduler.repeat(parameters.reportLag(),
+				() -> this.report = currentReport(this.report.sequence() + 1));
+	}
+
+	/**
+	 * Starts an attempt, or reads it if it was started before.
+	 * @param generation the order
+	 * @param listener reads the answer; hears a refusal as its only event
+	 */
+	public void generate(Generation generation, AttemptListener listener) {
+		Attempt known = this.attempts.get(generation.key());
+		if (known != null) {
+			known.read(generation.firstOffset(), listener);
+			return;
+		}
+		Refusal refusal = refusal(generation);
+		if (refusal != null) {
+			this.counts.refused();
+			listener.failed(refusal.code, Ran.NO, refusal.message);
+			return;
+		}
+		this.counts.started(this.faults.contains(Fault.LEAVING));
+		Attempt attempt = new Attempt(generation, TokenCount.of(generation.prompt()), this.arrivals++);
+		String hold = ownHold(generation);
+		if (hold != null) {
+			this.holds.use(hold);
+		}
+		this.attempts.put(generation.key(), attempt);
+		attempt.read(generation.firstOffset(), listener);
+		this.batch.add(attempt);
+	}
+
+	private Refusal refusal(Generation generation) {
+		if (this.cancelledUnseen.contains(generation.key())) {
+			return new Refusal(ErrorCode.CANCELLED, "the attempt was cancelled before it came");
+		}
+		if (this.faults.contains(Fault.REFUSE)) {
+			return new Refusal(ErrorCode.OVERLOADED, "told to refuse");
+		}
+		if (!this.models.contains(generation.model())) {
+			return new Refusal(ErrorCode.UNKNOWN_MODEL, "model '" + generation.model() + "' is not loaded");
+		}
+		if (!generation.delivered()
+			.equals(ExpectedAnswer.text(generation.prompt(), 0,
+					generation.delivered().isEmpty() ? 0 : generation.firstOffset()))) {
+			return new Refusal(ErrorCode.BAD_REQUEST, "the delivered text is not the beginning of the answer");
+		}
+		return memoryRefusal(generation);
+	}
+
+	private Refusal memoryRefusal(Generation generation) {
+		String hold = ownHold(generation);
+		if (hold != null) {
+			return this.holds.kept(hold) ? null : new Refusal(ErrorCode.CONFLICT, "there is no hold '" + hold + "'");
+		}
+		long needed = TokenCount.of(generation.prompt()) + (long) generation.maxTokens();
+		if (needed > this.parameters.kvCapacity()) {
+			return new Refusal(ErrorCode.TOO_LARGE,
+					needed + " tokens are more than this engine's " + this.parameters.kvCapacity() + " and need holds");
+		}
+		return null;
+	}
+
+	/**
+	 * Reads a known attempt.
+	 * @param key the attempt
+	 * @param offset the first token wanted
+	 * @param listener reads the answer
+	 */
+	public void resume(AttemptKey key, long offset, AttemptListener listener) {
+		Attempt attempt = this.attempts.get(key);
+		if (attempt == null) {
+			listener.failed(ErrorCode.UNKNOWN_REQUEST, Ran.UNKNOWN, "this engine does not know the attempt");
+			return;
+		}
+		attempt.read(offset, listener);
+	}
+
+	/**
+	 * Cancels an attempt.
+	 * @param key the attempt
+	 * @return what was cancelled
+	 */
+	public CancelResult cancel(AttemptKey key) {
+		Attempt attempt = this.attempts.get(key);
+		if (attempt == null) {
+			this.cancelledUnseen.add(key);
+			this.scheduler.schedule(this.parameters.keepEnded(), () -> this.cancelledUnseen.remove(key));
+			return CancelResult.NEVER_STARTED;
+		}
+		Attempt.Phase phase = attempt.phase();
+		switch (phase) {
+			case WAITING, RUNNING -> {
+				attempt.stop((phase == Attempt.Phase.WAITING) ? Ran.NO : Ran.YES);
+				this.batch.remove(attempt);
+				this.counts.cancelled();
+				return (phase == Attempt.Phase.WAITING) ? CancelResult.NEVER_STARTED : CancelResult.STOPPED;
+			}
+			default -> {
+				return (phase == Attempt.Phase.DONE) ? CancelResult.FINISHED : CancelResult.STOPPED;
+			}
+		}
+	}
+
+	/**
+	 * The newest report, which is already old.
+	 * @return the report
+	 */
+	public LoadReport report() {
+		return this.report;
+	}
+
+	public List<CacheEvent> cacheEvents(long after) {
+		return this.cache.eventsAfter(after);
+	}
+
+	/**
+	 * Takes an order.
+	 * @param order the order
+	 * @return false if fencing is checked and a newer number was seen
+	 */
+	public boolean order(EngineOrder order) {
+		if (this.parameters.checksFencing() && order.fence() < this.newestFence) {
+			this.counts.fenced();
+			return false;
+		}
+		this.newestFence = Math.max(this.newestFence, order.fence());
+		if (order.kind() == EngineOrder.Kind.SET_ROLE) {
+			this.role = order.desired();
+		}
+		else if (order.kind() == EngineOrder.Kind.UNLOAD_MODEL) {
+			this.models.remove(order.desired());
+		}
+		else {
+			this.models.add(order.desired());
+		}
+		return true;
+	}
+
+	public String role() {
+		return this.role;
+	}
+
+	public boolean hold(EngineHold hold) {
+		boolean held = this.holds.put(hold, free());
+		if (held) {
+			this.cache.shrinkTo(free());
+		}
+		return held;
+	}
+
+	public void release(String hold) {
+		this.holds.release(hold);
+		this.batch.wake();
+	}
+
+	public List<EngineHold> holds() {
+		return this.holds.list();
+	}
+
+	/**
+	 * Begins or ends a fault.
+	 * @param fault the fault
+	 * @param on whether it begins
+	 */
+	public void fault(Fault fault, boolean on) {
+		if (on) {
+			this.faults.add(fault);
+		}
+		else {
+			this.faults.remove(fault);
+		}
+		switch (fault) {
+			case FREEZE -> this.batch.freeze(on);
+			case SLOW -> this.batch.slow(on);
+			case SILENT_STREAMS -> this.attempts.values().forEach(Attempt::forgetReaders);
+			default -> {
+			}
+		}
+	}
+
+	public boolean has(Fault fault) {
+		return this.faults.contains(fault);
+	}
+
+	public EngineCounts counts() {
+		return this.counts;
+	}
+
+	/**
+	 * KV memory in use and held.
+	 * @return tokens
+	 */
+	public long kvUsed() {
+		return this.kvInUse + this.holds.tokens();
+	}
+
+	/**
+	 * Ends all activity of this start of the engine.
+	 */
+	public void stop() {
+		this.reporting.cancel();
+		this.batch.freeze(true);
+		this.attempts.values().forEach(Attempt::forgetReaders);
+	}
+
+	private long free() {
+		return this.parameters.kvCapacity() - kvUsed();
+	}
+
+	private String ownHold(Generation generation) {
+		if (generation.holds().isEmpty()) {
+			return null;
+		}
+		String first = generation.holds().get(0);
+		return first.substring(first.indexOf('=') + 1);
+	}
+
+	private LoadReport currentReport(long sequence) {
+		return new LoadReport(this.name, this.boot, sequence, this.batch.runningCount(), this.batch.waitingCount(),
+				this.parameters.slots(), this.batch.queuedPrefillTokens(), kvUsed(), this.parameters.kvCapacity(),
+				this.faults.contains(Fault.LEAVING), List.copyOf(this.models));
+	}
+
+	/**
+	 * Why a generation is refused.
+	 */
+	private record Refusal(ErrorCode code, String message) {
+	}
+
+	/**
+	 * The memory that running attempts take.
+	 */
+	private final class Memory implements Batch.Admission {
+
+		@Override
+		public boolean begin(Attempt attempt) {
+			if (ownHold(attempt.generation()) == null) {
+				if (attempt.kvTokens() > free()) {
+					return false;
+				}
+				EngineState.this.kvInUse += attempt.kvTokens();
+			}
+			attempt.start(EngineState.this.cache.cachedTokens(attempt.generation().prompt()));
+			EngineState.this.cache.shrinkTo(free());
+			return true;
+		}
+
+		@Override
+		public void ended(Attempt attempt, boolean begun) {
+			String hold = ownHold(attempt.generation());
+			if (hold != null) {
+				EngineState.this.holds.unuse(hold);
+			}
+			else if (begun) {
+				EngineState.this.kvInUse -= attempt.kvTokens();
+			}
+			if (begun) {
+				EngineState.this.cache.store(attempt.generation().prompt(), free());
+			}
+			EngineState.this.counts.ended();
+			attempt.forgetPrompt();
+			EngineState.this.scheduler.schedule(EngineState.this.parameters.keepEnded(),
+					() -> EngineState.this.attempts.remove(attempt.generation().key(), attempt));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/bramleyscale/standins/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP server that stand-ins share.
+ */
+package org.bramleyscale.standins.http;
