--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/ApplyResult.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/ApplyResult.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.bramleyscale.internal.configuration.ConfigurationProblem;
 
 /**
  * What became of a change of the configuration.
@@ -46,7 +47,7 @@
 	 *
 	 * @param problems all that is wrong with it
 	 */
-	record Rejected(List<DocumentProblem> problems) implements ApplyResult {
+	record Rejected(List<ConfigurationProblem> problems) implements ApplyResult {
 
 		public Rejected {
 			problems = List.copyOf(problems);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/status/OperatorHandlersTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/status/OperatorHandlersTests.java
@@ -19,6 +19,7 @@
 import org.bramleyscale.ServingException;
 import org.bramleyscale.Step;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.configuration.ConfigurationProblem;
 import org.bramleyscale.internal.http.HttpExecution;
 import org.bramleyscale.internal.time.EventLoop;
 import org.junit.jupiter.api.AfterEach;
@@ -113,8 +114,9 @@
 
 	@Test
 	void rejectionTellsAllProblems() throws Exception {
-		ApplyResult rejected = new ApplyResult.Rejected(List.of(new DocumentProblem("accounts[0].weight", "0", "1"),
-				new DocumentProblem("urgent[0]", "x", "a service of the register")));
+		ApplyResult rejected = new ApplyResult.Rejected(
+				List.of(new ConfigurationProblem("accounts[0].weight", "0", "1"),
+						new ConfigurationProblem("urgent[0]", "x", "a service of the register")));
 		this.backend.next = CompletableFuture.completedFuture(rejected);
 		Answer answer = call("PUT", CHANGE, "change", "urgent: [x]\n");
 		Truth.assertThat(answer.status()).isEqualTo(400);
--- /dev/null
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A caller that behaves as callers should, and a seeded mixed load.
+ */
+package org.bramleyscale.daemon.demo.load;
