Sharpen the lease tests to fail without each mechanism

Counting a lease from the reply instead of from before the call passed all tests, since the margins hid two seconds. The test now uses a reply 5.5 s late and seven daemons, and fails without the mechanism. Added: a take whose reply comes after the lease's time begins no tenure. The flag that a held() call set was redundant and is gone.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/lease/HeldLease.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/lease/HeldLease.java
@@ -6,8 +6,9 @@
  * One tenure of a lease.
  *
  * <p>
- * Invariant: once {@link #held()} was false it is never true again; a lease that is taken
- * anew has a new number and a new object. Confined to the scheduler's thread.
+ * Invariant: once {@link #held()} was false it is never true again, since the seeker ends
+ * a lapsed lease before it looks at any reply; a lease that is taken anew has a new
+ * number and a new object. Confined to the scheduler's thread.
  */
 final class HeldLease implements Lease {
 
@@ -43,10 +44,7 @@
 
 	@Override
 	public boolean held() {
-		if (remainingNanos() <= 0) {
-			this.ended = true;
-		}
-		return !this.ended;
+		return !this.ended && remainingNanos() > 0;
 	}
 
 	@Override
--- a/standins/src/test/java/org/bramleyscale/standins/platform/LeaseCluster.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/LeaseCluster.java
@@ -42,7 +42,11 @@
 	private final List<Long> numbers = new ArrayList<>();
 
 	LeaseCluster(int size) {
-		this.seats = IntStream.range(0, size).mapToObj((index) -> new Seat(index, CALL_TIMEOUT)).toList();
+		this(size, CALL_TIMEOUT);
+	}
+
+	LeaseCluster(int size, Duration callTimeout) {
+		this.seats = IntStream.range(0, size).mapToObj((index) -> new Seat(index, callTimeout)).toList();
 	}
 
 	ManualScheduler scheduler() {
@@ -61,15 +65,6 @@
 		return this.seats.get(index);
 	}
 
-	/**
-	 * A daemon beside the others that waits longer for a reply.
-	 * @param timeout how long
-	 * @return the seat
-	 */
-	Seat patientSeat(Duration timeout) {
-		return new Seat(this.seats.size(), timeout);
-	}
-
 	List<Seat> holders() {
 		return this.seats.stream().filter(Seat::holds).toList();
 	}
@@ -149,6 +144,7 @@
 
 		@Override
 		public void taken(Lease lease) {
+			Truth.assertThat(lease.held()).isTrue();
 			this.events.add("taken " + lease.number());
 			LeaseCluster.this.numbers.add(lease.number());
 		}
--- a/standins/src/test/java/org/bramleyscale/standins/platform/LeaseTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/LeaseTests.java
@@ -131,16 +131,17 @@
 	@Test
 	void countsALeaseFromBeforeTheCallThatRenewedIt() {
 		// Symptom: the old holder acts after the next one has taken over.
-		// Sequence: a renewal takes effect at once, and its reply comes late; then the
-		// platform is silent to the holder.
-		// Cause: the holder counts the lease from the reply, the claimant from the
+		// Sequence: a renewal takes effect at once, its reply comes seconds later, and
+		// then the holder is cut off.
+		// Cause: the holder counts the lease from the reply, the claimants from the
 		// effect.
-		LeaseCluster cluster = new LeaseCluster(2).started();
-		inject(cluster, PlatformFault.Kind.SLOW_REPLY, PlatformOperation.WRITE, 1, Duration.ofMillis(1900));
-		cluster.pass(Duration.ofSeconds(6));
+		LeaseCluster cluster = new LeaseCluster(7, Duration.ofSeconds(8)).started();
+		inject(cluster, PlatformFault.Kind.SLOW_REPLY, PlatformOperation.WRITE, 1, Duration.ofMillis(5500));
+		cluster.pass(LEASE_TIME.minusSeconds(1));
 		cluster.seat(0).store().cutOff(true);
 		cluster.pass(LEASE_TIME.multipliedBy(2));
-		Truth.assertThat(cluster.holders()).containsExactly(cluster.seat(1));
+		Truth.assertThat(cluster.holders()).hasSize(1);
+		Truth.assertThat(cluster.holders()).doesNotContain(cluster.seat(0));
 	}
 
 	@Test
@@ -149,19 +150,29 @@
 		// Sequence: the platform is so slow that the reply to a renewal comes after the
 		// expiry, and says that it succeeded.
 		// Cause: the reply tells of the past.
-		LeaseCluster cluster = new LeaseCluster(1);
-		Duration timeout = LEASE_TIME.multipliedBy(2);
-		LeaseCluster.Seat seat = cluster.patientSeat(timeout);
-		seat.seek();
-		cluster.pass(Duration.ofSeconds(1));
+		LeaseCluster cluster = new LeaseCluster(1, LEASE_TIME.multipliedBy(2)).started();
+		LeaseCluster.Seat seat = cluster.seat(0);
 		Lease old = seat.manager().lease(LeaseCluster.LEASE).orElseThrow();
 		inject(cluster, PlatformFault.Kind.SLOW_REPLY, PlatformOperation.WRITE, 1, LEASE_TIME);
-		cluster.pass(LEASE_TIME.plusSeconds(5));
+		cluster.pass(LEASE_TIME);
 		Truth.assertThat(old.held()).isFalse();
-		Truth.assertThat(seat.events().subList(0, 2)).containsExactly("taken 1", "lost 1").inOrder();
+		Truth.assertThat(seat.events()).containsExactly("taken 1", "lost 1").inOrder();
 		cluster.pass(LEASE_TIME);
+		Truth.assertThat(old.held()).isFalse();
 		Truth.assertThat(seat.holds()).isTrue();
-		Truth.assertThat(seat.manager().lease(LeaseCluster.LEASE).orElseThrow().number()).isGreaterThan(1L);
+	}
+
+	@Test
+	void doesNotTakeALeaseWhoseTimeIsOverWhenTheReplyComes() {
+		// Symptom: a daemon begins to act under a lease that has already lapsed.
+		// Sequence: the write that takes it has its effect, the reply comes late.
+		// Cause: the reply tells of the past.
+		LeaseCluster cluster = new LeaseCluster(1, LEASE_TIME.multipliedBy(2));
+		inject(cluster, PlatformFault.Kind.SLOW_REPLY, PlatformOperation.WRITE, 1, LEASE_TIME);
+		cluster.seat(0).seek();
+		cluster.pass(LEASE_TIME.multipliedBy(2));
+		Truth.assertThat(cluster.seat(0).holds()).isTrue();
+		Truth.assertThat(cluster.seat(0).events()).containsExactly("taken 2");
 	}
 
 	@ParameterizedTest
