--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/attempt/GenerationAttempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/attempt/GenerationAttempt.java
@@ -177,8 +177,9 @@
 			lose(failure);
 			return;
 		}
-		if (this.resumesWithoutProgress >= this.limits.resumes()) {
-			lose(unless(failure));
+		boolean forgotten = connection.resuming() && failure.code() == ErrorCode.UNKNOWN_REQUEST;
+		if (forgotten || this.resumesWithoutProgress >= this.limits.resumes()) {
+			lose(failure("can't continue the answer: " + failure.getMessage()));
 			return;
 		}
 		Duration pause = this.limits.resumePause().multipliedBy(this.resumesWithoutProgress);
@@ -266,10 +267,6 @@
 		this.owner.lost(failure);
 	}
 
-	private ServingException unless(ServingException failure) {
-		return new ServingException(failure.code(), ran(), failure.step(), failure.peer(), failure.getMessage());
-	}
-
 	private ServingException failure(String what) {
 		String peer = this.endpoint.name().toString();
 		Step step = (this.streaming) ? Step.STREAM : Step.START;
