--- a/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestFixture.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.ClientAccountId;
@@ -30,7 +31,9 @@
 import org.bramleyscale.internal.configuration.Rules;
 import org.bramleyscale.internal.configuration.ServiceEntry;
 import org.bramleyscale.internal.endpoint.Reservations;
+import org.bramleyscale.internal.routing.Candidate;
 import org.bramleyscale.internal.routing.RoutingChoice;
+import org.bramleyscale.internal.routing.RoutingRequest;
 import org.bramleyscale.internal.time.ManualScheduler;
 
 /**
@@ -104,8 +107,7 @@
 			.network(peer)
 			.admission(this.admissions.get(vm))
 			.estimator(new Estimator())
-			.policy((request, candidates, random) -> (candidates.isEmpty()) ? RoutingChoice.WAIT
-					: new RoutingChoice(0, 0, 0))
+			.policy(RequestFixture::firstWithRoom)
 			.pool(this.pool)
 			.reservations(new Groups())
 			.client(this.engines)
@@ -114,6 +116,12 @@
 			.build();
 	}
 
+	private static RoutingChoice firstWithRoom(RoutingRequest request, List<Candidate> candidates,
+			RandomGenerator random) {
+		boolean room = !candidates.isEmpty() && candidates.get(0).grantKv() >= request.kvTokens();
+		return (room) ? new RoutingChoice(0, 0, 0) : RoutingChoice.WAIT;
+	}
+
 	long count(String vm, String metric) {
 		return this.metrics.get(vm).counter("request." + metric).getCount();
 	}
