--- /dev/null
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the decisions under load with small fake engines on a manual clock.
+ */
+package org.bramleyscale.bench.routing;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/RoutingRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/RoutingRequest.java
@@ -14,6 +14,11 @@
 public record RoutingRequest(int promptTokens, int maxTokens, long prefix, int prefixTokens, boolean urgent,
 		long timeLeftNanos) {
 
+	public RoutingRequest withTimeLeft(long nanos) {
+		return new RoutingRequest(this.promptTokens, this.maxTokens, this.prefix, this.prefixTokens, this.urgent,
+				nanos);
+	}
+
 	public long kvTokens() {
 		return (long) this.promptTokens + this.maxTokens;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/SpeedLearner.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/SpeedLearner.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.internal.routing;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -13,9 +14,10 @@
  *
  * <p>
  * Nobody configures these figures, so they are estimated from finished attempts. A time
- * to first token contains the wait behind other prompts; the prediction made at sending
- * tells how much work lay ahead, so the ratio of prediction to measurement corrects the
- * speed without counting that wait as slowness. Invariant: an estimate is 0 until the
+ * to first token contains the wait behind other prompts, so tokens over time is at most
+ * the speed: the estimate is a high one of the recent samples. With few samples it leans
+ * on the usual speed of all endpoints, else one prompt that met a busy endpoint would
+ * mark it as slow and nobody would try it again. Invariant: an estimate is 0 until the
  * first usable observation and positive and finite afterwards. Confined to the
  * scheduler's thread.
  */
@@ -29,14 +31,24 @@
 
 	private static final double LONGEST_STEP_SECONDS = 60;
 
+	private static final double STEP_GAIN = 0.1;
+
 	/** Prompts below this say more about fixed costs than about speed. */
 	private static final int SMALLEST_PROMPT_TOKENS = 64;
 
 	/** Largest part of a time to first token that is put down to the fixed cost. */
-	private static final double LARGEST_FIXED_PART = 0.75;
+	private static final double LARGEST_FIXED_PART = 0.5;
+
+	/** A prompt expected to wait for longer than it computes says little. */
+	private static final double SMALLEST_OWN_PART = 0.5;
+
+	/** How many samples the usual speed counts for. */
+	private static final double PRIOR_SAMPLES = 3;
 
 	private final Map<EndpointId, Speeds> speeds = new HashMap<>();
 
+	private double usual;
+
 	/**
 	 * Learns from one attempt.
 	 * @param endpoint the endpoint
@@ -58,7 +70,11 @@
 	 */
 	public double prefillTokensPerSecond(EndpointId endpoint) {
 		Speeds known = this.speeds.get(endpoint);
-		return (known != null) ? known.prefill.value() : 0;
+		if (known == null || known.prefill.count() == 0) {
+			return 0;
+		}
+		double weight = known.prefill.count() / (known.prefill.count() + PRIOR_SAMPLES);
+		return Math.pow(known.prefill.value(), weight) * Math.pow(this.usual, 1 - weight);
 	}
 
 	/**
@@ -68,7 +84,7 @@
 	 */
 	public double stepSeconds(EndpointId endpoint) {
 		Speeds known = this.speeds.get(endpoint);
-		return (known != null) ? known.step.value() : 0;
+		return (known != null) ? known.stepSeconds : 0;
 	}
 
 	/**
@@ -84,28 +100,45 @@
 		if (streaming == null || observation.answerTokens() < 2) {
 			return;
 		}
-		known.step.add(seconds(streaming) / (observation.answerTokens() - 1), 1);
+		double sample = seconds(streaming) / (observation.answerTokens() - 1);
+		double bounded = Math.max(SHORTEST_STEP_SECONDS, Math.min(LONGEST_STEP_SECONDS, sample));
+		if (known.stepSeconds == 0) {
+			known.stepSeconds = bounded;
+		}
+		known.stepSeconds *= Math.exp(STEP_GAIN * Math.log(bounded / known.stepSeconds));
 	}
 
-	private static void learnPrefill(Speeds known, Observation observation) {
+	private void learnPrefill(Speeds known, Observation observation) {
 		Duration firstToken = observation.firstToken();
 		if (firstToken == null || observation.promptTokens() < SMALLEST_PROMPT_TOKENS) {
 			return;
 		}
 		double taken = seconds(firstToken);
-		double fixed = Math.min(known.step.value(), taken * LARGEST_FIXED_PART);
-		double computing = taken - fixed;
+		double computing = taken - Math.min(known.stepSeconds, taken * LARGEST_FIXED_PART);
 		double rate = observation.promptTokens() / computing;
-		Duration predicted = observation.predictedFirstToken();
-		if (!known.prefill.known() || predicted == null) {
-			known.prefill.add(rate, 1);
+		if (known.prefill.count() > 0 && expectedToWait(known, observation)) {
 			return;
 		}
+		known.prefill.add(Math.max(SLOWEST_TOKENS_PER_SECOND, Math.min(FASTEST_TOKENS_PER_SECOND, rate)));
+		updateUsual();
+	}
+
+	private static boolean expectedToWait(Speeds known, Observation observation) {
+		if (observation.predictedFirstToken() == null) {
+			return false;
+		}
 		double own = observation.promptTokens() / known.prefill.value();
-		double expected = Math.max(own, seconds(predicted) - fixed);
-		// The rate never exceeds the true speed, so it is also a floor for the sample.
-		double sample = Math.max(rate, known.prefill.value() * expected / computing);
-		known.prefill.add(sample, own / expected);
+		return own < SMALLEST_OWN_PART * seconds(observation.predictedFirstToken());
+	}
+
+	private void updateUsual() {
+		double[] values = this.speeds.values()
+			.stream()
+			.mapToDouble((known) -> known.prefill.value())
+			.filter((value) -> value > 0)
+			.toArray();
+		Arrays.sort(values);
+		this.usual = values[values.length / 2];
 	}
 
 	private static double seconds(Duration duration) {
@@ -117,10 +150,9 @@
 	 */
 	private static final class Speeds {
 
-		private final RunningEstimate prefill = new RunningEstimate(SLOWEST_TOKENS_PER_SECOND,
-				FASTEST_TOKENS_PER_SECOND);
+		private final RecentPeak prefill = new RecentPeak();
 
-		private final RunningEstimate step = new RunningEstimate(SHORTEST_STEP_SECONDS, LONGEST_STEP_SECONDS);
+		private double stepSeconds;
 
 	}
 
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/baseline/TwoHashedPolicy.java
@@ -0,0 +1,37 @@
+package org.bramleyscale.internal.routing.baseline;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.bramleyscale.internal.routing.Candidate;
+import org.bramleyscale.internal.routing.RoutingChoice;
+import org.bramleyscale.internal.routing.RoutingPolicy;
+import org.bramleyscale.internal.routing.RoutingRequest;
+
+/**
+ * Sends prompts with the same prefix to the less loaded of two hashed candidates; others
+ * to the less loaded of two random ones. Stateless.
+ */
+public final class TwoHashedPolicy implements RoutingPolicy {
+
+	private final RoutingPolicy withoutPrefix = new TwoChoicesPolicy();
+
+	@Override
+	public RoutingChoice choose(RoutingRequest request, List<Candidate> candidates, RandomGenerator random) {
+		if (request.prefix() == 0) {
+			return this.withoutPrefix.choose(request, candidates, random);
+		}
+		int first = Baselines.home(request, candidates, -1);
+		if (first < 0) {
+			return RoutingChoice.WAIT;
+		}
+		int second = Baselines.home(request, candidates, first);
+		boolean firstIsLess = second < 0 || load(candidates.get(first)) <= load(candidates.get(second));
+		return Baselines.choice(firstIsLess ? first : second);
+	}
+
+	private static long load(Candidate candidate) {
+		return candidate.queuedPrefillTokens() + candidate.ownPrefillTokens();
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/baseline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Simple policies to measure the real one against.
+ */
+package org.bramleyscale.internal.routing.baseline;
