--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorHandlers.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorHandlers.java
@@ -13,6 +13,7 @@
 import org.bramleyscale.ServingException;
 import org.bramleyscale.Step;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.http.ErrorBody;
 import org.bramleyscale.internal.status.OperatorAccess.Level;
 import org.jboss.logging.Logger;
 import ratpack.exec.Promise;
@@ -212,13 +213,7 @@
 	}
 
 	private static void fail(Context context, ServingException failure) {
-		try {
-			failure.retryAfter().ifPresent((wait) -> context.header("Retry-After", wait.toSeconds() + 1));
-			json(context, failure.code().httpStatus(), Map.of("error", OperatorError.of(failure)));
-		}
-		catch (JsonProcessingException ex) {
-			context.error(ex);
-		}
+		ErrorBody.send(context, failure);
 	}
 
 	private static void json(Context context, int status, Object body) throws JsonProcessingException {
--- a/daemon/src/main/java/org/bramleyscale/daemon/operator/DaemonClient.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/operator/DaemonClient.java
@@ -60,10 +60,31 @@
 	 * @throws CommandException if no daemon answers
 	 */
 	public Reply send(Call call) throws CommandException {
+		return send(this.addresses, call);
+	}
+
+	/**
+	 * Sends a call to one daemon.
+	 * @param address {@code host:port}
+	 * @param call the call
+	 * @return its answer
+	 * @throws CommandException if it doesn't answer
+	 */
+	public Reply sendTo(String address, Call call) throws CommandException {
+		return send(List.of(address), call);
+	}
+
+	@Override
+	public void close() {
+		this.execution.close();
+		this.loop.close();
+	}
+
+	private Reply send(List<String> targets, Call call) throws CommandException {
 		boolean doubtful = false;
 		Reply refusal = null;
 		List<String> failures = new ArrayList<>();
-		for (String address : this.addresses) {
+		for (String address : targets) {
 			try {
 				Reply reply = attempt(address, call);
 				if (!reply.askElsewhere()) {
@@ -87,12 +108,6 @@
 				String.join(System.lineSeparator(), failures));
 	}
 
-	@Override
-	public void close() {
-		this.execution.close();
-		this.loop.close();
-	}
-
 	private Reply attempt(String address, Call call) throws ExecutionException, CommandException {
 		URI uri = URI.create("http://" + address + call.path());
 		try {
