--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/AccountRule.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/AccountRule.java
@@ -17,7 +17,7 @@
  * @param entries how many entries its address answers name
  */
 public record AccountRule(ClientAccountId name, String keyHash, int weight, long tokensPerSecond, long burstTokens,
-		List<ServiceName> services, int entries) {
+		List<ServiceName> services, int entries) implements ConfigurationEntry {
 
 	public AccountRule {
 		services = List.copyOf(services);
@@ -27,4 +27,9 @@
 		return this.services.isEmpty() || this.services.contains(service);
 	}
 
+	@Override
+	public EntryKey key() {
+		return EntryKey.of(EntryType.ACCOUNT, this.name.value());
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/EndpointEntry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/EndpointEntry.java
@@ -19,10 +19,15 @@
  * @param leaving whether the operator has marked it as leaving
  */
 public record EndpointEntry(EndpointId name, ServiceName service, DataCentre dataCentre, String address,
-		List<ModelName> models, boolean checksFencing, boolean leaving) {
+		List<ModelName> models, boolean checksFencing, boolean leaving) implements ConfigurationEntry {
 
 	public EndpointEntry {
 		models = List.copyOf(models);
 	}
 
+	@Override
+	public EntryKey key() {
+		return EntryKey.of(EntryType.ENDPOINT, this.name.value());
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ModelEntry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ModelEntry.java
@@ -8,5 +8,11 @@
  * @param name the model
  * @param contextTokens the longest prompt plus answer it takes, in tokens
  */
-public record ModelEntry(ModelName name, int contextTokens) {
+public record ModelEntry(ModelName name, int contextTokens) implements ConfigurationEntry {
+
+	@Override
+	public EntryKey key() {
+		return EntryKey.of(EntryType.MODEL, this.name.value());
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ServiceEntry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ServiceEntry.java
@@ -12,7 +12,8 @@
  * @param timeout how long a request may take when the caller names no deadline
  * @param repeatable whether its calls may be repeated when the caller says nothing
  */
-public record ServiceEntry(ServiceName name, Kind kind, Duration timeout, boolean repeatable) {
+public record ServiceEntry(ServiceName name, Kind kind, Duration timeout,
+		boolean repeatable) implements ConfigurationEntry {
 
 	/**
 	 * What a service's endpoints are.
@@ -27,4 +28,9 @@
 
 	}
 
+	@Override
+	public EntryKey key() {
+		return EntryKey.of(EntryType.SERVICE, this.name.value());
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/VmEntry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/VmEntry.java
@@ -9,5 +9,11 @@
  * @param name the VM
  * @param dataCentre where it runs
  */
-public record VmEntry(VmId name, DataCentre dataCentre) {
+public record VmEntry(VmId name, DataCentre dataCentre) implements ConfigurationEntry {
+
+	@Override
+	public EntryKey key() {
+		return EntryKey.of(EntryType.VM, this.name.value());
+	}
+
 }
