Keep each daemon's view of all daemons by heartbeats and gossip

Every daemon needs to know which others exist, answer and leave, without a store of its own and within a few KB a second at 1,700 daemons. Each daemon sends heartbeats to its successors on three rings of its data centre, claims are pushed when they arise, and tables are compared by digests, so that a lost push is made up for. Two relays a data centre do the same between data centres and read the platform's list.

A silent daemon is probed through others before it is suspected, and declared dead only with a majority of its data centre answering. A sampled jury of nine was ruled out: with 34 of 68 daemons out of reach it found a majority now and then, and one verdict reaches all. A whole data centre out of reach is suspect and never dead by that alone.

--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformPoll.java
@@ -0,0 +1,91 @@
+package org.bramleyscale.internal.membership;
+
+import java.util.List;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.internal.platform.ObjectStore;
+import org.bramleyscale.internal.platform.VmRecord;
+
+/**
+ * Reads the platform's list, on relays only, and applies what follows from it.
+ *
+ * <p>
+ * Invariant: the list alone declares nobody dead. A member is declared dead for being off
+ * the list only if its whole data centre is silent, so that nobody is left there to hear
+ * its silence. Confined to the scheduler's thread.
+ */
+final class PlatformPoll {
+
+	private final ObjectStore store;
+
+	private final PlatformList list;
+
+	private final MemberTable table;
+
+	private final DataCentreSilences silences;
+
+	private final Relays relays;
+
+	private final Claims claims;
+
+	private final DataCentre own;
+
+	private final Counter polls;
+
+	private boolean reading;
+
+	PlatformPoll(ObjectStore store, PlatformList list, MemberTable table, DataCentreSilences silences, Relays relays,
+			Claims claims, DataCentre own, MetricRegistry metrics) {
+		this.store = store;
+		this.list = list;
+		this.table = table;
+		this.silences = silences;
+		this.relays = relays;
+		this.claims = claims;
+		this.own = own;
+		this.polls = metrics.counter("membership.list-polls");
+	}
+
+	/**
+	 * Reads the list if this daemon is a relay and no reading is under way.
+	 */
+	void poll() {
+		if (this.reading || !this.relays.isRelay()) {
+			return;
+		}
+		this.reading = true;
+		this.polls.inc();
+		this.store.vms().whenComplete((records, failure) -> {
+			this.reading = false;
+			if (failure == null) {
+				read(records);
+			}
+		});
+	}
+
+	/**
+	 * Applies the marks of the latest reading, which count for more as they age.
+	 */
+	void apply() {
+		if (!this.relays.isRelay()) {
+			return;
+		}
+		for (MemberEntry entry : List.copyOf(this.table.all())) {
+			boolean near = entry.identity().dataCentre().equals(this.own);
+			if (near && !entry.leaving() && this.list.leaving(entry.incarnation())) {
+				this.claims.markLeaving(entry.vm());
+			}
+			else if (!near && this.silences.silent(entry.identity().dataCentre()) && this.list.gone(entry.vm())) {
+				this.claims.dead(entry.incarnation());
+			}
+		}
+	}
+
+	private void read(List<VmRecord> records) {
+		this.list.read(records, this.table);
+		apply();
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/Relays.java
@@ -0,0 +1,118 @@
+package org.bramleyscale.internal.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.address.RendezvousHash;
+
+/**
+ * Which members speak for their data centre to the others.
+ *
+ * <p>
+ * The two that rank first; alive ones before suspects, leaving ones never. Every daemon
+ * works it out from its own table, so a few may act as relays at once while tables
+ * differ; that costs messages and nothing else. Confined to the scheduler's thread.
+ */
+final class Relays {
+
+	/** How many relays a data centre has. */
+	static final int RELAYS = 2;
+
+	private static final String KEY = "relay";
+
+	private final MemberTable table;
+
+	private final VmId self;
+
+	private final DataCentre own;
+
+	private final RendezvousHash<VmId> hash = new RendezvousHash<>(VmId::value);
+
+	private final Map<DataCentre, List<VmId>> relays = new HashMap<>();
+
+	private long computedFor = -1;
+
+	Relays(MemberTable table, VmId self, DataCentre own) {
+		this.table = table;
+		this.self = self;
+		this.own = own;
+	}
+
+	/**
+	 * Whether this daemon is a relay.
+	 * @return true if it ranks among the first of its data centre
+	 */
+	boolean isRelay() {
+		return of(this.own).contains(this.self);
+	}
+
+	/**
+	 * The relays of a data centre.
+	 * @param dataCentre the data centre
+	 * @return its relays, none if no member of it is known
+	 */
+	List<VmId> of(DataCentre dataCentre) {
+		refresh();
+		return this.relays.getOrDefault(dataCentre, List.of());
+	}
+
+	/**
+	 * The relays of all other data centres.
+	 * @return their VMs
+	 */
+	Set<VmId> remote() {
+		refresh();
+		Set<VmId> result = new TreeSet<>(Comparator.comparing(VmId::value));
+		this.relays.forEach((dataCentre, vms) -> {
+			if (!dataCentre.equals(this.own)) {
+				result.addAll(vms);
+			}
+		});
+		return result;
+	}
+
+	/**
+	 * The other data centres in which a member is known.
+	 * @return the data centres
+	 */
+	Set<DataCentre> otherDataCentres() {
+		refresh();
+		Set<DataCentre> result = new HashSet<>(this.relays.keySet());
+		result.remove(this.own);
+		return result;
+	}
+
+	private void refresh() {
+		if (this.computedFor == this.table.changes()) {
+			return;
+		}
+		this.computedFor = this.table.changes();
+		Map<DataCentre, List<VmId>> alive = new HashMap<>();
+		Map<DataCentre, List<VmId>> suspect = new HashMap<>();
+		for (MemberEntry entry : this.table.all()) {
+			if (entry.health() != Health.DEAD && !entry.leaving()) {
+				((entry.health() == Health.ALIVE) ? alive : suspect)
+					.computeIfAbsent(entry.identity().dataCentre(), (key) -> new ArrayList<>())
+					.add(entry.vm());
+			}
+		}
+		this.relays.clear();
+		Set<DataCentre> all = new HashSet<>(alive.keySet());
+		all.addAll(suspect.keySet());
+		for (DataCentre dataCentre : all) {
+			List<VmId> chosen = new ArrayList<>(
+					this.hash.first(KEY, alive.getOrDefault(dataCentre, List.of()), RELAYS));
+			chosen.addAll(this.hash.first(KEY, suspect.getOrDefault(dataCentre, List.of()), RELAYS - chosen.size()));
+			this.relays.put(dataCentre, List.copyOf(chosen));
+		}
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/membership/PausableScheduler.java
@@ -0,0 +1,73 @@
+package org.bramleyscale.internal.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.bramleyscale.internal.time.Cancellable;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.bramleyscale.internal.time.Scheduler;
+
+/**
+ * One daemon's share of a manual clock, which can stand still and be ended.
+ */
+final class PausableScheduler implements Scheduler {
+
+	private final ManualScheduler clock;
+
+	private final List<Runnable> held = new ArrayList<>();
+
+	private boolean paused;
+
+	private boolean ended;
+
+	PausableScheduler(ManualScheduler clock) {
+		this.clock = clock;
+	}
+
+	void pause() {
+		this.paused = true;
+	}
+
+	void resume() {
+		this.paused = false;
+		List<Runnable> due = new ArrayList<>(this.held);
+		this.held.clear();
+		due.forEach(this::run);
+	}
+
+	void end() {
+		this.ended = true;
+	}
+
+	@Override
+	public long nanos() {
+		return this.clock.nanos();
+	}
+
+	@Override
+	public Instant wallTime() {
+		return this.clock.wallTime();
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		schedule(Duration.ZERO, task);
+	}
+
+	@Override
+	public Cancellable schedule(Duration delay, Runnable task) {
+		return this.clock.schedule(delay, () -> run(task));
+	}
+
+	private void run(Runnable task) {
+		if (this.paused) {
+			this.held.add(task);
+		}
+		else if (!this.ended) {
+			task.run();
+		}
+	}
+
+}
