--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EngineStream.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EngineStream.java
@@ -236,7 +236,7 @@
 		this.closed = true;
 		this.timer.cancel();
 		Subscription open = this.subscription;
-		if (open != null) {
+		if (open != null && !this.execution.getEventLoop().isShuttingDown()) {
 			this.execution.getEventLoop().execute(open::cancel);
 		}
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/ErrorBody.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/ErrorBody.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import org.bramleyscale.ServingException;
 import ratpack.handling.Context;
+import ratpack.http.Request;
 import ratpack.http.Response;
 
 /**
@@ -36,6 +37,13 @@
 		response.status(failure.code().httpStatus());
 		failure.retryAfter()
 			.ifPresent((delay) -> response.getHeaders().set("Retry-After", Long.toString(roundUp(delay))));
+		if (bodyMayBeUnread(context.getRequest())) {
+			// The server closes a connection on which it won't read the rest of a large
+			// body. A caller that isn't told so sends its next call on it, which then
+			// ends
+			// without an answer.
+			response.forceCloseConnection();
+		}
 		response.send(JSON, json(failure).getBytes(StandardCharsets.UTF_8));
 	}
 
@@ -66,6 +74,10 @@
 		json.append('"');
 	}
 
+	private static boolean bodyMayBeUnread(Request request) {
+		return request.isChunkedTransfer() || request.getContentLength() > request.getMaxContentLength();
+	}
+
 	private static long roundUp(Duration delay) {
 		return (delay.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/http/EntryRefusalTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/http/EntryRefusalTests.java
@@ -16,6 +16,7 @@
 import org.bramleyscale.internal.request.AnswerSink;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -109,6 +110,15 @@
 			.isEqualTo(response.headers().firstValue("Retry-After").isPresent());
 	}
 
+	@Test
+	void announcesThatItClosesAConnectionWhoseBodyItWillNotRead() throws Exception {
+		// Symptom: now and then a call ends without any answer. Sequence: a large body is
+		// refused; the caller sends its next call on the same connection. Cause: the
+		// server closes that connection, as the rest of the body is still on it.
+		HttpResponse<String> response = entry.post(CHAT, " ".repeat(EntryFixture.BODY_BYTES + 1));
+		Truth.assertThat(response.headers().firstValue("Connection")).hasValue("close");
+	}
+
 	@ParameterizedTest
 	@MethodSource("retries")
 	void tellsWhenToComeBackInWholeSecondsRoundedUp(Duration delay, String seconds) throws Exception {
--- a/standins/src/main/java/org/bramleyscale/standins/engine/Batch.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/Batch.java
@@ -4,15 +4,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
- * Continuous batching: steps that each compute a chunk of one prompt and make a token for
- * every request whose prompt is computed.
+ * Continuous batching: steps that each compute a limited number of prompt tokens and make
+ * a token for every request whose prompt is computed.
  *
  * <p>
  * Invariants: at most {@code slots} attempts run; the waiting ones begin in the order of
@@ -102,10 +101,27 @@
 			return;
 		}
 		this.stepping = true;
-		Optional<Attempt> prompt = this.running.stream().filter(Batch::inPrefill).min(ORDER);
-		long chunk = prompt.map((attempt) -> Math.min(attempt.prefillLeft(), this.parameters.chunkTokens())).orElse(0L);
+		List<Chunk> chunks = chunks();
 		List<Attempt> making = this.running.stream().filter(Predicate.not(Batch::inPrefill)).toList();
-		this.scheduler.schedule(stepTime(chunk, !making.isEmpty()), () -> step(prompt, chunk, making));
+		this.scheduler.schedule(stepTime(chunks, !making.isEmpty()), () -> step(chunks, making));
+	}
+
+	/**
+	 * Fills the step's prompt tokens in the order of priority, then of arrival.
+	 * @return the prompt tokens of each attempt that has a part in the step
+	 */
+	private List<Chunk> chunks() {
+		List<Chunk> chunks = new ArrayList<>();
+		long left = this.parameters.chunkTokens();
+		for (Attempt attempt : this.running.stream().filter(Batch::inPrefill).sorted(ORDER).toList()) {
+			long tokens = Math.min(left, attempt.prefillLeft());
+			if (tokens == 0) {
+				break;
+			}
+			chunks.add(new Chunk(attempt, tokens));
+			left -= tokens;
+		}
+		return chunks;
 	}
 
 	private void begin() {
@@ -115,22 +131,27 @@
 		}
 	}
 
-	private void step(Optional<Attempt> prompt, long chunk, List<Attempt> making) {
+	private void step(List<Chunk> chunks, List<Attempt> making) {
 		this.stepping = false;
 		if (this.frozen) {
 			return;
 		}
-		prompt.filter(this.running::contains).ifPresent((attempt) -> {
-			attempt.prefill(chunk);
-			if (!inPrefill(attempt)) {
-				makeToken(attempt);
+		for (Chunk chunk : chunks) {
+			if (chunk.attempt.phase() == Attempt.Phase.RUNNING) {
+				chunk.attempt.prefill(chunk.tokens);
+			}
+			if (!inPrefill(chunk.attempt)) {
+				makeToken(chunk.attempt);
 			}
-		});
-		making.stream().filter(this.running::contains).forEach(this::makeToken);
+		}
+		making.forEach(this::makeToken);
 		wake();
 	}
 
 	private void makeToken(Attempt attempt) {
+		if (attempt.phase() != Attempt.Phase.RUNNING) {
+			return;
+		}
 		attempt.makeToken();
 		if (attempt.phase() == Attempt.Phase.DONE) {
 			this.running.remove(attempt);
@@ -138,8 +159,9 @@
 		}
 	}
 
-	private Duration stepTime(long chunk, boolean making) {
-		long nanos = chunk * NANOS_PER_SECOND / this.parameters.prefillTokensPerSecond();
+	private Duration stepTime(List<Chunk> chunks, boolean making) {
+		long tokens = chunks.stream().mapToLong(Chunk::tokens).sum();
+		long nanos = tokens * NANOS_PER_SECOND / this.parameters.prefillTokensPerSecond();
 		if (making) {
 			nanos += this.parameters.stepTime().toNanos();
 		}
@@ -150,6 +172,12 @@
 		return attempt.prefillLeft() > 0;
 	}
 
+	/**
+	 * Prompt tokens of one attempt that one step computes.
+	 */
+	private record Chunk(Attempt attempt, long tokens) {
+	}
+
 	/**
 	 * Decides on memory.
 	 */
--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineServer.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineServer.java
@@ -187,8 +187,10 @@
 			JsonNode json = EngineWire.tree(body.getInputStream());
 			Fault fault = Fault.valueOf(json.path("fault").asText());
 			boolean on = json.path("on").asBoolean(true);
-			this.scheduler.execute(() -> this.state.fault(fault, on));
-			context.getResponse().send(EngineWire.JSON, EngineWire.json(Map.of(fault.name(), on)));
+			Replies.json(context, this.scheduler, () -> {
+				this.state.fault(fault, on);
+				return EngineWire.json(Map.of(fault.name(), on));
+			});
 		});
 	}
 
--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.bramleyscale.EndpointId;
@@ -36,10 +37,10 @@
 
 	private final long boot;
 
-	private final Holds holds;
-
 	private final PrefixCache cache;
 
+	private final KvMemory memory;
+
 	private final Batch batch;
 
 	private final Map<AttemptKey, Attempt> attempts = new LinkedHashMap<>();
@@ -54,8 +55,6 @@
 
 	private final Cancellable reporting;
 
-	private long kvInUse;
-
 	private long newestFence;
 
 	private long arrivals;
@@ -76,9 +75,9 @@
 		this.parameters = parameters;
 		this.scheduler = scheduler;
 		this.boot = boot;
-		this.holds = new Holds(scheduler);
 		this.cache = new PrefixCache(scheduler, parameters.cacheEventLag(), parameters.cacheEventGap());
-		this.batch = new Batch(parameters, scheduler, new Memory());
+		this.memory = new KvMemory(parameters.kvCapacity(), new Holds(scheduler), this.cache, this::ended);
+		this.batch = new Batch(parameters, scheduler, this.memory);
 		this.models = new LinkedHashSet<>(parameters.models());
 		this.report = currentReport(1);
 		this.reporting = scheduler.repeat(parameters.reportLag(),
@@ -104,10 +103,7 @@
 		}
 		this.counts.started(this.faults.contains(Fault.LEAVING));
 		Attempt attempt = new Attempt(generation, TokenCount.of(generation.prompt()), this.arrivals++);
-		String hold = ownHold(generation);
-		if (hold != null) {
-			this.holds.use(hold);
-		}
+		this.memory.accepted(attempt);
 		this.attempts.put(generation.key(), attempt);
 		attempt.read(generation.firstOffset(), listener);
 		this.batch.add(attempt);
@@ -132,9 +128,10 @@
 	}
 
 	private Refusal memoryRefusal(Generation generation) {
-		String hold = ownHold(generation);
-		if (hold != null) {
-			return this.holds.kept(hold) ? null : new Refusal(ErrorCode.CONFLICT, "there is no hold '" + hold + "'");
+		Optional<String> hold = generation.ownHold();
+		if (hold.isPresent()) {
+			return this.memory.kept(hold.get()) ? null
+					: new Refusal(ErrorCode.CONFLICT, "there is no hold '" + hold.get() + "'");
 		}
 		long needed = TokenCount.of(generation.prompt()) + (long) generation.maxTokens();
 		if (needed > this.parameters.kvCapacity()) {
@@ -225,20 +222,16 @@
 	}
 
 	public boolean hold(EngineHold hold) {
-		boolean held = this.holds.put(hold, free());
-		if (held) {
-			this.cache.shrinkTo(free());
-		}
-		return held;
+		return this.memory.hold(hold);
 	}
 
 	public void release(String hold) {
-		this.holds.release(hold);
+		this.memory.release(hold);
 		this.batch.wake();
 	}
 
 	public List<EngineHold> holds() {
-		return this.holds.list();
+		return this.memory.holds();
 	}
 
 	/**
@@ -275,7 +268,7 @@
 	 * @return tokens
 	 */
 	public long kvUsed() {
-		return this.kvInUse + this.holds.tokens();
+		return this.memory.used();
 	}
 
 	/**
@@ -287,16 +280,11 @@
 		this.attempts.values().forEach(Attempt::forgetReaders);
 	}
 
-	private long free() {
-		return this.parameters.kvCapacity() - kvUsed();
-	}
-
-	private String ownHold(Generation generation) {
-		if (generation.holds().isEmpty()) {
-			return null;
-		}
-		String first = generation.holds().get(0);
-		return first.substring(first.indexOf('=') + 1);
+	private void ended(Attempt attempt) {
+		this.counts.ended();
+		attempt.forgetPrompt();
+		this.scheduler.schedule(this.parameters.keepEnded(),
+				() -> this.attempts.remove(attempt.generation().key(), attempt));
 	}
 
 	private LoadReport currentReport(long sequence) {
@@ -311,42 +299,4 @@
 	private record Refusal(ErrorCode code, String message) {
 	}
 
-	/**
-	 * The memory that running attempts take.
-	 */
-	private final class Memory implements Batch.Admission {
-
-		@Override
-		public boolean begin(Attempt attempt) {
-			if (ownHold(attempt.generation()) == null) {
-				if (attempt.kvTokens() > free()) {
-					return false;
-				}
-				EngineState.this.kvInUse += attempt.kvTokens();
-			}
-			attempt.start(EngineState.this.cache.cachedTokens(attempt.generation().prompt()));
-			EngineState.this.cache.shrinkTo(free());
-			return true;
-		}
-
-		@Override
-		public void ended(Attempt attempt, boolean begun) {
-			String hold = ownHold(attempt.generation());
-			if (hold != null) {
-				EngineState.this.holds.unuse(hold);
-			}
-			else if (begun) {
-				EngineState.this.kvInUse -= attempt.kvTokens();
-			}
-			if (begun) {
-				EngineState.this.cache.store(attempt.generation().prompt(), free());
-			}
-			EngineState.this.counts.ended();
-			attempt.forgetPrompt();
-			EngineState.this.scheduler.schedule(EngineState.this.parameters.keepEnded(),
-					() -> EngineState.this.attempts.remove(attempt.generation().key(), attempt));
-		}
-
-	}
-
 }
--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineWire.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineWire.java
@@ -59,7 +59,13 @@
 				Duration.ofMillis(json.path("expiresInMillis").asLong()));
 	}
 
-	static JsonNode tree(InputStream body) throws IOException {
+	/**
+	 * Reads any JSON.
+	 * @param body the JSON
+	 * @return its tree
+	 * @throws IOException if it isn't JSON
+	 */
+	public static JsonNode tree(InputStream body) throws IOException {
 		return MAPPER.readTree(body);
 	}
 
--- a/standins/src/main/java/org/bramleyscale/standins/engine/Generation.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/Generation.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.standins.engine;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * An order to generate, as it came over the wire.
@@ -21,6 +22,14 @@
 		holds = List.copyOf(holds);
 	}
 
+	/**
+	 * The hold on this engine that the generation uses.
+	 * @return the hold's id, or empty
+	 */
+	Optional<String> ownHold() {
+		return this.holds.stream().findFirst().map((hold) -> hold.substring(hold.indexOf('=') + 1));
+	}
+
 	Generation withoutPrompt() {
 		return new Generation(this.key, this.model, "", "", this.firstOffset, this.maxTokens, this.priority,
 				this.holds);
