--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorHandlers.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/OperatorHandlers.java
@@ -44,7 +44,7 @@
 
 	private static final Logger logger = Logger.getLogger(OperatorHandlers.class);
 
-	private static final String CHANGE_ID_FORM = "[A-Za-z0-9._-]{1,64}";
+	private static final String CHANGE_ID_FORM = "[A-Za-z0-9._-]{8,64}";
 
 	private static final long LARGEST_DOCUMENT = 16 * 1024 * 1024;
 
@@ -252,7 +252,7 @@
 		String text = context.getRequest().getQueryParams().get(CHANGE_ID);
 		if (text == null || !text.matches(CHANGE_ID_FORM)) {
 			throw refusal(ErrorCode.BAD_REQUEST, "query parameter " + CHANGE_ID + " '" + text
-					+ "' must be 1 to 64 letters, digits, '.', '_' or '-'");
+					+ "' must be 8 to 64 letters, digits, '.', '_' or '-'");
 		}
 		return text;
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/status/OperatorHandlersTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/status/OperatorHandlersTests.java
@@ -34,7 +34,7 @@
  */
 class OperatorHandlersTests {
 
-	private static final String CHANGE = "/v1/operator/rules?baseVersion=41&changeId=c-1";
+	private static final String CHANGE = "/v1/operator/rules?baseVersion=41&changeId=change-1";
 
 	private final FakeBackend backend = new FakeBackend();
 
@@ -62,11 +62,12 @@
 	@ParameterizedTest
 	@CsvSource({ "GET, /v1/operator/register, none, 401", "GET, /v1/operator/register, wrong, 401",
 			"GET, /v1/operator/register, read, 200", "GET, /v1/operator/register, change, 200",
-			"PUT, /v1/operator/rules?baseVersion=41&changeId=c-1, read, 403",
-			"PUT, /v1/operator/rules?baseVersion=41&changeId=c-1, change, 200",
-			"PUT, /v1/operator/rules?changeId=c-1, change, 400",
-			"PUT, /v1/operator/rules?baseVersion=-1&changeId=c-1, change, 400",
+			"PUT, /v1/operator/rules?baseVersion=41&changeId=change-1, read, 403",
+			"PUT, /v1/operator/rules?baseVersion=41&changeId=change-1, change, 200",
+			"PUT, /v1/operator/rules?changeId=change-1, change, 400",
+			"PUT, /v1/operator/rules?baseVersion=-1&changeId=change-1, change, 400",
 			"PUT, /v1/operator/rules?baseVersion=41, change, 400",
+			"PUT, /v1/operator/rules?baseVersion=41&changeId=short, change, 400",
 			"PUT, /v1/operator/rules?baseVersion=41&changeId=a%20b, change, 400",
 			"POST, /v1/operator/rules, change, 405", "GET, /v1/operator/status, none, 401",
 			"GET, /v1/operator/status, read, 200", "GET, /v1/operator/dump, read, 403",
@@ -99,7 +100,7 @@
 	void changeReachesTheBackendWithBaseVersionAndId() throws Exception {
 		Truth.assertThat(call("PUT", CHANGE, "change", "urgent: [a]\n").body())
 			.isEqualTo("{\"result\":\"accepted\",\"version\":42,\"heldBy\":3}");
-		Truth.assertThat(this.backend.changes).containsExactly("RULES 41 c-1 urgent: [a]\n");
+		Truth.assertThat(this.backend.changes).containsExactly("RULES 41 change-1 urgent: [a]\n");
 	}
 
 	@Test
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/DemoFleet.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/DemoFleet.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import com.google.common.net.HostAndPort;
 import org.bramleyscale.DataCentre;
@@ -25,6 +26,7 @@
 import org.bramleyscale.standins.engine.EngineServer;
 import org.bramleyscale.standins.platform.PlatformLimits;
 import org.bramleyscale.standins.platform.PlatformServer;
+import org.bramleyscale.standins.service.ServiceServer;
 import org.jboss.logging.Logger;
 
 /**
@@ -53,6 +55,12 @@
 
 	private static final int NOTICE_ENGINES = 3;
 
+	private static final int SERVICES = 3;
+
+	private static final int BOOKING_SLOTS = 16;
+
+	private static final Duration BOOKING_TIME = Duration.ofMillis(20);
+
 	private static final int PREFILL_TOKENS_PER_SECOND = 400_000;
 
 	private static final int CHUNK_TOKENS = 8_192;
@@ -69,6 +77,8 @@
 
 	private final List<EngineServer> engines = new ArrayList<>();
 
+	private final List<ServiceServer> services = new ArrayList<>();
+
 	private final Map<VmId, DaemonHandle> daemons = new LinkedHashMap<>();
 
 	private PlatformServer platform;
@@ -82,6 +92,7 @@
 			this.platform = new PlatformServer(0, PlatformLimits.DEFAULT.withVmListLag(VM_LIST_LAG));
 			startEngines(Workload.QUOTE, HIRE_ENGINES);
 			startEngines(Workload.NOTICE, NOTICE_ENGINES);
+			startServices();
 			startDaemons();
 		}
 		catch (Exception ex) {
@@ -102,7 +113,13 @@
 	 * @return the runs by request id
 	 */
 	Map<String, Integer> bookingRuns() {
-		return Map.of();
+		Map<String, Integer> runs = new LinkedHashMap<>();
+		for (ServiceServer service : this.services) {
+			CompletableFuture.supplyAsync(service.state()::executions, this.loop::execute)
+				.join()
+				.forEach((id, times) -> runs.merge(id, times, Integer::sum));
+		}
+		return runs;
 	}
 
 	/**
@@ -119,6 +136,7 @@
 	public void close() {
 		this.daemons.values().forEach(DaemonHandle::kill);
 		this.engines.forEach(DemoFleet::closeQuietly);
+		this.services.forEach(DemoFleet::closeQuietly);
 		if (this.platform != null) {
 			closeQuietly(this.platform);
 		}
@@ -127,7 +145,8 @@
 
 	@Override
 	public String toString() {
-		return this.daemons.size() + " daemons and " + this.engines.size() + " engines in " + DATA_CENTRES;
+		return this.daemons.size() + " daemons, " + this.engines.size() + " engines and " + this.services.size()
+				+ " plain services in " + DATA_CENTRES;
 	}
 
 	private void startEngines(Workload workload, int count) throws Exception {
@@ -142,6 +161,17 @@
 		}
 	}
 
+	private void startServices() throws Exception {
+		for (int i = 0; i < SERVICES; i++) {
+			EndpointId name = new EndpointId(Workload.BOOKING.service() + "-" + (i + 1));
+			ServiceServer service = new ServiceServer(name, InetAddress.getLoopbackAddress(), 0, BOOKING_TIME,
+					BOOKING_SLOTS, this.loop);
+			service.start();
+			this.services.add(service);
+			this.documents.endpoint(name, Workload.BOOKING, dataCentre(i), HOST + ":" + service.port());
+		}
+	}
+
 	private void startDaemons() throws Exception {
 		List<Integer> ports = FreePorts.find(2 * DAEMONS);
 		List<Settings> settings = new ArrayList<>();
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/load/CallerClient.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/CallerClient.java
@@ -31,6 +31,8 @@
 
 	private static final int OK = 200;
 
+	private static final int REDIRECTION = 300;
+
 	private static final Duration SILENCE = Duration.ofSeconds(15);
 
 	private final HttpExecution execution;
@@ -136,8 +138,12 @@
 	 */
 	record Answer(int status, boolean admitted, String body) {
 
+		/**
+		 * Whether the status says success; a service that books may answer 201.
+		 * @return true for 200 to 299
+		 */
 		boolean ok() {
-			return this.status == OK;
+			return this.status >= OK && this.status < REDIRECTION;
 		}
 
 	}
--- a/daemon/src/test/java/org/bramleyscale/daemon/CommandLineTests.java
+++ b/daemon/src/test/java/org/bramleyscale/daemon/CommandLineTests.java
@@ -27,7 +27,9 @@
 
 	@ParameterizedTest
 	@CsvSource({ "'', 2", "nonsense, 2", "settings, 2", "settings check, 2", "settings list, 0",
-			"settings check /does/not/exist.yaml, 2" })
+			"settings check /does/not/exist.yaml, 2", "standin platform --vm entry-1, 2", "standin engine, 2",
+			"daemon, 2", "daemon --settings /does/not/exist.yaml, 2", "status --daemon nowhere, 2",
+			"drain --daemon 127.0.0.1:1, 2" })
 	void exitStatusFollowsTheArguments(String arguments, int status) {
 		Truth.assertThat(run(arguments)).isEqualTo(status);
 	}
--- a/daemon/src/test/java/org/bramleyscale/daemon/demo/load/DemoCallerTests.java
+++ b/daemon/src/test/java/org/bramleyscale/daemon/demo/load/DemoCallerTests.java
@@ -56,7 +56,7 @@
 		// tries another entry with a new id; both run.
 		// Cause: a retry in doubt was a new request.
 		this.first.cut();
-		this.second.whole(200, "{}");
+		this.second.whole(201, "{}");
 		Truth.assertThat(send(BOOKING).outcome()).isEqualTo(Outcome.COMPLETED);
 		Truth.assertThat(this.first.calls()).containsExactly(BOOK + "e1~a~1.0");
 		Truth.assertThat(this.second.calls()).containsExactly(BOOK + "e1~a~1.0");
