Keep Ratpack's start message out of commands' output

Ratpack 1.9 looks for the binder class of SLF4J 1 and, not finding it, prints its start message to standard output and warnings to standard error. A marker class of that name makes it use the logger.

--- /dev/null
+++ b/daemon/src/main/java/org/slf4j/impl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A marker that Ratpack looks for.
+ */
+package org.slf4j.impl;
