Separate a daemon's slices from its sockets

Cause: whole-daemon failures (two faults at once, a holder that dies, a cut between data centres) can only be shown on a manual clock if the slices can be made without sockets and threads. Change: NodeSlices joins the slices over NodePorts; Node adds the event loop, TCP, HTTP and the platform client. The configuration slice's majority counts every daemon that did not end by a planned stop.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
@@ -185,6 +185,20 @@
 		this.view.onChange(listener);
 	}
 
+	/**
+	 * How many daemons there should be, whether they answer or not.
+	 * <p>
+	 * A daemon that ended by a planned stop no longer counts; one that died counts until
+	 * its entry is forgotten, since a group that is cut off can't tell death from a cut.
+	 * @return the number, this daemon included
+	 */
+	public int expected() {
+		return (int) this.table.all()
+			.stream()
+			.filter((entry) -> entry.health() != Health.DEAD || !entry.leaving())
+			.count();
+	}
+
 	@Override
 	public String name() {
 		return "membership";
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeOperatorBackend.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeOperatorBackend.java
@@ -37,7 +37,7 @@
 
 	private static final String AUTHOR = "operator";
 
-	private final Node node;
+	private final NodeSlices node;
 
 	private final Scheduler scheduler;
 
@@ -45,11 +45,11 @@
 
 	private final PeerNetwork network;
 
-	NodeOperatorBackend(Node node, NodeStatus status, PeerNetwork network) {
+	NodeOperatorBackend(NodeSlices node) {
 		this.node = node;
-		this.scheduler = node.loop();
-		this.status = status;
-		this.network = network;
+		this.scheduler = node.scheduler();
+		this.status = new NodeStatus(node);
+		this.network = node.network();
 	}
 
 	@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeRelays.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeRelays.java
@@ -10,7 +10,7 @@
 import org.bramleyscale.internal.address.RendezvousHash;
 import org.bramleyscale.internal.configuration.Relays;
 import org.bramleyscale.internal.membership.Member;
-import org.bramleyscale.internal.membership.MembershipView;
+import org.bramleyscale.internal.membership.MembershipService;
 
 /**
  * The daemons that carry configuration between data centres, chosen by rendezvous hashing
@@ -28,9 +28,9 @@
 
 	private static final RendezvousHash<VmId> HASH = new RendezvousHash<>(VmId::value);
 
-	private final MembershipView membership;
+	private final MembershipService membership;
 
-	NodeRelays(MembershipView membership) {
+	NodeRelays(MembershipService membership) {
 		this.membership = membership;
 	}
 
@@ -66,7 +66,7 @@
 
 	@Override
 	public int members() {
-		return (int) this.membership.members().stream().filter(NodeRelays::expected).count();
+		return this.membership.expected();
 	}
 
 	@Override
@@ -94,8 +94,4 @@
 		return byDataCentre;
 	}
 
-	private static boolean expected(Member member) {
-		return member.state() != Member.State.DEAD;
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeStatus.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeStatus.java
@@ -20,7 +20,6 @@
 import org.bramleyscale.internal.routing.Candidate;
 import org.bramleyscale.internal.status.DaemonStatus;
 import org.bramleyscale.internal.status.EndpointStatus;
-import org.bramleyscale.internal.status.FailureLog;
 import org.bramleyscale.internal.status.StatusSummary;
 
 /**
@@ -35,25 +34,19 @@
 
 	private static final long NEVER = -1;
 
-	private final Node node;
+	private final NodeSlices node;
 
-	private final WatchedObjectStore platform;
-
-	private final FailureLog failures;
-
-	NodeStatus(Node node, WatchedObjectStore platform, FailureLog failures) {
+	NodeStatus(NodeSlices node) {
 		this.node = node;
-		this.platform = platform;
-		this.failures = failures;
 	}
 
 	StatusSummary summary() {
 		Configuration current = this.node.configuration().current();
 		boolean admitting = this.node.configuration().fresh()
 				&& this.node.leavePlan().phase().compareTo(LeavePlan.Phase.REFUSING) < 0;
-		return new StatusSummary(this.node.membership().self(), this.node.loop().wallTime(), admitting,
-				current.version(), this.platform.silence().toMillis(), daemons(current), endpoints(current), List.of(),
-				this.failures.latest());
+		return new StatusSummary(this.node.membership().self(), this.node.scheduler().wallTime(), admitting,
+				current.version(), this.node.platformSilence().toMillis(), daemons(current), endpoints(current),
+				List.of(), this.node.failures().latest());
 	}
 
 	private List<DaemonStatus> daemons(Configuration current) {
