Read large bodies to their end before refusing them

A caller whose announced body is too large now gets its refusal after the body was read and dropped, up to four times the limit.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/CompletionHandler.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/CompletionHandler.java
@@ -2,12 +2,9 @@
 
 import java.util.function.Function;
 
-import org.bramleyscale.ErrorCode;
 import org.bramleyscale.ModelName;
-import org.bramleyscale.Ran;
 import org.bramleyscale.RequestId;
 import org.bramleyscale.ServingException;
-import org.bramleyscale.Step;
 import org.bramleyscale.internal.configuration.AccountRule;
 import org.bramleyscale.internal.configuration.ServiceEntry;
 import org.bramleyscale.internal.request.GenerateRequest;
@@ -46,14 +43,7 @@
 	public void handle(Context context) throws Exception {
 		AccountRule account = this.gate.account(context);
 		CallOptions options = CallOptions.of(context.getRequest().getHeaders());
-		context.getRequest()
-			.getBody(this.bodyBytes, () -> this.gate.refuse(context, tooLarge(this.bodyBytes)))
-			.then((body) -> take(context, account, options, body));
-	}
-
-	static ServingException tooLarge(int bodyBytes) {
-		return new ServingException(ErrorCode.TOO_LARGE, Ran.NO, Step.RECEIVE, EntryServer.SELF,
-				"the body is larger than " + bodyBytes + " bytes");
+		this.gate.body(context, this.bodyBytes).then((body) -> take(context, account, options, body));
 	}
 
 	private void take(Context context, AccountRule account, CallOptions options, TypedData data)
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryGate.java
@@ -8,10 +8,14 @@
 import org.bramleyscale.ServingException;
 import org.bramleyscale.Step;
 import org.bramleyscale.internal.configuration.AccountRule;
+import org.bramleyscale.internal.configuration.Configuration;
 import org.bramleyscale.internal.configuration.ConfigurationSource;
 import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.Scheduler;
+import ratpack.exec.Promise;
 import ratpack.handling.Context;
+import ratpack.http.Request;
+import ratpack.http.TypedData;
 
 /**
  * The checks that all calls of callers share: account first, then freshness, then the
@@ -26,6 +30,11 @@
 
 	private static final Duration RETRY_WHEN_NOT_READY = Duration.ofSeconds(1);
 
+	/**
+	 * A body of up to so many times the limit is read to its end before it is refused.
+	 */
+	private static final int DISCARDED_LIMITS = 4;
+
 	private final Scheduler scheduler;
 
 	private final ConfigurationSource source;
@@ -38,7 +47,7 @@
 		this.scheduler = scheduler;
 		this.source = source;
 		this.metrics = metrics;
-		this.catalog = new Catalog(org.bramleyscale.internal.configuration.Configuration.NONE);
+		this.catalog = new Catalog(Configuration.NONE);
 		scheduler.execute(() -> {
 			source.onChange((configuration) -> this.catalog = new Catalog(configuration));
 			this.catalog = new Catalog(source.current());
@@ -61,6 +70,46 @@
 					"no account has the API key of the Authorization header"));
 	}
 
+	/**
+	 * Reads a call's body.
+	 * @param context the exchange
+	 * @param limit the largest body, in bytes
+	 * @return the body; fails with {@link ErrorCode#TOO_LARGE} if it is larger
+	 */
+	Promise<TypedData> body(Context context, int limit) {
+		Request request = context.getRequest();
+		if (request.getContentLength() <= limit) {
+			return request.getBody(limit, () -> refuse(context, tooLarge(limit)));
+		}
+		return discard(request, limit).map((discarded) -> {
+			throw tooLarge(limit);
+		});
+	}
+
+	/**
+	 * Reads and drops a body that is too large. Without this the connection is closed
+	 * with bytes still to be read, the caller's system then drops the refusal together
+	 * with the connection, and now and then a caller gets no answer at all.
+	 * @param request the request
+	 * @param limit the largest body that is taken, in bytes
+	 * @return succeeds when the body has come, or is too large even for this
+	 */
+	private static Promise<Long> discard(Request request, int limit) {
+		long longest = (long) DISCARDED_LIMITS * limit;
+		if (request.getContentLength() > longest) {
+			return Promise.value(0L);
+		}
+		return request.getBodyStream(longest).reduce(0L, (count, bytes) -> {
+			bytes.release();
+			return count + 1;
+		});
+	}
+
+	private static ServingException tooLarge(int limit) {
+		return new ServingException(ErrorCode.TOO_LARGE, Ran.NO, Step.RECEIVE, EntryServer.SELF,
+				"the body is larger than " + limit + " bytes");
+	}
+
 	/**
 	 * Starts work that needs a fresh configuration.
 	 * @param context the exchange
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/PlainServiceHandler.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/PlainServiceHandler.java
@@ -41,13 +41,11 @@
 	public void handle(Context context) throws Exception {
 		AccountRule account = this.gate.account(context);
 		CallOptions options = CallOptions.of(context.getRequest().getHeaders());
-		context.getRequest()
-			.getBody(this.bodyBytes, () -> this.gate.refuse(context, CompletionHandler.tooLarge(this.bodyBytes)))
-			.then((body) -> {
-				PlainRequest request = request(context.getRequest(), account, options, body.getBytes());
-				this.gate.admit(context,
-						(exchange) -> this.requests.call(request, new PlainAnswer(exchange, this.metrics)));
-			});
+		this.gate.body(context, this.bodyBytes).then((body) -> {
+			PlainRequest request = request(context.getRequest(), account, options, body.getBytes());
+			this.gate.admit(context,
+					(exchange) -> this.requests.call(request, new PlainAnswer(exchange, this.metrics)));
+		});
 	}
 
 	private PlainRequest request(Request request, AccountRule account, CallOptions options, byte[] body)
