Send the demonstration's load at its planned times

Change: times are planned from each other. The longest prompt goes out after a quarter, when engines' speeds have been learnt.

--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/Demo.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/Demo.java
@@ -95,9 +95,10 @@
 		this.progress.println("Sending quotes, notices, manuals, trip logs and bookings for "
 				+ this.options.length().toSeconds() + " s");
 		CompletableFuture<Tally> done = run.start();
-		run.send(Workload.MANUAL, LONGEST_PROMPT);
 		long quarterNanos = this.options.length().toNanos() / PARTS;
-		pause(done, 2 * quarterNanos);
+		pause(done, quarterNanos);
+		run.send(Workload.MANUAL, LONGEST_PROMPT);
+		pause(done, quarterNanos);
 		long timeToForceMillis = change(change, version);
 		if (this.options.kill()) {
 			pause(done, quarterNanos);
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/load/LoadRun.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/LoadRun.java
@@ -28,6 +28,8 @@
 
 	private final CompletableFuture<Tally> done = new CompletableFuture<>();
 
+	private long dueNanos;
+
 	private int open;
 
 	private boolean sending = true;
@@ -43,7 +45,8 @@
 		this.scheduler = scheduler;
 		this.plan = plan;
 		this.callers = Map.copyOf(callers);
-		this.endNanos = scheduler.nanos() + length.toNanos();
+		this.dueNanos = scheduler.nanos();
+		this.endNanos = this.dueNanos + length.toNanos();
 	}
 
 	/**
@@ -68,13 +71,16 @@
 		});
 	}
 
+	// Each time is planned from the one before, not from now: making a long prompt takes
+	// time, and a load that waited for it would send less and spare the system.
 	private void schedule() {
-		this.scheduler.schedule(this.plan.pause(), () -> {
-			if (this.scheduler.nanos() - this.endNanos >= 0) {
-				this.sending = false;
-				completeIfDone();
-				return;
-			}
+		this.dueNanos += this.plan.pause().toNanos();
+		if (this.dueNanos - this.endNanos >= 0) {
+			this.sending = false;
+			completeIfDone();
+			return;
+		}
+		this.scheduler.schedule(Duration.ofNanos(this.dueNanos - this.scheduler.nanos()), () -> {
 			send(this.plan.next());
 			schedule();
 		});
