Find seed peers by name, note failures, and know accounts before listening

Cause: (1) a daemon that starts in an outage of the platform has to know whom it dials, but seedPeers gave addresses without names, and nothing read them; (2) the status had no failures to show; (3) EntryServerTests.resumesAtAnOffset failed now and then with UNAUTHORIZED: the server listened before its look-ups were filled from the configuration. Change: seedPeers are vm/dataCentre/host:port (the loader's test asks for the new form, as strictly); a decorator of the request service notes each answer that isn't a success; the server follows the configuration before it listens, and a key is never called wrong while no configuration is held. Ruled out for (3): a shared digest between HTTP threads (Guava's are per call).

--- a/bramleyscale/src/main/java/org/bramleyscale/SettingKey.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/SettingKey.java
@@ -52,8 +52,8 @@
 			"SHA-256 of the key that operators show to change and to see things");
 
 	/** Peers known beforehand. */
-	public static final SettingKey<List<HostAndPort>> SEED_PEERS = optional("seedPeers", SettingTypes.addresses(), "",
-			"Peer addresses to try at the start when the platform doesn't answer");
+	public static final SettingKey<List<SeedPeer>> SEED_PEERS = optional("seedPeers", SettingTypes.seedPeers(), "",
+			"Daemons to connect to at the start while the platform doesn't answer");
 
 	/** How much is logged. */
 	public static final SettingKey<LogLevel> LOG_LEVEL = optional("logLevel", SettingTypes.oneOf(LogLevel.class),
--- a/bramleyscale/src/main/java/org/bramleyscale/SettingTypes.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/SettingTypes.java
@@ -36,13 +36,13 @@
 				SettingTypes::parseAddress);
 	}
 
-	static SettingType<List<HostAndPort>> addresses() {
-		return type("a list of IP numbers with ports, such as [10.1.2.3:9080, 10.1.2.4:9080]",
+	static SettingType<List<SeedPeer>> seedPeers() {
+		return type("a list of VMs with data centre and peer address, such as [entry-1/shah-alam/10.1.2.3:9080]",
 				(text) -> Splitter.on(',')
 					.trimResults()
 					.omitEmptyStrings()
 					.splitToStream(text)
-					.map(SettingTypes::parseAddress)
+					.map(SeedPeer::parse)
 					.collect(Collectors.toUnmodifiableList()));
 	}
 
@@ -93,7 +93,7 @@
 		});
 	}
 
-	private static HostAndPort parseAddress(String text) {
+	static HostAndPort parseAddress(String text) {
 		HostAndPort address = HostAndPort.fromString(text);
 		require(text, address.hasPort() && address.getPort() <= LARGEST_PORT, "has no port");
 		require(text, InetAddresses.isInetAddress(address.getHost()), "has no IP number");
--- a/bramleyscale/src/main/java/org/bramleyscale/Settings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/Settings.java
@@ -74,7 +74,7 @@
 		return value(SettingKey.OPERATOR_KEY_HASH);
 	}
 
-	public List<HostAndPort> seedPeers() {
+	public List<SeedPeer> seedPeers() {
 		return value(SettingKey.SEED_PEERS);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/Catalog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/Catalog.java
@@ -55,6 +55,14 @@
 		}
 	}
 
+	/**
+	 * Whether no configuration has been heard of yet.
+	 * @return true before the first version
+	 */
+	boolean empty() {
+		return this.configuration.version() == 0;
+	}
+
 	/**
 	 * Finds the account of an API key.
 	 * @param authorization the value of the Authorization header, or null
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryGate.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.internal.http;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 import org.bramleyscale.ErrorCode;
@@ -48,12 +49,24 @@
 		this.source = source;
 		this.metrics = metrics;
 		this.catalog = new Catalog(Configuration.NONE);
-		scheduler.execute(() -> {
-			source.onChange((configuration) -> this.catalog = new Catalog(configuration));
-			this.catalog = new Catalog(source.current());
-		});
 	}
 
+	/**
+	 * Starts to follow the configuration.
+	 * @return completes when the configuration held now is known here; a server that
+	 * listens before would refuse the keys of rightful callers
+	 */
+	CompletableFuture<Void> follow() {
+		return CompletableFuture.runAsync(() -> {
+			this.source.onChange((configuration) -> this.catalog = new Catalog(configuration));
+			this.catalog = new Catalog(this.source.current());
+		}, this.scheduler::execute);
+	}
+
+	/**
+	 * The look-ups of the configuration held now.
+	 * @return the look-ups
+	 */
 	Catalog catalog() {
 		return this.catalog;
 	}
@@ -65,7 +78,14 @@
 	 * @throws ServingException if no account has the key
 	 */
 	AccountRule account(Context context) throws ServingException {
-		return this.catalog.account(context.getRequest().getHeaders().get("Authorization"))
+		Catalog known = this.catalog;
+		if (known.empty()) {
+			// The configuration may arrive between this check and the refusal, which
+			// would
+			// then tell a rightful caller that its key is wrong.
+			throw notReady();
+		}
+		return known.account(context.getRequest().getHeaders().get("Authorization"))
 			.orElseThrow(() -> new ServingException(ErrorCode.UNAUTHORIZED, Ran.NO, Step.AUTHENTICATE, EntryServer.SELF,
 					"no account has the API key of the Authorization header"));
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryServer.java
@@ -70,6 +70,7 @@
 	 * @throws Exception if the address can't be used
 	 */
 	public void start() throws Exception {
+		this.gate.follow().get();
 		this.server = RatpackServer.start(this::define);
 		this.keepAlive = this.parts.scheduler.repeat(this.parts.settings.keepAlive(), this.answers::keepAlive);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
@@ -27,6 +27,7 @@
 import org.bramleyscale.internal.membership.MembershipService;
 import org.bramleyscale.internal.membership.MembershipSettings;
 import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.platform.VmRecord;
 import org.bramleyscale.internal.request.DefaultRequestService;
 import org.bramleyscale.internal.request.RequestService;
 import org.bramleyscale.internal.request.RequestSettings;
@@ -79,6 +80,8 @@
 
 	private final DefaultRequestService requests;
 
+	private final RequestService loggedRequests;
+
 	private final LeavePlan leavePlan;
 
 	private final FailureLog failures;
@@ -104,6 +107,7 @@
 		new LimitShares(this.scheduler, this.membership, this.addresses, this.configuration, this.network,
 				this.admission);
 		this.requests = newRequests();
+		this.loggedRequests = new LoggedRequests(this.requests, this.failures);
 		this.leavePlan = new LeavePlan(this.scheduler, new Leaving(), this.addresses, leaveTimes());
 		this.membership.onLeave(() -> beginLeave("membership"));
 		this.network.listen(Drain.class, (from, drain) -> beginLeave(drain.askedBy()));
@@ -147,7 +151,7 @@
 	}
 
 	public RequestService requests() {
-		return this.requests;
+		return this.loggedRequests;
 	}
 
 	public LeavePlan leavePlan() {
@@ -186,7 +190,7 @@
 
 	private MembershipService newMembership() {
 		return MembershipService.builder()
-			.settings(MembershipSettings.of(this.ports.identity(), List.of()))
+			.settings(MembershipSettings.of(this.ports.identity(), seeds()))
 			.scheduler(this.scheduler)
 			.network(this.ports.network())
 			.store(this.store)
@@ -265,6 +269,13 @@
 		return this.ports.identity().incarnation();
 	}
 
+	private List<VmRecord> seeds() {
+		return this.settings.seedPeers()
+			.stream()
+			.map((seed) -> new VmRecord(seed.vm(), seed.dataCentre(), seed.address().toString(), "", false))
+			.toList();
+	}
+
 	private int position() {
 		int position = 0;
 		for (Member member : this.membership.eligible()) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/settings/SettingsLoaderTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/settings/SettingsLoaderTests.java
@@ -6,8 +6,8 @@
 import java.time.Duration;
 import java.util.List;
 
-import com.google.common.net.HostAndPort;
 import com.google.common.truth.Truth;
+import org.bramleyscale.SeedPeer;
 import org.bramleyscale.SettingKey;
 import org.bramleyscale.Settings;
 import org.bramleyscale.SettingsException;
@@ -40,13 +40,13 @@
 
 	@Test
 	void readsAGoodFileAndFillsInDefaults() throws SettingsException {
-		Settings settings = this.loader
-			.parse(GOOD + KEY + "leaseDuration: 20 s\nlimits:\n  maxBodyBytes: 1MB\nseedPeers: [127.0.0.1:1]\n");
+		Settings settings = this.loader.parse(GOOD + KEY
+				+ "leaseDuration: 20 s\nlimits:\n  maxBodyBytes: 1MB\nseedPeers: [entry-2/rawang/127.0.0.1:1]\n");
 		Truth.assertThat(settings.vm()).isEqualTo(new VmId("entry-1"));
 		Truth.assertThat(settings.leaseDuration()).isEqualTo(Duration.ofSeconds(20));
 		Truth.assertThat(settings.value(SettingKey.MAX_BODY_BYTES)).isEqualTo(1 << 20);
 		Truth.assertThat(settings.value(SettingKey.PLATFORM_CALL_TIMEOUT)).isEqualTo(Duration.ofSeconds(2));
-		Truth.assertThat(settings.seedPeers()).containsExactly(HostAndPort.fromString("127.0.0.1:1"));
+		Truth.assertThat(settings.seedPeers()).containsExactly(SeedPeer.parse("entry-2/rawang/127.0.0.1:1"));
 		Truth.assertThat(settings.toString()).doesNotContain("abcdefghijklmnop");
 	}
 
