--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationCodec.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationCodec.java
@@ -9,7 +9,6 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JavaType;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -24,6 +23,8 @@
 import org.bramleyscale.ModelName;
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.VmId;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -41,9 +42,6 @@
 			HistoryStep.class, SnapshotBody.class, Head.class, PartReference.class, AcceptedChange.class,
 			ContentHash.class);
 
-	private static final TypeReference<List<EncodedEntry>> ENTRIES = new TypeReference<>() {
-	};
-
 	private static final ObjectMapper MAPPER = mapper();
 
 	private ConfigurationCodec() {
@@ -59,15 +57,34 @@
 	}
 
 	static <T> T decode(byte[] bytes, Class<T> type) throws IOException {
-		T value = MAPPER.readValue(bytes, type);
-		if (value == null) {
-			throw new IOException("content is empty where a " + type.getSimpleName() + " belongs");
-		}
-		return value;
+		return read(bytes, MAPPER.constructType(type));
 	}
 
 	static List<EncodedEntry> decodeEntries(byte[] bytes) throws IOException {
-		return MAPPER.readValue(bytes, ENTRIES);
+		return read(bytes, MAPPER.getTypeFactory().constructCollectionType(List.class, EncodedEntry.class));
+	}
+
+	private static <T> T read(byte[] bytes, JavaType type) throws IOException {
+		try {
+			checkLengths(bytes);
+			T value = MAPPER.readValue(bytes, type);
+			if (value == null) {
+				throw new IOException("content is empty");
+			}
+			return value;
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("content is malformed: " + ex, ex);
+		}
+	}
+
+	// The unpacker allocates what the header of a binary value claims before it reads the
+	// value: a few damaged bytes could claim two gigabytes and end the daemon with an
+	// OutOfMemoryError. Skipping allocates nothing and fails on such a claim.
+	private static void checkLengths(byte[] bytes) throws IOException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			unpacker.skipValue();
+		}
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationSpread.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationSpread.java
@@ -139,7 +139,10 @@
 			return;
 		}
 		Optional<List<HistoryStep>> steps = this.state.stepsSince(request.version(), request.hash());
-		if (steps.isPresent()) {
+		// One that holds nothing gets the whole, so that it never puts an outdated
+		// version in
+		// force on its way to the newest.
+		if (request.version() > 0 && steps.isPresent()) {
 			steps.get().forEach((step) -> this.network.send(from.vm(), delta(step)));
 		}
 		else {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationWatch.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationWatch.java
@@ -40,6 +40,8 @@
 
 	private StoredHead head = StoredHead.NONE;
 
+	private boolean complained;
+
 	private boolean stopped;
 
 	ConfigurationWatch(ObjectStore objects, Scheduler scheduler, Duration wait, BooleanSupplier wanted,
@@ -111,19 +113,30 @@
 	// A head that can't be read, or that is older than one seen before, confirms nothing.
 	// Going on with the head seen before would vouch for a version that may be outdated.
 	private boolean take(Optional<StoredObject> newest, boolean listed) {
-		long version = newest.map(StoredObject::version).orElse(listed ? 0L : this.head.objectVersion());
-		if (version < this.head.objectVersion()) {
-			logger.errorf("The platform holds head %d where %d was seen before", version, this.head.objectVersion());
-			return false;
+		if (newest.isEmpty() && !listed) {
+			return true;
 		}
 		try {
-			this.head = newest.isPresent() ? ConfigurationStore.head(newest) : this.head;
+			StoredHead next = ConfigurationStore.head(newest);
+			if (next.head().version() < this.head.head().version()) {
+				return unusable("it names version " + next.head().version() + " where version "
+						+ this.head.head().version() + " was seen before");
+			}
+			this.head = next;
+			this.complained = false;
 			return true;
 		}
 		catch (CompletionException ex) {
-			logger.errorf("The configuration's head can't be used: %s", ex.getCause().getMessage());
-			return false;
+			return unusable(ex.getCause().getMessage());
+		}
+	}
+
+	private boolean unusable(String reason) {
+		if (!this.complained) {
+			logger.errorf("The configuration's head in the platform can't be used: %s", reason);
 		}
+		this.complained = true;
+		return false;
 	}
 
 	// A platform that answers at once instead of waiting would be asked in a busy loop.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
@@ -158,12 +158,12 @@
 	@Test
 	void aDaemonThatStartsDuringAnOutageTakesTheNewestVersionOfItsPeers() {
 		// Symptom: a replaced daemon doesn't serve, or serves outdated rules, while the
-		// platform is down. Sequence: c-1 missed version 2 when the outage began; c-2 is
-		// replaced and hears c-1 as well as others. Cause: taking the first answer.
+		// platform is down. Sequence: c-0 missed version 2 when the outage began; c-2 is
+		// replaced and hears c-0 first. Cause: taking the first answer.
 		this.fleet.platform.down(true);
-		this.fleet.platform.cutOff(this.fleet.daemon("c-1").vm(), true);
+		this.fleet.platform.cutOff(this.fleet.daemon("c-0").vm(), true);
 		this.fleet.platform.down(false);
-		this.fleet.partition(Set.of("c-1"));
+		this.fleet.partition(Set.of("c-0"));
 		accepted("a-2", rules("change-2", 1, 1, 2, 3));
 		this.fleet.platform.down(true);
 		this.fleet.kill("c-2");
@@ -172,6 +172,7 @@
 		this.fleet.advance(3000);
 		assertAllHold(2);
 		assertFresh(ALL);
+		Truth.assertThat(this.fleet.daemon("c-2").versions).containsExactly(2L);
 	}
 
 	@Test
@@ -282,12 +283,27 @@
 		// are down, and the watch loses the change. Cause: going on after the gap.
 		this.fleet.peers.link((from, to) -> false);
 		this.fleet.advance(4000);
-		this.fleet.platform.gapInNextWatch();
+		this.fleet.platform.gapsInWatches(true);
 		accepted("a-0", rules("change-2", 1, 1, 2, 3).forced());
 		this.fleet.advance(4000);
 		assertAllHold(2);
 	}
 
+	@Test
+	void aVersionComesFromThePlatformWhenDaemonsDoNotHearEachOther() {
+		// Symptom: all daemons but the relays stop admitting. Sequence: messages between
+		// daemons are lost while membership still counts everybody as well. Cause: a
+		// daemon
+		// that waits for its relays alone.
+		this.fleet.peers.faultRate(1);
+		ChangeResult.Accepted result = (ChangeResult.Accepted) result("a-2", rules("change-2", 1, 1, 2, 3));
+		Truth.assertThat(result.spread()).isFalse();
+		Truth.assertThat(result.holders()).isEqualTo(1);
+		this.fleet.advance(5000);
+		assertAllHold(2);
+		assertFresh(ALL);
+	}
+
 	@Test
 	void lostRepeatedAndLateMessagesDelayAVersionButLoseNone() {
 		this.fleet.peers.faultRate(0.4);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePeers.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePeers.java
@@ -11,9 +11,12 @@
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.peer.MessageCatalog;
+import org.bramleyscale.internal.peer.MessageCodec;
 import org.bramleyscale.internal.peer.PeerListener;
 import org.bramleyscale.internal.peer.PeerMessage;
 import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.peer.PeerProtocolException;
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
@@ -32,6 +35,12 @@
 
 	private BiPredicate<VmId, VmId> linked = (from, to) -> true;
 
+	private final MessageCodec codec = new MessageCodec(
+			ConfigurationMessages.register(MessageCatalog.builder()).build());
+
+	/** The bytes that each daemon has sent, without the frames around them. */
+	final Map<VmId, Long> bytesSent = new HashMap<>();
+
 	private double faultRate;
 
 	FakePeers(Scheduler scheduler, long seed) {
@@ -84,11 +93,23 @@
 		if (dead || this.random.nextDouble() < this.faultRate) {
 			return;
 		}
+		PeerMessage copied = encoded(from, message);
 		boolean repeated = this.random.nextDouble() < this.faultRate;
 		for (int copy = 0; copy < (repeated ? 2 : 1); copy++) {
 			boolean late = this.random.nextDouble() < this.faultRate;
 			Duration delay = late ? Duration.ofMillis(this.random.nextInt(3000)) : LATENCY;
-			this.scheduler.schedule(delay, () -> deliver(from, to, message));
+			this.scheduler.schedule(delay, () -> deliver(from, to, copied));
+		}
+	}
+
+	private PeerMessage encoded(Incarnation from, PeerMessage message) {
+		byte[] bytes = this.codec.encode(message);
+		this.bytesSent.merge(from.vm(), (long) bytes.length, Long::sum);
+		try {
+			return this.codec.decode(from.toString(), bytes).orElseThrow();
+		}
+		catch (PeerProtocolException ex) {
+			throw new IllegalStateException(ex);
 		}
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePlatform.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePlatform.java
@@ -44,7 +44,7 @@
 
 	private boolean down;
 
-	private boolean gap;
+	private boolean gaps;
 
 	FakePlatform(Scheduler scheduler) {
 		this.scheduler = scheduler;
@@ -73,9 +73,9 @@
 		this.lostReplies.add(kind);
 	}
 
-	/** The next watch says that changes were lost and brings none. */
-	void gapInNextWatch() {
-		this.gap = true;
+	/** Watches say that changes were lost where they would bring some. */
+	void gapsInWatches(boolean now) {
+		this.gaps = now;
 	}
 
 	long calls() {
@@ -165,10 +165,6 @@
 
 		@Override
 		public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
-			if (FakePlatform.this.gap) {
-				FakePlatform.this.gap = false;
-				return call(false, "", () -> new WatchBatch(FakePlatform.this.log.size(), true, List.of()));
-			}
 			CompletableFuture<WatchBatch> reply = new CompletableFuture<>();
 			poll(kind, after, FakePlatform.this.scheduler.nanos() + wait.toNanos(), reply);
 			return reply;
@@ -184,6 +180,9 @@
 				if (failure != null) {
 					reply.completeExceptionally(failure);
 				}
+				else if (!changed.isEmpty() && FakePlatform.this.gaps) {
+					reply.complete(new WatchBatch(FakePlatform.this.log.size(), true, List.of()));
+				}
 				else if (!changed.isEmpty() || FakePlatform.this.scheduler.nanos() >= until) {
 					reply.complete(new WatchBatch(FakePlatform.this.log.size(), false, changed));
 				}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/TestFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/TestFleet.java
@@ -88,6 +88,7 @@
 		this.peers.link((from, to) -> true);
 		this.peers.faultRate(0);
 		this.platform.down(false);
+		this.platform.gapsInWatches(false);
 		this.members.forEach((vm) -> this.platform.cutOff(vm, false));
 	}
 
@@ -124,6 +125,9 @@
 
 		final ConfigurationService service;
 
+		/** What the daemon held one after the other. */
+		final List<Long> versions = new ArrayList<>();
+
 		private long version;
 
 		private boolean alive = true;
@@ -207,6 +211,7 @@
 				TestFleet.this.violations.add(vm() + " went from " + this.version + " to " + next.version());
 			}
 			this.version = next.version();
+			this.versions.add(this.version);
 			Configuration known = TestFleet.this.held.putIfAbsent(next.version(), next);
 			boolean equal = known == null
 					|| (known.register().equals(next.register()) && known.rules().equals(next.rules()));
