--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/LocalRequests.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/LocalRequests.java
@@ -232,7 +232,6 @@
 			return NOTHING;
 		}
 		record.add(reader);
-		record.stopOrphanTimer();
 		if (record.log() != null) {
 			reader.grew(record.log());
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestRecord.java
@@ -178,10 +178,6 @@
 		this.orphanTimer = timer;
 	}
 
-	void stopOrphanTimer() {
-		orphanTimer(NOTHING);
-	}
-
 	boolean unread() {
 		return this.readers.isEmpty();
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/request/DeadlineTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/DeadlineTests.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.Step;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.request.forward.ForwardAccepted;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -91,6 +92,17 @@
 		}
 	}
 
+	@Test
+	void entryAnswersAtTheDeadlineOfAShortRequestWhoseHomeIsSilent() {
+		this.fixture.peers.lost = (message) -> true;
+		GenerateRequest quote = RequestFixture.quote(RequestFixture.id("entry-1", "q"), true);
+		this.other.generate(new GenerateRequest(quote.id(), quote.account(), quote.service(), quote.model(),
+				quote.prompt(), 10, true, Duration.ofSeconds(1)), this.sink);
+		this.fixture.advance(Duration.ofSeconds(1));
+		Truth.assertThat(this.sink.end()).isEqualTo("DEADLINE_EXCEEDED UNKNOWN");
+		Truth.assertThat(this.other.unfinished()).isEqualTo(0);
+	}
+
 	/**
 	 * Symptom: a caller learns only at its deadline what was decided long before.
 	 * Sequence: the last attempt fails. Cause: the failure is kept until the time is up.
