Ask for room, tell of late tokens, and settle lost attempts

Three gaps showed when the slices were read together. A request too long for its entry's grants waited until its deadline, since nobody told the pool; it is now told about once a second. An endpoint that turned slow went on getting work until its first late answer; the pool now hears of a first token that is overdue (a new method of the port, without effect unless implemented). A not-repeatable generation whose sending failed was answered UNKNOWN although its engine could tell; the answer of its cancel now settles it, within a second.

Ruled out: a second observation at the first token, which would count each answer's lateness twice.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointPool.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.endpoint;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -52,6 +53,16 @@
 	 */
 	void observed(EndpointId endpoint, Observation observation);
 
+	/**
+	 * Learns that an attempt has brought no first token long after it was expected; told
+	 * again while that lasts.
+	 * @param endpoint the endpoint
+	 * @param waited how long ago the attempt was sent
+	 * @param predicted the time to first token predicted then
+	 */
+	default void overdue(EndpointId endpoint, Duration waited, Duration predicted) {
+	}
+
 	/**
 	 * Adds a listener called when room may have appeared.
 	 * @param listener the listener
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/Dispatcher.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/Dispatcher.java
@@ -14,11 +14,6 @@
 import org.bramleyscale.ServingException;
 import org.bramleyscale.Step;
 import org.bramleyscale.internal.admission.Admission;
-import org.bramleyscale.internal.admission.AdmissionRequest;
-import org.bramleyscale.internal.admission.TokenEstimator;
-import org.bramleyscale.internal.configuration.Configuration;
-import org.bramleyscale.internal.configuration.ConfigurationSource;
-import org.bramleyscale.internal.configuration.ModelEntry;
 import org.bramleyscale.internal.endpoint.EndpointPool;
 import org.bramleyscale.internal.endpoint.Reservations;
 import org.bramleyscale.internal.routing.Candidate;
@@ -39,15 +34,15 @@
 
 	private static final Duration NO_ENDPOINT_PAUSE = Duration.ofSeconds(2);
 
+	private static final Duration WANTED_AGAIN = Duration.ofSeconds(1);
+
 	private final Scheduler scheduler;
 
 	private final RandomGenerator random;
 
-	private final ConfigurationSource source;
-
 	private final Admission admission;
 
-	private final TokenEstimator estimator;
+	private final PlacementPlanner planner;
 
 	private final RoutingPolicy policy;
 
@@ -66,15 +61,15 @@
 	Dispatcher(RequestPorts ports, RecordStore records, Starter starter) {
 		this.scheduler = ports.scheduler();
 		this.random = ports.random();
-		this.source = ports.configuration();
 		this.admission = ports.admission();
-		this.estimator = ports.estimator();
+		this.planner = new PlacementPlanner(ports);
 		this.policy = ports.policy();
 		this.pool = ports.pool();
 		this.reservations = ports.reservations();
 		this.records = records;
 		this.starter = starter;
 		this.pool.onRoom(this::askForPass);
+		this.scheduler.repeat(WANTED_AGAIN, this::askAgainIfWaiting);
 	}
 
 	/**
@@ -83,16 +78,15 @@
 	 * @throws ServingException the refusal
 	 */
 	void admit(RequestRecord record) throws ServingException {
-		Placement placement = plan(record.work());
-		record.placement(placement);
+		record.placement(this.planner.plan(record.work()));
 		List<Candidate> candidates = this.pool.candidates(record.service(), record.work().model());
 		if (candidates.isEmpty()) {
 			throw new ServingException(ErrorCode.NO_ENDPOINT, Ran.NO, Step.ROUTE, "self",
 					"no endpoint of service '" + record.service() + "' can be used now", NO_ENDPOINT_PAUSE);
 		}
-		checkSize(record, candidates);
+		this.planner.checkSize(record, candidates);
 		RoutingChoice choice = choose(record, candidates);
-		this.admission.admit(admissionRequest(record, choice));
+		this.admission.admit(this.planner.admissionRequest(record, choice, timeLeft(record)));
 	}
 
 	/**
@@ -191,6 +185,7 @@
 			return placeGroup(record);
 		}
 		if (!pass.worthTrying(record)) {
+			wanted(record);
 			return false;
 		}
 		List<Candidate> candidates = candidates(record, pass);
@@ -203,16 +198,38 @@
 			reserve(record);
 		}
 		else {
+			wanted(record);
 			pass.noRoom(record);
 		}
 		return false;
 	}
 
+	/**
+	 * Tells the pool, at most once a second, that a request waits for room. Without this
+	 * an entry whose grants are too small for a long prompt would never get larger ones,
+	 * and the prompt would wait until its deadline beside idle engines.
+	 * @param record the request
+	 */
+	private void wanted(RequestRecord record) {
+		if (record.placement().mayMention(this.scheduler.nanos(), WANTED_AGAIN)) {
+			this.pool.wanted(record.service(), record.work().model(), kvTokens(record));
+		}
+	}
+
+	private void askAgainIfWaiting() {
+		if (this.admission.waiting() > 0 || !this.retries.isEmpty()) {
+			askForPass();
+		}
+	}
+
+	private static long kvTokens(RequestRecord record) {
+		return (record.log() != null) ? record.placement().kvTokens() : 0;
+	}
+
 	private boolean place(RequestRecord record, Candidate candidate, RoutingChoice choice) {
 		Placement placement = record.placement();
-		long kvTokens = (record.log() != null) ? placement.kvTokens() : 0;
 		Duration predicted = Sizes.known(choice.predictedFirstTokenNanos());
-		return this.pool.acquire(candidate.endpoint(), kvTokens, placement.promptTokens()).map((permit) -> {
+		return this.pool.acquire(candidate.endpoint(), kvTokens(record), placement.promptTokens()).map((permit) -> {
 			placement.placed(new Place(permit.endpoint(), List.of(permit), List.of(), predicted));
 			return true;
 		}).orElse(false);
@@ -252,48 +269,4 @@
 		return Duration.ofNanos(record.deadline() - this.scheduler.nanos());
 	}
 
-	private Placement plan(Work work) {
-		boolean urgent = this.source.current().urgent(work.service());
-		if (!(work instanceof Work.Generation generation)) {
-			return new Placement(0, 0, 0, 0, urgent);
-		}
-		GenerateRequest request = generation.request();
-		String prompt = request.prompt();
-		int tokens = this.estimator.estimate(request.model(), prompt);
-		int prefixChars = Fingerprint.prefixLength(prompt);
-		int prefixTokens = (prompt.isEmpty()) ? 0 : (int) ((long) tokens * prefixChars / prompt.length());
-		return new Placement(tokens, request.maxTokens(), Fingerprint.prefix(prompt), prefixTokens, urgent);
-	}
-
-	private void checkSize(RequestRecord record, List<Candidate> candidates) throws ServingException {
-		if (!(record.work() instanceof Work.Generation generation)) {
-			return;
-		}
-		long needed = record.placement().kvTokens();
-		Configuration configuration = this.source.current();
-		long context = configuration.model(generation.request().model()).map(ModelEntry::contextTokens).orElse(0);
-		if (context > 0 && needed > context) {
-			throw tooLarge(needed, "model '" + generation.request().model() + "' takes " + context);
-		}
-		if (Sizes.exceedsEach(needed, candidates)) {
-			long largest = this.reservations.largest(record.service(), generation.request().model());
-			if (largest > 0 && needed > largest) {
-				throw tooLarge(needed, "the engines of service '" + record.service() + "' take " + largest);
-			}
-		}
-	}
-
-	private static ServingException tooLarge(long needed, String limit) {
-		return new ServingException(ErrorCode.TOO_LARGE, Ran.NO, Step.ADMIT, "self",
-				"prompt and answer need about " + needed + " tokens; " + limit);
-	}
-
-	private AdmissionRequest admissionRequest(RequestRecord record, RoutingChoice choice) {
-		Placement placement = record.placement();
-		Duration first = Sizes.orZero(Sizes.known(choice.predictedFirstTokenNanos()));
-		Duration finish = Sizes.orZero(Sizes.known(choice.predictedFinishNanos()));
-		return new AdmissionRequest(record.id(), record.account(), record.service(), placement.promptTokens(),
-				placement.maxTokens(), placement.urgent(), timeLeft(record), first, finish);
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/Placement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/Placement.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.request;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +32,10 @@
 
 	private final Set<EndpointId> excluded = new HashSet<>();
 
+	private long mentionedAt;
+
+	private boolean mentioned;
+
 	private Place place;
 
 	private Reservation reservation;
@@ -74,6 +79,21 @@
 		this.excluded.add(endpoint);
 	}
 
+	/**
+	 * Whether it is time to tell again that this waits; notes that it is told.
+	 * @param now the time
+	 * @param pause the pause between two times
+	 * @return true if the pause has passed
+	 */
+	boolean mayMention(long now, Duration pause) {
+		if (this.mentioned && now - this.mentionedAt < pause.toNanos()) {
+			return false;
+		}
+		this.mentioned = true;
+		this.mentionedAt = now;
+		return true;
+	}
+
 	Optional<Place> place() {
 		return Optional.ofNullable(this.place);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/attempt/CancelDriver.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/attempt/CancelDriver.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.bramleyscale.EndpointId;
 import org.bramleyscale.RequestId;
 import org.bramleyscale.internal.configuration.EndpointEntry;
+import org.bramleyscale.internal.endpoint.CancelResult;
 import org.bramleyscale.internal.endpoint.EngineClient;
 import org.bramleyscale.internal.request.RequestMetrics;
 import org.bramleyscale.internal.time.Scheduler;
@@ -53,7 +55,19 @@
 	 * @param attempt the attempt
 	 */
 	public void cancel(EndpointEntry endpoint, RequestId id, int attempt) {
-		Pending cancel = new Pending(endpoint, id, attempt);
+		cancel(endpoint, id, attempt, (result) -> {
+		});
+	}
+
+	/**
+	 * Begins to cancel an attempt.
+	 * @param endpoint the engine
+	 * @param id the request
+	 * @param attempt the attempt
+	 * @param answered takes the engine's answer, if it ever gives one
+	 */
+	public void cancel(EndpointEntry endpoint, RequestId id, int attempt, Consumer<CancelResult> answered) {
+		Pending cancel = new Pending(endpoint, id, attempt, answered);
 		this.pending.add(cancel);
 		cancel.send();
 	}
@@ -82,13 +96,16 @@
 
 		private final int attempt;
 
+		private final Consumer<CancelResult> answered;
+
 		private Duration pause = FIRST_PAUSE;
 
 		private Long boot;
 
 		private boolean done;
 
-		private Pending(EndpointEntry endpoint, RequestId id, int attempt) {
+		private Pending(EndpointEntry endpoint, RequestId id, int attempt, Consumer<CancelResult> answered) {
+			this.answered = answered;
 			this.endpoint = endpoint;
 			this.id = id;
 			this.attempt = attempt;
@@ -109,7 +126,11 @@
 			this.pause = longer(this.pause);
 			CancelDriver.this.client.cancel(this.endpoint, this.id, this.attempt).whenComplete((result, failure) -> {
 				if (failure == null) {
+					boolean first = !this.done;
 					confirm();
+					if (first) {
+						this.answered.accept(result);
+					}
 				}
 				else {
 					compareBoot();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/request/FakePool.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/FakePool.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.request;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +24,10 @@
 
 	final List<Observation> observations = new ArrayList<>();
 
+	final List<Long> wanted = new ArrayList<>();
+
+	final List<Duration> overdue = new ArrayList<>();
+
 	final Set<EndpointId> unusable = new HashSet<>();
 
 	int slots = 8;
@@ -56,6 +61,16 @@
 		return Optional.of(new FakePermit(this.configuration.endpoint(endpoint).orElseThrow()));
 	}
 
+	@Override
+	public void wanted(ServiceName service, ModelName model, long kvTokens) {
+		this.wanted.add(kvTokens);
+	}
+
+	@Override
+	public void overdue(EndpointId endpoint, Duration waited, Duration predicted) {
+		this.overdue.add(waited);
+	}
+
 	@Override
 	public void observed(EndpointId endpoint, Observation observation) {
 		this.observations.add(observation);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestLifecycleTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestLifecycleTests.java
@@ -3,7 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 
+import com.google.common.collect.Range;
 import com.google.common.truth.Truth;
+import org.bramleyscale.ErrorCode;
+import org.bramleyscale.Ran;
+import org.bramleyscale.ServingException;
+import org.bramleyscale.Step;
 import org.bramleyscale.internal.endpoint.CancelResult;
 import org.bramleyscale.internal.endpoint.Reservations.GroupMember;
 import org.bramleyscale.internal.peer.MessageCatalog;
@@ -78,6 +83,62 @@
 		Truth.assertThat(this.fixture.count("entry-1", "cancelsConfirmed")).isEqualTo(1);
 	}
 
+	/**
+	 * Symptom: a caller is told "unknown" although its request never arrived. Sequence: a
+	 * kept connection turns out to be closed while a not-repeatable generation is sent.
+	 * Cause: the entry can't tell, but the engine can.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "NEVER_STARTED, ENDPOINT_FAILED NO", "STOPPED, ENDPOINT_FAILED YES", ", ENDPOINT_FAILED UNKNOWN" })
+	void engineIsAskedWhetherALostAttemptBegan(CancelResult answer, String end) {
+		this.service.generate(RequestFixture.quote(null, false), this.sink);
+		this.fixture.run();
+		this.fixture.engines.last().listener.failed(FakeEngines.failure(Ran.UNKNOWN, Step.START));
+		this.fixture.run();
+		this.fixture.engines.last().listener.failed(
+				new ServingException(ErrorCode.UNKNOWN_REQUEST, Ran.UNKNOWN, Step.RESUME, "engine", "unknown attempt"));
+		if (answer != null) {
+			this.fixture.engines.cancelAnswers.get(0).complete(answer);
+		}
+		else {
+			this.fixture.advance(Duration.ofSeconds(1));
+		}
+		Truth.assertThat(this.sink.end()).isEqualTo(end);
+		Truth.assertThat(this.fixture.engines.worked()).isEqualTo(1);
+		Truth.assertThat(this.service.unfinished()).isEqualTo(0);
+	}
+
+	/**
+	 * Symptom: a long prompt waits until its deadline beside idle engines. Sequence: the
+	 * grants of its entry are smaller than it needs. Cause: owners grant by what they are
+	 * asked for, and nobody asks for it.
+	 */
+	@Test
+	void poolIsToldAgainAndAgainOfWaitingRequests() {
+		this.fixture.promptTokens = 90_000;
+		this.fixture.pool.slots = 0;
+		this.service.generate(RequestFixture.quote(null, true), this.sink);
+		this.fixture.run();
+		Truth.assertThat(this.fixture.pool.wanted).containsExactly(90_100L);
+		this.fixture.pool.slots(0);
+		this.fixture.run();
+		Truth.assertThat(this.fixture.pool.wanted).hasSize(1);
+		this.fixture.advance(Duration.ofSeconds(10));
+		Truth.assertThat(this.fixture.pool.wanted.size()).isIn(Range.closed(10, 12));
+	}
+
+	@Test
+	void poolIsToldOfAnOverdueFirstTokenBeforeItComes() {
+		this.service.generate(RequestFixture.quote(null, true), this.sink);
+		this.fixture.advance(Duration.ofMillis(1100));
+		Truth.assertThat(this.fixture.pool.overdue).containsExactly(Duration.ofMillis(200), Duration.ofMillis(700));
+		this.fixture.engines.last().frames(RequestFixture.ANSWER, 0, 2);
+		this.fixture.engines.last().complete(2);
+		this.fixture.advance(Duration.ofSeconds(3));
+		Truth.assertThat(this.fixture.pool.overdue).hasSize(2);
+		Truth.assertThat(this.fixture.pool.observations).hasSize(1);
+	}
+
 	@Test
 	void leavingDaemonFinishesWhatItHasAndServesItsIds() {
 		this.service.generate(RequestFixture.quote(RequestFixture.id("entry-1", "q"), true), this.sink);
