Wait for the system's own answer at the end of a request's time

Change: callers wait 2 s longer, and longer than two of a waiting stream's comments. The demonstration prints where its status page is.

--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/Demo.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/Demo.java
@@ -67,6 +67,8 @@
 	DemoResult run() throws CommandException {
 		this.fleet.start();
 		this.progress.println("Started " + this.fleet);
+		this.progress.println("Status page: http://" + this.fleet.daemonAddresses().get(0)
+				+ "/status (any name, password " + DemoFleet.OPERATOR_KEY + ")");
 		EventLoop loop = new EventLoop("demo-callers");
 		try (HttpExecution execution = new HttpExecution(loop);
 				DaemonClient operator = new DaemonClient(this.fleet.daemonAddresses(), DemoFleet.OPERATOR_KEY,
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/load/BookingRun.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/BookingRun.java
@@ -29,7 +29,7 @@
 		client()
 			.whole(new CallerClient.Call(entry.address(), "POST",
 					"/v1/services/" + request().workload().service() + "/bookings", headers(false), request().content(),
-					timeLeft()))
+					patience()))
 			.whenComplete((answer, failure) -> {
 				if (failure != null) {
 					failed(Failure.connection(failure));
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/load/CallerClient.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/CallerClient.java
@@ -33,7 +33,8 @@
 
 	private static final int REDIRECTION = 300;
 
-	private static final Duration SILENCE = Duration.ofSeconds(15);
+	/** More than twice the pause between the comments of a stream that waits. */
+	private static final Duration SILENCE = Duration.ofSeconds(25);
 
 	private final HttpExecution execution;
 
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/load/GenerationRun.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/GenerationRun.java
@@ -73,7 +73,7 @@
 				true, "messages", List.of(Map.of("role", "user", "content", request().content())));
 		try {
 			return new CallerClient.Call(entry.address(), "POST", "/v1/chat/completions", headers(true),
-					MAPPER.writeValueAsString(body), timeLeft());
+					MAPPER.writeValueAsString(body), patience());
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalStateException("the body can't be written", ex);
@@ -83,7 +83,7 @@
 	private CallerClient.Call resumption(Entry entry) {
 		return new CallerClient.Call(entry.address(), "GET",
 				"/v1/requests/" + id() + "/stream?offset=" + this.offset + "&format=chat&model=" + model(), Map.of(),
-				"", timeLeft());
+				"", patience());
 	}
 
 	private String model() {
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/load/RequestRun.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/load/RequestRun.java
@@ -23,6 +23,8 @@
 
 	private static final Duration GRACE = Duration.ofSeconds(3);
 
+	private static final Duration PATIENCE = Duration.ofSeconds(2);
+
 	private static final Duration RETRY_PAUSE = Duration.ofMillis(50);
 
 	private static final int MOST_ATTEMPTS = 8;
@@ -105,6 +107,16 @@
 		return (left.toMillis() > 0) ? left : Duration.ofMillis(1);
 	}
 
+	/**
+	 * How long to wait for an answer. The system answers at the end of the request's
+	 * time; a caller that gave up at the same moment would miss what became of its
+	 * request.
+	 * @return a little more than the time left
+	 */
+	Duration patience() {
+		return timeLeft().plus(PATIENCE);
+	}
+
 	Map<String, String> headers(boolean repeatable) {
 		Map<String, String> headers = new LinkedHashMap<>();
 		headers.put(CallerClient.REQUEST_ID, id());
