--- a/standins/src/test/java/org/bramleyscale/standins/platform/ObjectStoreContractTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/ObjectStoreContractTests.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -266,70 +265,4 @@
 
 	}
 
-	/**
-	 * A fault, a call that it strikes, what the caller is told, and whether the object
-	 * exists in the end.
-	 */
-	enum FaultCase {
-
-		DOWN_READ(PlatformFault.Kind.DOWN, ObjectStore::read, PlatformException.Kind.UNAVAILABLE, false),
-
-		DOWN_WRITE(PlatformFault.Kind.DOWN, FaultCase::write, PlatformException.Kind.UNAVAILABLE, false),
-
-		SILENT_READ(PlatformFault.Kind.SILENT, ObjectStore::read, PlatformException.Kind.UNAVAILABLE, false),
-
-		SILENT_WRITE(PlatformFault.Kind.SILENT, FaultCase::write, PlatformException.Kind.UNKNOWN_OUTCOME, false),
-
-		SILENT_DELETE(PlatformFault.Kind.SILENT, FaultCase::delete, PlatformException.Kind.UNKNOWN_OUTCOME, false),
-
-		SILENT_LIST(PlatformFault.Kind.SILENT, FaultCase::list, PlatformException.Kind.UNAVAILABLE, false),
-
-		SILENT_WATCH(PlatformFault.Kind.SILENT, FaultCase::watch, PlatformException.Kind.UNAVAILABLE, false),
-
-		LOST_REPLY_WRITE(PlatformFault.Kind.LOST_REPLY, FaultCase::write, PlatformException.Kind.UNKNOWN_OUTCOME, true),
-
-		SLOW_WRITE(PlatformFault.Kind.SLOW, FaultCase::write, PlatformException.Kind.UNKNOWN_OUTCOME, true),
-
-		SLOW_REPLY_WRITE(PlatformFault.Kind.SLOW_REPLY, FaultCase::write, PlatformException.Kind.UNKNOWN_OUTCOME, true),
-
-		CONFLICT_WRITE(PlatformFault.Kind.CONFLICT, FaultCase::write, PlatformException.Kind.CONFLICT, false);
-
-		private final PlatformFault.Kind fault;
-
-		private final BiFunction<ObjectStore, ObjectKey, CompletableFuture<?>> call;
-
-		private final PlatformException.Kind expected;
-
-		private final boolean stored;
-
-		FaultCase(PlatformFault.Kind fault, BiFunction<ObjectStore, ObjectKey, CompletableFuture<?>> call,
-				PlatformException.Kind expected, boolean stored) {
-			this.fault = fault;
-			this.call = call;
-			this.expected = expected;
-			this.stored = stored;
-		}
-
-		boolean answered() {
-			return this.fault == PlatformFault.Kind.DOWN || this.fault == PlatformFault.Kind.CONFLICT;
-		}
-
-		private static CompletableFuture<?> write(ObjectStore store, ObjectKey key) {
-			return store.write(key, VALUE, 0);
-		}
-
-		private static CompletableFuture<?> delete(ObjectStore store, ObjectKey key) {
-			return store.delete(key, 1);
-		}
-
-		private static CompletableFuture<?> list(ObjectStore store, ObjectKey key) {
-			return store.list(key.kind());
-		}
-
-		private static CompletableFuture<?> watch(ObjectStore store, ObjectKey key) {
-			return store.watch(key.kind(), 0, Duration.ofMillis(100));
-		}
-
-	}
-
 }
