--- a/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/request/RequestRecord.java
@@ -29,7 +29,7 @@
 
 	private static final Logger logger = Logger.getLogger(RequestRecord.class);
 
-	private static final long FIXED_BYTES = 400;
+	private static final long FIXED_BYTES = 800;
 
 	private static final Cancellable NOTHING = () -> {
 	};
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestLifecycleTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/RequestLifecycleTests.java
@@ -108,6 +108,23 @@
 		Truth.assertThat(this.service.unfinished()).isEqualTo(0);
 	}
 
+	@Test
+	void cancelledWhileItsEngineIsAskedEndsOnce() {
+		this.service.generate(RequestFixture.quote(null, false), this.sink);
+		this.fixture.run();
+		this.fixture.engines.last().listener.failed(FakeEngines.failure(Ran.UNKNOWN, Step.START));
+		this.fixture.run();
+		this.fixture.engines.last().listener.failed(
+				new ServingException(ErrorCode.UNKNOWN_REQUEST, Ran.UNKNOWN, Step.RESUME, "engine", "unknown attempt"));
+		this.service.cancel(this.sink.id(), RequestFixture.ACCOUNT);
+		Truth.assertThat(this.sink.end()).isEqualTo("CANCELLED UNKNOWN");
+		this.fixture.engines.cancelAnswers.get(0).complete(CancelResult.NEVER_STARTED);
+		this.fixture.advance(Duration.ofSeconds(5));
+		Truth.assertThat(this.sink.broken).isEmpty();
+		Truth.assertThat(this.fixture.pool.observations).hasSize(1);
+		Truth.assertThat(this.fixture.engines.cancels).hasSize(1);
+	}
+
 	/**
 	 * Symptom: a long prompt waits until its deadline beside idle engines. Sequence: the
 	 * grants of its entry are smaller than it needs. Cause: owners grant by what they are
