Let the tests of a starting daemon and of an impatient platform bite

Cause: without the wait at the start, and without the pause of the watch, the tests passed as well, so they proved nothing about these mechanisms. Change: the starting daemon first hears an outdated peer alone; the fake platform can answer watches at once. Result: each of the two tests fails once its mechanism is taken out (trial on a scratch copy); mvn verify passes.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
@@ -167,8 +167,10 @@
 		accepted("a-2", rules("change-2", 1, 1, 2, 3));
 		this.fleet.platform.down(true);
 		this.fleet.kill("c-2");
+		this.fleet.partition(Set.of("c-0", "c-2"));
 		this.fleet.start("c-2");
-		this.fleet.peers.link((from, to) -> true);
+		this.fleet.advance(50);
+		this.fleet.partition(Set.of());
 		this.fleet.advance(3000);
 		assertAllHold(2);
 		assertFresh(ALL);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationWatchTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationWatchTests.java
@@ -49,6 +49,14 @@
 		Truth.assertThat(this.platform.calls() - before).isAtMost(60);
 	}
 
+	@Test
+	void aPlatformThatDoesNotWaitIsNotAskedInABusyLoop() {
+		this.platform.answerWatchesAtOnce();
+		long before = this.platform.calls();
+		pass(60_000);
+		Truth.assertThat(this.platform.calls() - before).isAtMost(120);
+	}
+
 	@Test
 	void goesOnAfterAnOutage() {
 		this.platform.down(true);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePlatform.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePlatform.java
@@ -46,6 +46,8 @@
 
 	private boolean gaps;
 
+	private boolean impatient;
+
 	FakePlatform(Scheduler scheduler) {
 		this.scheduler = scheduler;
 	}
@@ -78,6 +80,11 @@
 		this.gaps = now;
 	}
 
+	/** Watches answer without waiting. */
+	void answerWatchesAtOnce() {
+		this.impatient = true;
+	}
+
 	long calls() {
 		return this.calls;
 	}
@@ -183,7 +190,8 @@
 				else if (!changed.isEmpty() && FakePlatform.this.gaps) {
 					reply.complete(new WatchBatch(FakePlatform.this.log.size(), true, List.of()));
 				}
-				else if (!changed.isEmpty() || FakePlatform.this.scheduler.nanos() >= until) {
+				else if (!changed.isEmpty() || FakePlatform.this.impatient
+						|| FakePlatform.this.scheduler.nanos() >= until) {
 					reply.complete(new WatchBatch(FakePlatform.this.log.size(), false, changed));
 				}
 				else {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/TestFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/TestFleet.java
@@ -82,6 +82,7 @@
 	/** Puts daemons into groups that hear only each other; the rest is one group. */
 	void partition(Set<String> group) {
 		this.peers.link((from, to) -> group.contains(from.value()) == group.contains(to.value()));
+		hear();
 	}
 
 	void heal() {
