Limit control traffic in large fleets only, and split account and share

Demands and grants were paced by a byte budget also where seven daemons have nothing to save. Up to 64 daemons the period is now 250 ms; above, it follows the bytes. The account and the pool's state of an endpoint had grown past one duty.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
@@ -12,7 +12,10 @@
 public final class EndpointSettings {
 
 	/** How many bytes a demand and its grant cost for one endpoint, names included. */
-	static final int PAIR_BYTES = 110;
+	static final int PAIR_BYTES = 130;
+
+	/** What the frames of a demand and its grant cost beyond their items. */
+	static final int EXCHANGE_BYTES = 50;
 
 	private static final int MAX_PERIOD_MILLIS = 2_000;
 
@@ -26,6 +29,8 @@
 
 	private final int controlBytesPerSecond;
 
+	private final int smallFleet;
+
 	private final Duration demandPeriod;
 
 	private final Duration idlePeriod;
@@ -41,6 +46,7 @@
 	private EndpointSettings(Builder builder) {
 		this.subsetSize = builder.subsetSize;
 		this.maxPairs = builder.maxPairs;
+		this.smallFleet = builder.smallFleet;
 		this.controlBytesPerSecond = builder.controlBytesPerSecond;
 		this.demandPeriod = builder.demandPeriod;
 		this.idlePeriod = builder.idlePeriod;
@@ -62,8 +68,13 @@
 		return this.subsetSize;
 	}
 
-	public int maxPairs() {
-		return this.maxPairs;
+	/**
+	 * How many endpoints an entry uses at most over all services.
+	 * @param members how many daemons there are
+	 * @return the number
+	 */
+	public int maxPairs(int members) {
+		return (members <= this.smallFleet) ? Integer.MAX_VALUE : this.maxPairs;
 	}
 
 	public Duration demandPeriod() {
@@ -87,13 +98,18 @@
 	}
 
 	/**
-	 * How often an entry sends demands, so that demands and grants stay within the bytes
-	 * allowed for them.
+	 * How often an entry sends demands, so that in a large fleet demands and grants stay
+	 * within the bytes allowed for them.
 	 * @param pairs how many endpoints it uses
+	 * @param members how many daemons there are
 	 * @return the period in milliseconds
 	 */
-	public int periodMillis(int pairs) {
-		long needed = 1_000L * pairs * PAIR_BYTES / this.controlBytesPerSecond;
+	public int periodMillis(int pairs, int members) {
+		if (members <= this.smallFleet) {
+			return (int) this.demandPeriod.toMillis();
+		}
+		long bytes = (long) pairs * (PAIR_BYTES + EXCHANGE_BYTES);
+		long needed = 1_000L * bytes / this.controlBytesPerSecond;
 		return (int) Math.max(this.demandPeriod.toMillis(), Math.min(MAX_PERIOD_MILLIS, needed));
 	}
 
@@ -111,10 +127,11 @@
 	/**
 	 * The longest lifetime of a grant when entries use at most so many endpoints.
 	 * @param endpoints how many endpoints the register has
+	 * @param members how many daemons there are
 	 * @return the lifetime in milliseconds
 	 */
-	public int longestLifetimeMillis(int endpoints) {
-		return lifetimeMillis(periodMillis(Math.min(endpoints, this.maxPairs)));
+	public int longestLifetimeMillis(int endpoints, int members) {
+		return lifetimeMillis(periodMillis(Math.min(endpoints, this.maxPairs), members));
 	}
 
 	/**
@@ -124,9 +141,11 @@
 
 		private int subsetSize = 30;
 
-		private int maxPairs = 60;
+		private int maxPairs = 30;
+
+		private int smallFleet = 64;
 
-		private int controlBytesPerSecond = 3_000;
+		private int controlBytesPerSecond = 2_500;
 
 		private Duration demandPeriod = Duration.ofMillis(250);
 
@@ -154,7 +173,8 @@
 		}
 
 		/**
-		 * Sets how many endpoints an entry uses at most over all services.
+		 * Sets how many endpoints an entry of a large fleet uses at most over all
+		 * services.
 		 * @param value the number, at least 1
 		 * @return this builder
 		 */
@@ -164,7 +184,19 @@
 		}
 
 		/**
-		 * Sets the bytes a second that demands and grants of an entry may cost.
+		 * Sets up to how many daemons neither the endpoints in use nor the bytes for
+		 * demands and grants are limited.
+		 * @param value the number, at least 1
+		 * @return this builder
+		 */
+		public Builder smallFleet(int value) {
+			this.smallFleet = (int) positive("number of daemons of a small fleet", value);
+			return this;
+		}
+
+		/**
+		 * Sets the bytes a second that demands and grants of an entry may cost in a large
+		 * fleet.
 		 * @param value the bytes, at least 1
 		 * @return this builder
 		 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointAccount.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointAccount.java
@@ -1,14 +1,9 @@
 package org.bramleyscale.internal.endpoint.owner;
 
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 import org.bramleyscale.Incarnation;
-import org.bramleyscale.VmId;
 import org.bramleyscale.internal.endpoint.Amount;
 import org.bramleyscale.internal.endpoint.DemandItem;
 import org.bramleyscale.internal.endpoint.LoadReport;
@@ -25,24 +20,15 @@
  */
 final class EndpointAccount {
 
-	/** An entry that was silent for so long no longer counts. */
-	private static final long SILENT_LIMIT = Duration.ofSeconds(60).toNanos();
-
-	/** Of slots and memory, this part stays with entries however much is held. */
-	private static final double SHORT_WORK_SHARE = 0.15;
-
-	/**
-	 * So long after a reservation began to collect, entries have no more than is kept.
-	 */
-	private static final long COLLECTED_WITHIN = Duration.ofSeconds(10).toNanos();
-
 	/** A change of memory below this part of the capacity isn't pushed. */
 	private static final int WORTHWHILE_PARTS = 64;
 
-	private final Map<VmId, EntryAccount> entries = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
-
 	private final UnknownUse unknown = new UnknownUse();
 
+	private final EntryAccounts entries = new EntryAccounts(this.unknown::entryForgotten);
+
+	private final HoldingShare holding = new HoldingShare();
+
 	private final Amount floor;
 
 	private final long settledAt;
@@ -51,14 +37,6 @@
 
 	private LoadReport report;
 
-	private Amount held = Amount.NONE;
-
-	private Amount collecting = Amount.NONE;
-
-	private Amount usedBefore = Amount.NONE;
-
-	private long collectingSince;
-
 	private int equalEntries = 1;
 
 	private int members = Integer.MAX_VALUE;
@@ -77,8 +55,8 @@
 		this.settledAt = settledAt;
 	}
 
-	Collection<EntryAccount> entries() {
-		return this.entries.values();
+	EntryAccounts entries() {
+		return this.entries;
 	}
 
 	LoadReport report() {
@@ -90,7 +68,7 @@
 	}
 
 	Amount held() {
-		return this.held;
+		return this.holding.held();
 	}
 
 	Amount unknownUse() {
@@ -114,13 +92,7 @@
 	 * @param now the time
 	 */
 	void hold(Amount amount, Amount needed, long now) {
-		boolean begins = this.collecting.equals(Amount.NONE) && !needed.equals(Amount.NONE);
-		if (begins) {
-			this.collectingSince = now;
-			this.usedBefore = used();
-		}
-		this.held = amount;
-		this.collecting = needed;
+		this.holding.set(amount, needed, this.entries.sum(EntryAccount::inUse), now);
 	}
 
 	/**
@@ -128,9 +100,7 @@
 	 * @return the amount; nothing if the capacity is unknown
 	 */
 	Amount holdable() {
-		Amount capacity = capacity();
-		int slots = capacity.slots() - Math.max(1, (int) (capacity.slots() * SHORT_WORK_SHARE));
-		return new Amount(slots, (long) (capacity.kvTokens() * (1 - SHORT_WORK_SHARE))).max(Amount.NONE);
+		return this.holding.holdable(capacity());
 	}
 
 	/**
@@ -156,7 +126,7 @@
 		}
 		Amount reported = new Amount(newer.running() + newer.waiting(), newer.kvUsed());
 		this.unknown.reported(reported, knownUse());
-		this.entries.values().forEach(EntryAccount::endpointReported);
+		this.entries.all().forEach(EntryAccount::endpointReported);
 	}
 
 	/**
@@ -169,29 +139,9 @@
 	 * @return the entry's account, or null if the demand is out of date
 	 */
 	EntryAccount demanded(Incarnation from, DemandItem item, long sentMillis, int lifetimeMillis, long now) {
-		EntryAccount account = this.entries.get(from.vm());
-		if (account != null && account.entry().start() > from.start()) {
-			return null;
-		}
-		if (account == null || account.entry().start() < from.start()) {
-			account = new EntryAccount(from);
-			this.unknown.entryForgotten();
-			this.entries.put(from.vm(), account);
-		}
-		return account.heard(item, sentMillis, lifetimeMillis, this.epoch, now) ? account : null;
-	}
-
-	/**
-	 * Forgets an entry that no longer runs, once its grants have expired.
-	 * @param vm the entry
-	 * @param now the time
-	 */
-	void died(VmId vm, long now) {
-		EntryAccount account = this.entries.get(vm);
-		if (account != null && account.live(now).equals(Amount.NONE)) {
-			this.entries.remove(vm);
-			this.unknown.entryForgotten();
-		}
+		EntryAccount account = this.entries.of(from);
+		boolean current = account != null && account.heard(item, sentMillis, lifetimeMillis, this.epoch, now);
+		return current ? account : null;
 	}
 
 	/**
@@ -200,9 +150,9 @@
 	 * @param now the time
 	 */
 	void prune(long now) {
-		this.entries.values().removeIf((entry) -> now > this.settledAt && entry.gone());
-		if (this.entries.values().removeIf((entry) -> now - entry.heardAt() > SILENT_LIMIT)) {
-			this.unknown.entryForgotten();
+		this.entries.forgetSilent(now);
+		if (now > this.settledAt) {
+			this.entries.forgetGone();
 		}
 	}
 
@@ -243,17 +193,14 @@
 		if (this.report == null || unsettled(now)) {
 			return List.of();
 		}
-		boolean waiting = !this.collecting.equals(Amount.NONE);
-		for (EntryAccount entry : this.entries.values()) {
-			waiting |= entry.starved(entry.lastGrant());
-		}
-		if (!waiting) {
+		boolean starved = this.entries.all().stream().anyMatch((entry) -> entry.starved(entry.lastGrant()));
+		if (!starved && !this.holding.collects()) {
 			return List.of();
 		}
 		Balance balance = balance(now);
 		List<EntryAccount> result = new ArrayList<>();
-		for (EntryAccount entry : this.entries.values()) {
-			if (!entry.resigned() && wantsPush(entry, balance.grantable(entry))) {
+		for (EntryAccount entry : this.entries.wanting()) {
+			if (wantsPush(entry, balance.grantable(entry))) {
 				result.add(entry);
 			}
 		}
@@ -266,11 +213,8 @@
 	 * @return the sum
 	 */
 	Amount committed(long now) {
-		Amount sum = Amount.NONE;
-		for (EntryAccount entry : this.entries.values()) {
-			sum = sum.plus(bound(entry, now));
-		}
-		return sum;
+		Amount equal = OwnerlessShare.equalSplit(capacity(), this.equalEntries);
+		return this.entries.sum((entry) -> entry.bound(now, equal, this.floor));
 	}
 
 	/**
@@ -279,27 +223,11 @@
 	 * @return the sum
 	 */
 	Amount live(long now) {
-		Amount sum = Amount.NONE;
-		for (EntryAccount entry : this.entries.values()) {
-			sum = sum.plus(entry.live(now));
-		}
-		return sum;
-	}
-
-	private Amount used() {
-		Amount sum = Amount.NONE;
-		for (EntryAccount entry : this.entries.values()) {
-			sum = sum.plus(entry.inUse());
-		}
-		return sum;
+		return this.entries.sum((entry) -> entry.live(now));
 	}
 
 	private Amount knownUse() {
-		Amount sum = this.held;
-		for (EntryAccount entry : this.entries.values()) {
-			sum = sum.plus(entry.toldPeak());
-		}
-		return sum;
+		return this.entries.sum(EntryAccount::toldPeak).plus(held());
 	}
 
 	private boolean wantsPush(EntryAccount entry, Amount next) {
@@ -310,42 +238,25 @@
 		return shrinks || (grows && entry.starved(last));
 	}
 
-	private Amount bound(EntryAccount entry, long now) {
-		return entry.bound(now, OwnerlessShare.equalSplit(capacity(), this.equalEntries), this.floor);
-	}
-
 	private Balance balance(long now) {
-		List<EntryAccount> accounts = new ArrayList<>(this.entries.values());
-		accounts.removeIf(EntryAccount::resigned);
+		List<EntryAccount> accounts = this.entries.wanting();
+		Amount equal = OwnerlessShare.equalSplit(capacity(), this.equalEntries);
 		List<Amount> bounds = new ArrayList<>(accounts.size());
 		for (EntryAccount account : accounts) {
-			bounds.add(bound(account, now));
+			bounds.add(account.bound(now, equal, this.floor));
 		}
-		Amount available = available(now);
+		Amount rest = capacity().minus(held()).minus(unknownUse());
+		Amount available = this.holding.leftForEntries(capacity(), rest, now);
 		Amount free = spare(now).min(available.minus(committed(now)));
 		return new Balance(accounts, bounds, available, free);
 	}
 
-	// While a reservation collects, entries may have less and less, down to what it
-	// leaves or the part kept for short work. Were everything that is freed given to it
-	// at once, short work would stand still until the longest requests have ended.
-	private Amount available(long now) {
-		Amount rest = capacity().minus(this.held).minus(unknownUse());
-		if (this.collecting.equals(Amount.NONE)) {
-			return rest.max(Amount.NONE);
-		}
-		Amount kept = capacity().minus(holdable()).min(rest);
-		double passed = Math.min(1, (double) (now - this.collectingSince) / COLLECTED_WITHIN);
-		Amount shrinking = this.usedBefore.times(1 - passed).min(rest);
-		return rest.minus(this.collecting).max(kept).max(shrinking).max(Amount.NONE);
-	}
-
 	private Amount spare(long now) {
-		return capacity().minus(this.held).minus(unknownUse()).minus(committed(now)).minus(unheard(now));
+		return capacity().minus(held()).minus(unknownUse()).minus(committed(now)).minus(unheard(now));
 	}
 
 	private boolean unsettled(long now) {
-		return now < this.settledAt && this.entries.size() < this.members;
+		return now < this.settledAt && this.entries.all().size() < this.members;
 	}
 
 	// What entries that this owner hasn't heard yet may hold from its predecessor.
@@ -353,11 +264,7 @@
 		if (!unsettled(now)) {
 			return Amount.NONE;
 		}
-		Amount heard = Amount.NONE;
-		for (EntryAccount entry : this.entries.values()) {
-			heard = heard.plus(entry.takenOver());
-		}
-		return capacity().minus(heard).max(Amount.NONE);
+		return capacity().minus(this.entries.sum(EntryAccount::takenOver)).max(Amount.NONE);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointOwner.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointOwner.java
@@ -167,7 +167,8 @@
 
 	private long settledAt(Duration more) {
 		int endpointCount = this.configuration.current().register().endpoints().size();
-		long lifetime = this.settings.longestLifetimeMillis(endpointCount) * 1_000_000L;
+		long lifetime = this.settings.longestLifetimeMillis(endpointCount, this.membership.members().size())
+				* 1_000_000L;
 		return this.scheduler.nanos() + lifetime + more.toNanos();
 	}
 
@@ -298,10 +299,10 @@
 	}
 
 	private void forgetDead(OwnedEndpoint endpoint, long now) {
-		for (EntryAccount entry : List.copyOf(endpoint.account().entries())) {
+		for (EntryAccount entry : List.copyOf(endpoint.account().entries().all())) {
 			VmId vm = entry.entry().vm();
 			if (this.membership.member(vm).filter(EndpointOwner::mayHold).isEmpty()) {
-				endpoint.account().died(vm, now);
+				endpoint.account().entries().died(vm, now);
 			}
 		}
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
@@ -148,7 +148,7 @@
 			// A push that is lost needs no repetition: the entry's next demand is
 			// answered
 			// with the mark, and an entry never sends demands less often than every 2 s.
-			return this.account.entries().stream().filter((entry) -> !entry.toldLeaving()).toList();
+			return this.account.entries().all().stream().filter((entry) -> !entry.toldLeaving()).toList();
 		}
 		return this.account.unbalanced(now);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnerDump.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnerDump.java
@@ -51,6 +51,7 @@
 		private static Account of(OwnedEndpoint endpoint, long now) {
 			EndpointAccount account = endpoint.account();
 			List<Entry> entries = account.entries()
+				.all()
 				.stream()
 				.limit(LONGEST)
 				.map((entry) -> Entry.of(entry, now))
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/DemandSender.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/DemandSender.java
@@ -51,15 +51,15 @@
 		this.settings = settings;
 		this.owners = owners;
 		this.sent = sent;
-		this.periodMillis = settings.periodMillis(0);
+		this.periodMillis = (int) settings.demandPeriod().toMillis();
 	}
 
 	int periodMillis() {
 		return this.periodMillis;
 	}
 
-	void pairs(int active) {
-		this.periodMillis = this.settings.periodMillis(active);
+	void pairs(int active, int members) {
+		this.periodMillis = this.settings.periodMillis(active, members);
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointState.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointState.java
@@ -26,22 +26,13 @@
  */
 final class EndpointState {
 
-	/** How long the first request of an entry waits for the owner's answer. */
-	static final Duration FIRST_ANSWER = Duration.ofMillis(50);
-
 	private static final long IN_USE_FOR = Duration.ofSeconds(10).toNanos();
 
-	/** What was heard from the owner so lately still tells that work may begin here. */
-	private static final long HEARD_LATELY = Duration.ofSeconds(3).toNanos();
-
-	/** After so long without a demand, a former silence of the owner means nothing. */
-	private static final long FORGOTTEN = Duration.ofSeconds(5).toNanos();
-
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final EndpointLearner learner;
 
-	private final Amount floor;
+	private final HeldShare held;
 
 	private final OwnUse use = new OwnUse();
 
@@ -53,12 +44,6 @@
 
 	private Shard shard;
 
-	private HeldGrant grant;
-
-	private long epoch;
-
-	private long number;
-
 	private LoadReport report;
 
 	private long reportTakenAt;
@@ -69,17 +54,11 @@
 
 	private long usedAt = NEVER;
 
-	private long demandedAt = NEVER;
-
-	private long unansweredSince = NEVER;
-
-	private long heardAt = NEVER;
-
 	EndpointState(EndpointEntry entry, Shard shard, EndpointLearner learner, Amount floor) {
 		this.entry = entry;
 		this.shard = shard;
 		this.learner = learner;
-		this.floor = floor;
+		this.held = new HeldShare(floor);
 	}
 
 	EndpointEntry entry() {
@@ -110,18 +89,14 @@
 		return this.urgent;
 	}
 
-	long epoch() {
-		return this.epoch;
+	HeldShare held() {
+		return this.held;
 	}
 
 	LoadReport report() {
 		return this.report;
 	}
 
-	long demandedAt() {
-		return this.demandedAt;
-	}
-
 	/**
 	 * The daemon whose grant was applied last, or that another named as owner.
 	 * @return the owner if one is known
@@ -137,12 +112,8 @@
 	void update(EndpointEntry newer, Shard newShard) {
 		this.entry = newer;
 		if (!newShard.equals(this.shard)) {
-			// Epochs of different shards can't be compared: with the former shard's epoch
-			// kept, the new owner's grants might be ignored until its lease's number
-			// passes the former one, and the entry would live on its ownerless share.
 			this.shard = newShard;
-			this.epoch = 0;
-			this.number = 0;
+			this.held.moved();
 			this.owner = null;
 		}
 	}
@@ -156,15 +127,7 @@
 	}
 
 	boolean resigned() {
-		return this.grant == null && this.use.inUse().slots() == 0;
-	}
-
-	/**
-	 * Gives back the grant, because nothing has used it for a while.
-	 */
-	void resign() {
-		this.grant = null;
-		this.unansweredSince = NEVER;
+		return !this.held.granted() && this.use.inUse().slots() == 0;
 	}
 
 	boolean leaving() {
@@ -188,22 +151,7 @@
 	 * @return the share in force
 	 */
 	Amount share(long now, int sharing) {
-		if (this.grant != null && this.grant.live(now)) {
-			return this.grant.amount();
-		}
-		Amount equal = OwnerlessShare.equalSplit(capacity(), sharing);
-		if (this.grant != null) {
-			long since = now - this.grant.expiresAt();
-			return OwnerlessShare.of(this.grant.amount(), equal, this.floor, since, this.grant.lifetime());
-		}
-		long unanswered = unanswered(now);
-		if (unanswered >= OwnerlessShare.SETTLED.toNanos()) {
-			return equal.max(this.floor);
-		}
-		// An entry that has long been idle may have missed that the endpoint is leaving,
-		// so it asks first; if the owner is silent, work begins all the same.
-		boolean informed = now - this.heardAt < HEARD_LATELY;
-		return (informed || unanswered >= FIRST_ANSWER.toNanos()) ? this.floor : Amount.NONE;
+		return this.held.amount(now, OwnerlessShare.equalSplit(capacity(), sharing));
 	}
 
 	/**
@@ -235,25 +183,10 @@
 	 * @return whether it was applied
 	 */
 	boolean apply(GrantItem item, VmId from, long expiresAt, long lifetime, long now) {
-		if (item.shard() != this.shard.code() || item.epoch() < this.epoch) {
+		if (item.shard() != this.shard.code() || !this.held.apply(item, expiresAt, lifetime, now)) {
 			return false;
 		}
-		boolean newEpoch = item.epoch() > this.epoch;
-		if (item.number() != GrantItem.REPORT_ONLY) {
-			if (!newEpoch && item.number() <= this.number) {
-				return false;
-			}
-			this.number = item.number();
-			this.grant = new HeldGrant(item.epoch(), item.number(), new Amount(item.slots(), item.kvTokens()),
-					expiresAt, lifetime);
-		}
-		else if (newEpoch) {
-			this.number = 0;
-		}
-		this.epoch = item.epoch();
 		this.owner = from;
-		this.unansweredSince = NEVER;
-		this.heardAt = now;
 		this.ownerSaysLeaving = item.leaving();
 		if (item.report() != null) {
 			reported(item.report(), item.leaving(), now);
@@ -262,15 +195,12 @@
 	}
 
 	DemandItem demand(long now) {
-		if (this.unansweredSince == NEVER || now - this.demandedAt > FORGOTTEN) {
-			this.unansweredSince = now;
-		}
-		this.demandedAt = now;
-		Amount held = (this.grant != null && this.grant.live(now)) ? this.grant.amount() : Amount.NONE;
+		this.held.demanded(now);
+		Amount live = this.held.live(now);
 		Amount inUse = this.use.inUse();
 		Amount wanted = wanted(now);
-		return new DemandItem(this.entry.name(), this.shard.code(), this.epoch, this.number, held.slots(),
-				held.kvTokens(), inUse.slots(), inUse.kvTokens(), wanted.slots(), wanted.kvTokens(),
+		return new DemandItem(this.entry.name(), this.shard.code(), this.held.epoch(), this.held.number(), live.slots(),
+				live.kvTokens(), inUse.slots(), inUse.kvTokens(), wanted.slots(), wanted.kvTokens(),
 				this.unmet.largestKv(now), leaving(), GrantedReport.modelsHash(this.report));
 	}
 
@@ -289,11 +219,6 @@
 				this.learner.penaltySeconds(now), this.learner.readmitting(now));
 	}
 
-	private long unanswered(long now) {
-		boolean asking = this.unansweredSince != NEVER && now - this.demandedAt <= FORGOTTEN;
-		return asking ? now - this.unansweredSince : 0;
-	}
-
 	private Amount capacity() {
 		return (this.report != null) ? new Amount(this.report.slots(), this.report.kvCapacity()) : Amount.NONE;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/GrantedEndpointPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/GrantedEndpointPool.java
@@ -237,7 +237,7 @@
 			return;
 		}
 		Configuration current = this.configuration.current();
-		this.subsets.update(current);
+		this.subsets.update(current, this.membership.members().size());
 		remap();
 		List<EndpointState> news = new ArrayList<>();
 		for (EndpointState state : this.states.values()) {
@@ -283,7 +283,7 @@
 	private void awaitFirstAnswers() {
 		if (!this.awaiting) {
 			this.awaiting = true;
-			this.scheduler.schedule(EndpointState.FIRST_ANSWER.plusMillis(1), () -> {
+			this.scheduler.schedule(HeldShare.FIRST_ANSWER.plusMillis(1), () -> {
 				this.awaiting = false;
 				room();
 			});
@@ -329,7 +329,7 @@
 
 	private void redirected(Incarnation from, Redirect redirect) {
 		EndpointState state = this.states.get(redirect.endpoint());
-		if (state != null && redirect.epoch() >= state.epoch()) {
+		if (state != null && redirect.epoch() >= state.held().epoch()) {
 			state.knownOwner(redirect.owner());
 			this.demands.soon(state);
 		}
@@ -338,7 +338,7 @@
 	private void announced(Incarnation from, OwnerAnnounced announcement) {
 		Shard shard = Shard.of(announcement.dataCentre(), announcement.shard());
 		for (EndpointState state : this.states.values()) {
-			if (state.shard().equals(shard) && announcement.epoch() > state.epoch()) {
+			if (state.shard().equals(shard) && announcement.epoch() > state.held().epoch()) {
 				state.knownOwner(from.vm());
 				this.demands.soon(state);
 			}
@@ -354,7 +354,7 @@
 		Set<EndpointEntry> contacts = this.subsets.contacts(now);
 		contacts.forEach(this::contact);
 		int active = (int) this.states.values().stream().filter((state) -> state.active(now)).count();
-		this.demands.pairs(active);
+		this.demands.pairs(active, this.membership.members().size());
 		List<EndpointState> due = new ArrayList<>();
 		for (EndpointState state : this.states.values()) {
 			if (due(state, contacts, now)) {
@@ -365,12 +365,12 @@
 	}
 
 	private boolean due(EndpointState state, Set<EndpointEntry> contacts, long now) {
-		long since = now - state.demandedAt();
+		long since = now - state.held().demandedAt();
 		if (state.active(now)) {
 			return since >= this.demands.periodMillis() * 1_000_000L - TICK.toNanos() / 2;
 		}
 		if (!state.resigned()) {
-			state.resign();
+			state.held().resign();
 			return true;
 		}
 		return contacts.contains(state.entry()) && since >= this.settings.idlePeriod().toNanos();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/PoolDump.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/PoolDump.java
@@ -37,7 +37,7 @@
 
 		private static State of(EndpointState state, long now, int sharing) {
 			String owner = state.knownOwner().map(Object::toString).orElse("");
-			return new State(state.entry().name().value(), owner, state.epoch(), state.share(now, sharing),
+			return new State(state.entry().name().value(), owner, state.held().epoch(), state.share(now, sharing),
 					state.use().inUse(), state.leaving(), state.learner().ejected(now));
 		}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/Subsets.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/Subsets.java
@@ -45,6 +45,8 @@
 
 	private int size;
 
+	private int maxPairs;
+
 	Subsets(EndpointSettings settings, VmId self, DataCentre dataCentre) {
 		this.settings = settings;
 		this.self = self;
@@ -52,8 +54,9 @@
 		this.size = settings.subsetSize();
 	}
 
-	void update(Configuration newer) {
+	void update(Configuration newer, int members) {
 		this.configuration = newer;
+		this.maxPairs = this.settings.maxPairs(members);
 		this.chosen.clear();
 	}
 
@@ -85,7 +88,7 @@
 		this.usedAt.values().removeIf((used) -> now - used > SERVICE_IN_USE_FOR);
 		resize(now);
 		Set<EndpointEntry> result = new LinkedHashSet<>();
-		if (this.configuration.register().endpoints().size() <= this.settings.maxPairs()) {
+		if (this.configuration.register().endpoints().size() <= this.maxPairs) {
 			this.configuration.register().services().forEach((service) -> result.addAll(of(service.name())));
 		}
 		this.usedAt.keySet().forEach((service) -> result.addAll(of(service)));
@@ -94,9 +97,9 @@
 
 	private void resize(long now) {
 		int inUse = Math.max(1, this.usedAt.size());
-		int affordable = Math.max(SMALLEST, this.settings.maxPairs() / inUse);
+		int affordable = Math.max(SMALLEST, this.maxPairs / inUse);
 		int wanted = Math.min(this.settings.subsetSize(), affordable);
-		boolean all = this.configuration.register().endpoints().size() <= this.settings.maxPairs();
+		boolean all = this.configuration.register().endpoints().size() <= this.maxPairs;
 		int next = all ? this.settings.subsetSize() : wanted;
 		if (next != this.size) {
 			this.size = next;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GrantedEndpointPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GrantedEndpointPoolTests.java
@@ -21,8 +21,8 @@
  */
 class GrantedEndpointPoolTests {
 
-	private final EndpointFleet fleet = new EndpointFleet(EndpointSettings.builder().maxPairs(1).build(), 2, "e1",
-			"e2");
+	private final EndpointFleet fleet = new EndpointFleet(EndpointSettings.builder().smallFleet(1).maxPairs(1).build(),
+			2, "e1", "e2");
 
 	private final ManualScheduler scheduler = this.fleet.scheduler;
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/owner/EndpointAccountTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/owner/EndpointAccountTests.java
@@ -131,8 +131,8 @@
 
 	private void restart(int index) {
 		Entry dead = this.entries.get(index);
-		this.account.died(dead.incarnation.vm(), this.now);
-		if (this.account.entries().stream().noneMatch((each) -> each.entry().equals(dead.incarnation))) {
+		this.account.entries().died(dead.incarnation.vm(), this.now);
+		if (this.account.entries().all().stream().noneMatch((each) -> each.entry().equals(dead.incarnation))) {
 			this.entries.set(index, new Entry(index, dead.incarnation.start() + 1));
 		}
 	}
