Split the endpoint pool, its owner and the reservations by duty

An owner asks an idle endpoint for a fresh report as soon as somebody uses it, since the one it has may be five seconds old.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
@@ -17,6 +17,11 @@
 	/** What the frames of a demand and its grant cost beyond their items. */
 	static final int EXCHANGE_BYTES = 50;
 
+	/** What a report costs on the wire, both ways, with HTTP headers. */
+	private static final int REPORT_BYTES = 500;
+
+	private static final int REPORT_BYTES_PER_SECOND = 1_500;
+
 	private static final int MAX_PERIOD_MILLIS = 2_000;
 
 	private static final int RENEWALS_PER_LIFETIME = 2;
@@ -85,8 +90,16 @@
 		return this.idlePeriod;
 	}
 
-	public Duration reportPeriod() {
-		return this.reportPeriod;
+	/**
+	 * How often an owner asks endpoints in use for their reports.
+	 * @param endpoints how many it asks
+	 * @param members how many daemons there are
+	 * @return the period
+	 */
+	public Duration reportPeriod(int endpoints, int members) {
+		Duration affordable = Duration.ofMillis(1_000L * endpoints * REPORT_BYTES / REPORT_BYTES_PER_SECOND);
+		boolean limited = members > this.smallFleet && affordable.compareTo(this.reportPeriod) > 0;
+		return limited ? affordable : this.reportPeriod;
 	}
 
 	public Duration reportIdlePeriod() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/HoldBook.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/HoldBook.java
@@ -1,24 +1,16 @@
 package org.bramleyscale.internal.endpoint.owner;
 
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.configuration.EndpointEntry;
 import org.bramleyscale.internal.endpoint.Amount;
-import org.bramleyscale.internal.endpoint.EngineClient;
-import org.bramleyscale.internal.endpoint.EngineHold;
-import org.bramleyscale.internal.endpoint.HoldTimes;
 import org.bramleyscale.internal.endpoint.Refused;
 import org.bramleyscale.internal.endpoint.Reserved;
 import org.bramleyscale.internal.peer.PeerMessage;
@@ -39,38 +31,27 @@
 
 	private static final int LONGEST_QUEUE = 8;
 
-	private static final long RETRY = Duration.ofMillis(250).toNanos();
-
-	private static final long CALL_LIMIT = Duration.ofSeconds(2).toNanos();
-
 	private final Clock clock;
 
-	private final EngineClient engines;
-
 	private final EndpointAccount account;
 
-	private final BooleanSupplier leaseHeld;
-
 	private final BiConsumer<VmId, PeerMessage> sender;
 
 	private final Map<String, MemoryHold> holds = new LinkedHashMap<>();
 
 	private EndpointEntry engine;
 
-	private long listedAt;
-
-	private boolean listed;
-
-	HoldBook(EndpointEntry engine, Clock clock, EngineClient engines, EndpointAccount account,
-			BooleanSupplier leaseHeld, BiConsumer<VmId, PeerMessage> sender) {
+	HoldBook(EndpointEntry engine, Clock clock, EndpointAccount account, BiConsumer<VmId, PeerMessage> sender) {
 		this.engine = engine;
 		this.clock = clock;
-		this.engines = engines;
 		this.account = account;
-		this.leaseHeld = leaseHeld;
 		this.sender = sender;
 	}
 
+	EndpointEntry engine() {
+		return this.engine;
+	}
+
 	Collection<MemoryHold> holds() {
 		return this.holds.values();
 	}
@@ -120,7 +101,6 @@
 			// the next comparison and the holder is told.
 			hold = new MemoryHold(id, holder, kvTokens, MemoryHold.State.HELD, now);
 			this.holds.put(id, hold);
-			this.listed = false;
 		}
 		if (hold.state() == MemoryHold.State.RELEASING) {
 			refuse(holder, id, Refused.Reason.LOST);
@@ -153,191 +133,91 @@
 	}
 
 	/**
-	 * Does what is due: ends silent holds, places the one that waits longest, renews and
-	 * releases at the engine, and compares the lists.
+	 * The hold that has waited longest, if it can be placed now. One that never can be is
+	 * refused.
+	 * @return the hold
 	 */
-	void progress() {
+	Optional<MemoryHold> placeable() {
 		long now = this.clock.nanos();
-		for (MemoryHold hold : List.copyOf(this.holds.values())) {
-			endSilent(hold, now);
-			renewAtEngine(hold, now);
-			releaseAtEngine(hold, now);
-		}
-		place(now);
-		account();
-		compare(now);
-	}
-
-	private void repeated(MemoryHold hold, long now) {
-		hold.heard(now);
-		if (hold.state() == MemoryHold.State.HELD) {
-			this.sender.accept(hold.holder().vm(), new Reserved(this.engine.name(), hold.id()));
-		}
-		else if (hold.state() == MemoryHold.State.RELEASING) {
-			refuse(hold.holder(), hold.id(), Refused.Reason.LOST);
-		}
-	}
-
-	private List<MemoryHold> waiting() {
-		return this.holds.values().stream().filter((hold) -> !hold.occupies()).toList();
-	}
-
-	private void endSilent(MemoryHold hold, long now) {
-		long silent = now - hold.heardAt();
-		if (silent < HoldTimes.SILENCE.toNanos()) {
-			return;
-		}
-		if (!hold.occupies()) {
-			this.holds.remove(hold.id());
-		}
-		else if (this.leaseHeld.getAsBoolean()) {
-			// Without the lease another owner may be hearing the holder, and a release
-			// would take the memory from under a running request.
-			hold.state(MemoryHold.State.RELEASING);
-		}
-		else if (silent > HoldTimes.SILENCE.plus(HoldTimes.ENGINE_LIFETIME).toNanos()) {
-			this.holds.remove(hold.id());
-		}
-	}
-
-	private void place(long now) {
 		Optional<MemoryHold> head = waiting().stream().findFirst();
 		if (head.isEmpty() || this.account.report() == null || now < head.get().deferredUntil()) {
-			return;
+			return Optional.empty();
 		}
-		MemoryHold hold = head.get();
-		Amount needed = needed(hold);
+		Amount needed = needed(head.get());
 		if (!needed.within(this.account.holdable())) {
-			this.holds.remove(hold.id());
-			refuse(hold.holder(), hold.id(), Refused.Reason.TOO_LARGE);
-		}
-		else if (heldAmount().plus(needed).within(this.account.holdable()) && this.account.free(needed, now)) {
-			hold.state(MemoryHold.State.PLACING);
-			ask(hold, now);
+			this.holds.remove(head.get().id());
+			refuse(head.get().holder(), head.get().id(), Refused.Reason.TOO_LARGE);
+			return Optional.empty();
 		}
+		boolean possible = heldAmount().plus(needed).within(this.account.holdable());
+		return head.filter((hold) -> possible && this.account.free(needed, now));
 	}
 
-	private void renewAtEngine(MemoryHold hold, long now) {
-		boolean heard = now - hold.heardAt() < HoldTimes.SILENCE.toNanos();
-		boolean due = now - hold.placedAt() >= HoldTimes.ENGINE_RENEW_PERIOD.toNanos();
-		if (hold.state() == MemoryHold.State.HELD && heard && due) {
-			ask(hold, now);
-		}
-		else if (hold.state() == MemoryHold.State.PLACING && now - hold.placedAt() >= CALL_LIMIT) {
-			ask(hold, now);
-		}
+	Optional<MemoryHold> find(String id) {
+		return Optional.ofNullable(this.holds.get(id));
 	}
 
-	private void ask(MemoryHold hold, long now) {
-		hold.placed(now);
-		EngineHold wish = new EngineHold(hold.id(), hold.holder().toString(), hold.kvTokens(),
-				HoldTimes.ENGINE_LIFETIME);
-		this.engines.hold(this.engine, wish).whenComplete((kept, failure) -> answered(hold, kept, failure));
-	}
-
-	private void answered(MemoryHold hold, Boolean kept, Throwable failure) {
-		if (failure != null || this.holds.get(hold.id()) != hold || hold.state() == MemoryHold.State.RELEASING) {
-			return;
-		}
-		boolean wasPlacing = hold.state() == MemoryHold.State.PLACING;
-		if (Boolean.TRUE.equals(kept)) {
-			hold.state(MemoryHold.State.HELD);
-			if (wasPlacing) {
-				this.sender.accept(hold.holder().vm(), new Reserved(this.engine.name(), hold.id()));
-			}
-		}
-		else if (wasPlacing) {
-			hold.state(MemoryHold.State.WAITING);
-			hold.deferredUntil(this.clock.nanos() + RETRY);
-		}
-		else {
-			lose(hold);
-		}
-		account();
+	/**
+	 * Takes in a hold found at the engine that isn't in the book. A former owner placed
+	 * it, or its release was lost. Memory that nobody accounts for would stay lost until
+	 * the engine drops it; it shows as use in reports that no entry claims. Its holder
+	 * has the usual time to renew it.
+	 * @param hold the hold
+	 */
+	void adopt(MemoryHold hold) {
+		this.holds.put(hold.id(), hold);
 	}
 
-	private void releaseAtEngine(MemoryHold hold, long now) {
-		if (hold.state() != MemoryHold.State.RELEASING
-				|| (hold.calling() && now - hold.placedAt() < HoldTimes.RECONCILE_PERIOD.toNanos())) {
-			return;
-		}
-		hold.calling(true);
-		hold.placed(now);
-		this.engines.release(this.engine, hold.id()).whenComplete((done, failure) -> {
-			if (failure == null) {
-				this.holds.remove(hold.id(), hold);
-				account();
-			}
-		});
+	void remove(MemoryHold hold) {
+		this.holds.remove(hold.id(), hold);
 	}
 
-	private void compare(long now) {
-		long period = this.holds.isEmpty() ? HoldTimes.ENGINE_LIFETIME.toNanos() : HoldTimes.RECONCILE_PERIOD.toNanos();
-		boolean plainService = this.engine.models().isEmpty();
-		if (plainService || (this.listed && now - this.listedAt < period)) {
-			return;
-		}
-		this.listed = true;
-		this.listedAt = now;
-		this.engines.holds(this.engine).whenComplete((list, failure) -> {
-			if (failure == null) {
-				compared(list, now);
-			}
-		});
+	/**
+	 * Removes a hold that the engine no longer keeps, and tells its holder.
+	 * @param hold the hold
+	 */
+	void lose(MemoryHold hold) {
+		logger.infof("Engine %s no longer keeps hold %s", this.engine.name(), hold.id());
+		remove(hold);
+		refuse(hold.holder(), hold.id(), Refused.Reason.LOST);
 	}
 
-	private void compared(List<EngineHold> list, long askedAt) {
-		Set<String> atEngine = new HashSet<>();
-		for (EngineHold held : list) {
-			atEngine.add(held.hold());
-			if (!this.holds.containsKey(held.hold())) {
-				adopt(held);
-			}
-		}
-		for (MemoryHold hold : new ArrayList<>(this.holds.values())) {
-			boolean settled = hold.placedAt() - askedAt < 0;
-			if (!atEngine.contains(hold.id()) && settled) {
-				missing(hold);
-			}
-		}
-		account();
+	/**
+	 * Tells the holder that the engine keeps the memory.
+	 * @param hold the hold
+	 */
+	void confirm(MemoryHold hold) {
+		this.sender.accept(hold.holder().vm(), new Reserved(this.engine.name(), hold.id()));
 	}
 
-	private void adopt(EngineHold held) {
-		// A former owner placed it, or its release was lost. Memory that nobody accounts
-		// for would stay lost until the engine drops it; it shows as use in reports that
-		// no entry claims. Its holder has the usual time to renew it.
-		long now = this.clock.nanos();
-		Incarnation holder = Incarnation.parse(held.holder());
-		this.holds.put(held.hold(), new MemoryHold(held.hold(), holder, held.kvTokens(), MemoryHold.State.HELD, now));
+	/**
+	 * Enters what is held and what is collected in the account.
+	 */
+	void account() {
+		Amount held = heldAmount();
+		Amount wanted = waiting().stream().findFirst().map(HoldBook::needed).orElse(Amount.NONE);
+		boolean possible = held.plus(wanted).within(this.account.holdable());
+		this.account.hold(held, possible ? wanted : Amount.NONE, this.clock.nanos());
 	}
 
-	private void missing(MemoryHold hold) {
+	private void repeated(MemoryHold hold, long now) {
+		hold.heard(now);
 		if (hold.state() == MemoryHold.State.HELD) {
-			lose(hold);
+			confirm(hold);
 		}
 		else if (hold.state() == MemoryHold.State.RELEASING) {
-			this.holds.remove(hold.id());
+			refuse(hold.holder(), hold.id(), Refused.Reason.LOST);
 		}
 	}
 
-	private void lose(MemoryHold hold) {
-		logger.infof("Engine %s no longer keeps hold %s", this.engine.name(), hold.id());
-		this.holds.remove(hold.id());
-		refuse(hold.holder(), hold.id(), Refused.Reason.LOST);
+	private List<MemoryHold> waiting() {
+		return this.holds.values().stream().filter((hold) -> !hold.occupies()).toList();
 	}
 
 	private void refuse(Incarnation holder, String id, Refused.Reason reason) {
 		this.sender.accept(holder.vm(), new Refused(this.engine.name(), id, reason));
 	}
 
-	private void account() {
-		Amount held = heldAmount();
-		Amount wanted = waiting().stream().findFirst().map(HoldBook::needed).orElse(Amount.NONE);
-		boolean possible = held.plus(wanted).within(this.account.holdable());
-		this.account.hold(held, possible ? wanted : Amount.NONE, this.clock.nanos());
-	}
-
 	private Amount heldAmount() {
 		Amount sum = Amount.NONE;
 		for (MemoryHold hold : this.holds.values()) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
@@ -29,6 +29,8 @@
 
 	private static final long IN_USE_FOR = Duration.ofSeconds(10).toNanos();
 
+	private static final Duration FRESH_ENOUGH = Duration.ofMillis(250);
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final OwnedShard shard;
@@ -37,7 +39,7 @@
 
 	private final EndpointAccount account;
 
-	private final HoldBook holds;
+	private final HoldKeeper holds;
 
 	private final ReportPoller poller;
 
@@ -49,7 +51,7 @@
 
 	private long usedAt = NEVER;
 
-	OwnedEndpoint(EndpointEntry entry, OwnedShard shard, EndpointAccount account, HoldBook holds, Clock clock,
+	OwnedEndpoint(EndpointEntry entry, OwnedShard shard, EndpointAccount account, HoldKeeper holds, Clock clock,
 			EngineClient engines) {
 		this.entry = entry;
 		this.shard = shard;
@@ -77,11 +79,11 @@
 	}
 
 	HoldBook holds() {
-		return this.holds;
+		return this.holds.book();
 	}
 
 	boolean used() {
-		return this.clock.nanos() - this.usedAt < IN_USE_FOR || !this.holds.holds().isEmpty();
+		return this.clock.nanos() - this.usedAt < IN_USE_FOR || !this.holds.book().holds().isEmpty();
 	}
 
 	boolean leaving() {
@@ -90,7 +92,7 @@
 
 	void update(EndpointEntry newer) {
 		this.entry = newer;
-		this.holds.update(newer);
+		this.holds.book().update(newer);
 		checkLeaving();
 	}
 
@@ -119,6 +121,11 @@
 		if (entryAccount.resigned()) {
 			return item(entryAccount, GrantItem.REPORT_ONLY, Amount.NONE);
 		}
+		if (!used()) {
+			// While idle the report is asked for seldom; the first grant carries the old
+			// one, and the next a fresh one.
+			this.poller.poll(this.entry, FRESH_ENOUGH);
+		}
 		this.usedAt = now;
 		return grant(entryAccount, now);
 	}
@@ -173,7 +180,7 @@
 		LoadReport former = this.account.report();
 		this.account.reported(report);
 		if (former != null && former.boot() != report.boot()) {
-			this.holds.rebooted();
+			this.holds.book().rebooted();
 		}
 		checkLeaving();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointState.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointState.java
@@ -126,6 +126,10 @@
 		return this.use.inUse().slots() > 0 || now - this.usedAt < IN_USE_FOR;
 	}
 
+	boolean inUse() {
+		return this.use.inUse().slots() > 0;
+	}
+
 	boolean resigned() {
 		return !this.held.granted() && this.use.inUse().slots() == 0;
 	}
@@ -144,6 +148,10 @@
 		return this.entry.models().contains(model);
 	}
 
+	boolean usable(ModelName model, long now) {
+		return !leaving() && offers(model) && !this.learner.ejected(now);
+	}
+
 	/**
 	 * What may be in flight here in all.
 	 * @param now the time
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/GrantedEndpointPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/GrantedEndpointPool.java
@@ -1,37 +1,25 @@
 package org.bramleyscale.internal.endpoint.pool;
 
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.EndpointId;
-import org.bramleyscale.Incarnation;
 import org.bramleyscale.ModelName;
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.VmId;
-import org.bramleyscale.internal.configuration.Configuration;
 import org.bramleyscale.internal.configuration.ConfigurationSource;
 import org.bramleyscale.internal.configuration.EndpointEntry;
 import org.bramleyscale.internal.endpoint.Amount;
 import org.bramleyscale.internal.endpoint.EndpointPool;
 import org.bramleyscale.internal.endpoint.EndpointSettings;
-import org.bramleyscale.internal.endpoint.Grant;
-import org.bramleyscale.internal.endpoint.GrantItem;
 import org.bramleyscale.internal.endpoint.KnownEndpoints;
 import org.bramleyscale.internal.endpoint.LoadReport;
 import org.bramleyscale.internal.endpoint.Observation;
-import org.bramleyscale.internal.endpoint.OwnerAnnounced;
 import org.bramleyscale.internal.endpoint.Permit;
-import org.bramleyscale.internal.endpoint.Redirect;
-import org.bramleyscale.internal.endpoint.Shard;
-import org.bramleyscale.internal.endpoint.ShardMap;
 import org.bramleyscale.internal.membership.MembershipView;
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.routing.Candidate;
@@ -50,11 +38,6 @@
  */
 public final class GrantedEndpointPool implements EndpointPool, KnownEndpoints, StateDump {
 
-	private static final Duration TICK = Duration.ofMillis(250);
-
-	/** A request too large for any grant is asked for at so many endpoints. */
-	private static final int ASK_AT = 2;
-
 	private final Scheduler scheduler;
 
 	private final ConfigurationSource configuration;
@@ -63,45 +46,43 @@
 
 	private final PeerNetwork peers;
 
-	private final EndpointSettings settings;
+	private final EndpointDirectory directory;
 
-	private final Function<EndpointId, EndpointLearner> learners;
+	private final DemandSender demands;
 
-	private final Subsets subsets;
+	private final GrantReceiver grants;
 
-	private final DemandSender demands;
+	private final DemandCycle cycle;
 
-	private final Counter ignoredGrants;
+	private final WaitingRequests waiting;
 
-	private final Counter refusedPermits;
+	private final FirstAnswers firstAnswers;
 
-	private final Map<EndpointId, EndpointState> states = new LinkedHashMap<>();
+	private final Counter refusedPermits;
 
 	private final List<Runnable> roomListeners = new ArrayList<>();
 
-	private ShardMap shards;
-
 	private Cancellable ticking;
 
 	private boolean stopped;
 
-	private boolean awaiting;
-
 	private GrantedEndpointPool(Builder builder) {
 		this.scheduler = builder.scheduler;
 		this.configuration = builder.configuration;
 		this.membership = builder.membership;
 		this.peers = builder.peers;
-		this.settings = builder.settings;
-		this.learners = builder.learners;
-		VmId self = this.membership.self().vm();
-		this.subsets = new Subsets(this.settings, self, this.membership.dataCentre());
 		MetricRegistry metrics = builder.metrics;
-		this.demands = new DemandSender(this.scheduler, this.peers, this.settings, this::ownerOf,
+		this.directory = new EndpointDirectory(this.scheduler, this.configuration, this.membership, builder.settings,
+				builder.learners, this::contacted);
+		this.demands = new DemandSender(this.scheduler, this.peers, builder.settings, this.directory::ownerOf,
 				metrics.counter("endpoint.pool.demands"));
-		this.ignoredGrants = metrics.counter("endpoint.pool.grants.ignored");
+		this.grants = new GrantReceiver(this.scheduler, this.directory, this.demands, this::room,
+				metrics.counter("endpoint.pool.grants.ignored"));
+		this.cycle = new DemandCycle(this.scheduler, this.directory, this.demands, this.membership, builder.settings);
+		this.waiting = new WaitingRequests(this.scheduler, this.directory, this.demands);
+		this.firstAnswers = new FirstAnswers(this.scheduler, this::room);
 		this.refusedPermits = metrics.counter("endpoint.pool.permits.refused");
-		metrics.gauge("endpoint.pool.endpoints", () -> this.states::size);
+		metrics.gauge("endpoint.pool.endpoints", () -> () -> this.directory.all().size());
 	}
 
 	public static Builder builder() {
@@ -112,12 +93,10 @@
 	 * Begins to follow the configuration and to send demands.
 	 */
 	public void start() {
-		this.peers.listen(Grant.class, this::granted);
-		this.peers.listen(Redirect.class, this::redirected);
-		this.peers.listen(OwnerAnnounced.class, this::announced);
+		this.grants.listen(this.peers);
 		this.configuration.onChange((version) -> refresh());
-		this.membership.onChange(this::remap);
-		this.ticking = this.scheduler.repeat(TICK, this::tick);
+		this.membership.onChange(this.directory::remap);
+		this.ticking = this.scheduler.repeat(DemandCycle.TICK, this.cycle::run);
 		refresh();
 	}
 
@@ -129,11 +108,10 @@
 	@Override
 	public List<Candidate> candidates(ServiceName service, ModelName model) {
 		long now = this.scheduler.nanos();
-		int sharing = sharing();
+		int sharing = this.directory.sharing();
 		List<Candidate> healthy = new ArrayList<>();
 		List<Candidate> ejected = new ArrayList<>();
-		for (EndpointEntry entry : this.subsets.use(service, now)) {
-			EndpointState state = contact(entry);
+		for (EndpointState state : this.directory.use(service)) {
 			touch(state, now);
 			if (state.leaving() || !state.offers(model)) {
 				continue;
@@ -150,14 +128,14 @@
 		if (kvTokens < 0) {
 			throw new IllegalArgumentException("KV tokens must not be negative, were " + kvTokens);
 		}
-		EndpointState state = this.states.get(endpoint);
+		EndpointState state = this.directory.find(endpoint).orElse(null);
 		if (state == null || state.leaving()) {
 			return Optional.empty();
 		}
 		long now = this.scheduler.nanos();
 		touch(state, now);
 		Amount amount = new Amount(1, kvTokens);
-		if (!amount.within(state.left(now, sharing()))) {
+		if (!amount.within(state.left(now, this.directory.sharing()))) {
 			this.refusedPermits.inc();
 			state.unmet().mention(kvTokens, now);
 			this.demands.soon(state);
@@ -169,26 +147,12 @@
 
 	@Override
 	public void wanted(ServiceName service, ModelName model, long kvTokens) {
-		long now = this.scheduler.nanos();
-		List<EndpointState> able = new ArrayList<>();
-		for (EndpointEntry entry : this.subsets.use(service, now)) {
-			EndpointState state = contact(entry);
-			boolean usable = !state.leaving() && state.offers(model) && !state.learner().ejected(now);
-			if (usable && state.couldEverHold(kvTokens)) {
-				able.add(state);
-			}
-		}
-		able.sort(EndpointState.byRoom(now, sharing()));
-		for (EndpointState state : able.subList(0, Math.min(ASK_AT, able.size()))) {
-			state.touch(now);
-			state.unmet().mention(kvTokens, now);
-			this.demands.soon(state);
-		}
+		this.waiting.wanted(service, model, kvTokens);
 	}
 
 	@Override
 	public void observed(EndpointId endpoint, Observation observation) {
-		EndpointState state = this.states.get(endpoint);
+		EndpointState state = this.directory.find(endpoint).orElse(null);
 		if (state != null) {
 			state.learner().observed(observation, this.scheduler.nanos());
 		}
@@ -201,17 +165,16 @@
 
 	@Override
 	public Optional<LoadReport> report(EndpointId endpoint) {
-		return Optional.ofNullable(this.states.get(endpoint)).map(EndpointState::report);
+		return this.directory.find(endpoint).map(EndpointState::report);
 	}
 
 	@Override
 	public List<EndpointEntry> usable(ServiceName service, ModelName model) {
 		long now = this.scheduler.nanos();
 		List<EndpointEntry> result = new ArrayList<>();
-		for (EndpointEntry entry : this.subsets.use(service, now)) {
-			EndpointState state = contact(entry);
-			if (!state.leaving() && state.offers(model) && !state.learner().ejected(now)) {
-				result.add(entry);
+		for (EndpointState state : this.directory.use(service)) {
+			if (state.usable(model, now)) {
+				result.add(state.entry());
 			}
 		}
 		return result;
@@ -219,7 +182,7 @@
 
 	@Override
 	public Optional<VmId> owner(EndpointId endpoint) {
-		return Optional.ofNullable(this.states.get(endpoint)).flatMap(this::ownerOf);
+		return this.directory.find(endpoint).flatMap(this.directory::ownerOf);
 	}
 
 	@Override
@@ -229,46 +192,22 @@
 
 	@Override
 	public Object dump() {
-		return PoolDump.of(this.states.values(), this.demands.periodMillis(), this.scheduler.nanos(), sharing());
+		return PoolDump.of(this.directory.all(), this.demands.periodMillis(), this.scheduler.nanos(),
+				this.directory.sharing());
 	}
 
 	private void refresh() {
 		if (this.stopped) {
 			return;
 		}
-		Configuration current = this.configuration.current();
-		this.subsets.update(current, this.membership.members().size());
-		remap();
-		List<EndpointState> news = new ArrayList<>();
-		for (EndpointState state : this.states.values()) {
-			boolean left = state.leaving();
-			Optional<EndpointEntry> entry = current.endpoint(state.entry().name());
-			entry.ifPresent((newer) -> state.update(newer, this.shards.shard(newer)));
-			if (!left && state.leaving()) {
-				news.add(state);
-			}
-		}
-		this.states.values()
-			.removeIf((state) -> state.use().inUse().slots() == 0 && current.endpoint(state.entry().name()).isEmpty());
-		this.subsets.contacts(this.scheduler.nanos()).forEach(this::contact);
+		List<EndpointState> leaving = this.directory.refresh();
 		// The owner's configuration may be older; it then tells the other entries.
-		this.demands.send(news);
+		this.demands.send(leaving);
 		room();
 	}
 
-	private void remap() {
-		this.shards = new ShardMap(this.configuration.current().register(), this.membership.eligible());
-	}
-
-	private EndpointState contact(EndpointEntry entry) {
-		EndpointState state = this.states.get(entry.name());
-		if (state == null) {
-			Amount floor = new Amount(1, this.settings.floorKvTokens());
-			state = new EndpointState(entry, this.shards.shard(entry), this.learners.apply(entry.name()), floor);
-			this.states.put(entry.name(), state);
-			this.demands.soon(state);
-		}
-		return state;
+	private void contacted(EndpointState state) {
+		this.demands.soon(state);
 	}
 
 	private void touch(EndpointState state, long now) {
@@ -276,72 +215,7 @@
 		state.touch(now);
 		if (!wasActive) {
 			this.demands.soon(state);
-			awaitFirstAnswers();
-		}
-	}
-
-	private void awaitFirstAnswers() {
-		if (!this.awaiting) {
-			this.awaiting = true;
-			this.scheduler.schedule(HeldShare.FIRST_ANSWER.plusMillis(1), () -> {
-				this.awaiting = false;
-				room();
-			});
-		}
-	}
-
-	private int sharing() {
-		return Math.max(1, this.membership.eligible().size());
-	}
-
-	private Optional<VmId> ownerOf(EndpointState state) {
-		Optional<VmId> known = state.knownOwner().filter((vm) -> this.membership.member(vm).isPresent());
-		return known.isPresent() ? known : this.shards.owner(state.shard());
-	}
-
-	private void granted(Incarnation from, Grant grant) {
-		long now = this.scheduler.nanos();
-		long lifetime = grant.lifetimeMillis() * 1_000_000L;
-		long expiresAt = grant.demandSentMillis() * 1_000_000L + lifetime;
-		boolean more = false;
-		for (GrantItem item : grant.items()) {
-			EndpointState state = this.states.get(item.endpoint());
-			if (state == null) {
-				continue;
-			}
-			Amount before = state.share(now, sharing());
-			if (!state.apply(item, from.vm(), expiresAt, lifetime, now)) {
-				this.ignoredGrants.inc();
-				continue;
-			}
-			Amount after = state.share(now, sharing());
-			more |= !after.within(before);
-			if (!before.within(after)) {
-				// Another entry waits for what was taken back; it gets it once this
-				// entry has confirmed the smaller grant.
-				this.demands.soon(state);
-			}
-		}
-		if (more) {
-			room();
-		}
-	}
-
-	private void redirected(Incarnation from, Redirect redirect) {
-		EndpointState state = this.states.get(redirect.endpoint());
-		if (state != null && redirect.epoch() >= state.held().epoch()) {
-			state.knownOwner(redirect.owner());
-			this.demands.soon(state);
-		}
-	}
-
-	private void announced(Incarnation from, OwnerAnnounced announcement) {
-		Shard shard = Shard.of(announcement.dataCentre(), announcement.shard());
-		for (EndpointState state : this.states.values()) {
-			if (state.shard().equals(shard) && announcement.epoch() > state.held().epoch()) {
-				state.knownOwner(from.vm());
-				this.demands.soon(state);
-			}
+			this.firstAnswers.await();
 		}
 	}
 
@@ -349,33 +223,6 @@
 		this.roomListeners.forEach(Runnable::run);
 	}
 
-	private void tick() {
-		long now = this.scheduler.nanos();
-		Set<EndpointEntry> contacts = this.subsets.contacts(now);
-		contacts.forEach(this::contact);
-		int active = (int) this.states.values().stream().filter((state) -> state.active(now)).count();
-		this.demands.pairs(active, this.membership.members().size());
-		List<EndpointState> due = new ArrayList<>();
-		for (EndpointState state : this.states.values()) {
-			if (due(state, contacts, now)) {
-				due.add(state);
-			}
-		}
-		this.demands.send(due);
-	}
-
-	private boolean due(EndpointState state, Set<EndpointEntry> contacts, long now) {
-		long since = now - state.held().demandedAt();
-		if (state.active(now)) {
-			return since >= this.demands.periodMillis() * 1_000_000L - TICK.toNanos() / 2;
-		}
-		if (!state.resigned()) {
-			state.held().resign();
-			return true;
-		}
-		return contacts.contains(state.entry()) && since >= this.settings.idlePeriod().toNanos();
-	}
-
 	/**
 	 * Collects what the pool needs; not safe for use by multiple threads.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservations.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservations.java
@@ -14,14 +14,11 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import org.bramleyscale.EndpointId;
-import org.bramleyscale.ErrorCode;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.ModelName;
-import org.bramleyscale.Ran;
 import org.bramleyscale.RequestId;
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.ServingException;
-import org.bramleyscale.Step;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.endpoint.EngineClient;
 import org.bramleyscale.internal.endpoint.EngineHold;
@@ -57,10 +54,6 @@
 
 	private static final Logger logger = Logger.getLogger(GroupReservations.class);
 
-	private static final Duration PLAN_AGAIN = Duration.ofMillis(250);
-
-	private static final Duration RETRY_AFTER = Duration.ofSeconds(5);
-
 	/**
 	 * An owner that confirms nothing for so long may be gone, and in an outage of the
 	 * platform no other can follow it. The engine would then drop the memory of a running
@@ -83,7 +76,7 @@
 
 	private final Timer waits;
 
-	private final Set<Active> active = new LinkedHashSet<>();
+	private final Set<ActiveReservation> active = new LinkedHashSet<>();
 
 	private Cancellable ticking;
 
@@ -129,10 +122,10 @@
 		if (kvTokens < 1) {
 			throw new IllegalArgumentException("KV tokens to reserve must be at least 1, were " + kvTokens);
 		}
-		Active reservation = new Active(request, service, model, kvTokens, reserved, failed);
+		ActiveReservation reservation = new ActiveReservation(this, request, service, model, kvTokens, reserved,
+				failed);
 		this.active.add(reservation);
-		reservation.deadline = this.scheduler.schedule(within, reservation::timedOut);
-		this.scheduler.execute(reservation::plan);
+		reservation.start(within);
 		return reservation;
 	}
 
@@ -148,10 +141,26 @@
 
 	@Override
 	public Object dump() {
-		return this.active.stream().limit(ReservationDump.LONGEST).map(Active::dump).toList();
+		return this.active.stream().limit(ReservationDump.LONGEST).map(ActiveReservation::dump).toList();
+	}
+
+	Scheduler scheduler() {
+		return this.scheduler;
+	}
+
+	Timer waits() {
+		return this.waits;
 	}
 
-	private List<GroupPlan.Engine> known(ServiceName service, ModelName model, Set<?> avoided) {
+	Counter failures() {
+		return this.failures;
+	}
+
+	void ended(ActiveReservation reservation) {
+		this.active.remove(reservation);
+	}
+
+	List<GroupPlan.Engine> known(ServiceName service, ModelName model, Set<?> avoided) {
 		List<GroupPlan.Engine> result = new ArrayList<>();
 		this.endpoints.usable(service, model).forEach((entry) -> {
 			if (!avoided.contains(entry.name())) {
@@ -163,14 +172,15 @@
 	}
 
 	private void reserved(Incarnation from, Reserved message) {
-		for (Active reservation : List.copyOf(this.active)) {
-			if (reservation.progress.reserved(message.endpoint(), message.hold(), this.scheduler.nanos())) {
+		for (ActiveReservation reservation : List.copyOf(this.active)) {
+			if (reservation.progress().reserved(message.endpoint(), message.hold(), this.scheduler.nanos())) {
 				reservation.proceed();
 				return;
 			}
 		}
 		boolean known = this.active.stream()
-			.anyMatch((each) -> each.progress.held()
+			.anyMatch((each) -> each.progress()
+				.held()
 				.stream()
 				.anyMatch((held) -> held.hold().equals(message.hold()) && held.endpoint().equals(message.endpoint())));
 		if (!known) {
@@ -180,14 +190,14 @@
 	}
 
 	private void refused(Incarnation from, Refused message) {
-		for (Active reservation : List.copyOf(this.active)) {
-			boolean complete = reservation.progress.complete();
-			if (reservation.progress.refused(message)) {
+		for (ActiveReservation reservation : List.copyOf(this.active)) {
+			boolean complete = reservation.progress().complete();
+			if (reservation.progress().refused(message)) {
 				if (complete) {
 					logger.warnf("Engine %s lost hold %s in use", message.endpoint(), message.hold());
 				}
 				else {
-					reservation.again();
+					reservation.refused();
 				}
 				return;
 			}
@@ -197,26 +207,27 @@
 	private void renewed(Incarnation from, Renewed message) {
 		long now = this.scheduler.nanos();
 		for (String hold : message.holds()) {
-			this.active.forEach((reservation) -> reservation.progress.renewed(hold, now));
+			this.active.forEach((reservation) -> reservation.progress().renewed(hold, now));
 		}
 	}
 
 	private void redirected(Incarnation from, Redirect message) {
 		// The pool learns of the owner from the same message, possibly after this call.
 		this.scheduler.execute(() -> {
-			for (Active reservation : this.active) {
-				reservation.progress.next()
+			for (ActiveReservation reservation : this.active) {
+				reservation.progress()
+					.next()
 					.filter((next) -> next.endpoint().equals(message.endpoint()))
 					.ifPresent(this::ask);
 			}
 		});
 	}
 
-	private void ask(HeldMemory wanted) {
+	void ask(HeldMemory wanted) {
 		send(wanted.endpoint(), new Reserve(wanted.endpoint(), wanted.hold(), wanted.kvTokens()));
 	}
 
-	private void giveBack(HeldMemory held) {
+	void giveBack(HeldMemory held) {
 		send(held.endpoint(), new Release(held.endpoint(), held.hold()));
 	}
 
@@ -227,13 +238,13 @@
 	private void tick() {
 		long now = this.scheduler.nanos();
 		Map<VmId, List<HeldMemory>> byOwner = new HashMap<>();
-		for (Active reservation : List.copyOf(this.active)) {
-			reservation.progress.next().ifPresent(this::ask);
-			for (HeldMemory held : reservation.progress.held()) {
+		for (ActiveReservation reservation : List.copyOf(this.active)) {
+			reservation.progress().next().ifPresent(this::ask);
+			for (HeldMemory held : reservation.progress().held()) {
 				Optional<VmId> owner = this.endpoints.owner(held.endpoint());
 				owner.ifPresent((vm) -> byOwner.computeIfAbsent(vm, (key) -> new ArrayList<>()).add(held));
 			}
-			reservation.progress.unconfirmed(now, UNCONFIRMED).forEach(this::renewAtEngine);
+			reservation.progress().unconfirmed(now, UNCONFIRMED).forEach(this::renewAtEngine);
 		}
 		byOwner.forEach((owner, holds) -> this.peers.send(owner, new Renew(holds)));
 	}
@@ -248,98 +259,4 @@
 		});
 	}
 
-	/**
-	 * A reservation that waits or is held.
-	 */
-	private final class Active implements Reservation {
-
-		private final GroupReservation progress;
-
-		private final RequestId request;
-
-		private final ServiceName service;
-
-		private final ModelName model;
-
-		private final long kvTokens;
-
-		private final Consumer<List<GroupMember>> reserved;
-
-		private final Consumer<ServingException> failed;
-
-		private final Timer.Context wait = GroupReservations.this.waits.time();
-
-		private Cancellable deadline;
-
-		private Active(RequestId request, ServiceName service, ModelName model, long kvTokens,
-				Consumer<List<GroupMember>> reserved, Consumer<ServingException> failed) {
-			this.progress = new GroupReservation(request);
-			this.request = request;
-			this.service = service;
-			this.model = model;
-			this.kvTokens = kvTokens;
-			this.reserved = reserved;
-			this.failed = failed;
-		}
-
-		@Override
-		public void close() {
-			if (!this.progress.closed()) {
-				this.progress.close();
-				this.deadline.cancel();
-				GroupReservations.this.active.remove(this);
-				this.progress.giveUp().forEach(GroupReservations.this::giveBack);
-			}
-		}
-
-		private void plan() {
-			if (this.progress.closed() || this.progress.planned()) {
-				return;
-			}
-			List<GroupPlan.Engine> engines = known(this.service, this.model, this.progress.avoided());
-			Optional<List<GroupPlan.Part>> parts = GroupPlan.of(engines, this.kvTokens);
-			if (parts.isPresent()) {
-				this.progress.plan(parts.get());
-				this.progress.next().ifPresent(GroupReservations.this::ask);
-			}
-			else {
-				this.progress.avoided().clear();
-				GroupReservations.this.scheduler.schedule(PLAN_AGAIN, this::plan);
-			}
-		}
-
-		private void proceed() {
-			if (this.progress.complete()) {
-				this.deadline.cancel();
-				this.wait.stop();
-				this.reserved.accept(this.progress.members());
-			}
-			else {
-				this.progress.next().ifPresent(GroupReservations.this::ask);
-			}
-		}
-
-		private void again() {
-			this.progress.giveUp().forEach(GroupReservations.this::giveBack);
-			GroupReservations.this.scheduler.schedule(PLAN_AGAIN, this::plan);
-		}
-
-		private void timedOut() {
-			if (this.progress.closed() || this.progress.complete()) {
-				return;
-			}
-			String peer = this.progress.next().map((next) -> next.endpoint().value()).orElse("self");
-			close();
-			GroupReservations.this.failures.inc();
-			this.failed.accept(new ServingException(ErrorCode.OVERLOADED, Ran.NO, Step.RESERVE, peer,
-					"memory for " + this.kvTokens + " tokens could not be reserved in time", RETRY_AFTER));
-		}
-
-		private ReservationDump dump() {
-			return new ReservationDump(this.request.toString(), this.kvTokens, this.progress.complete(),
-					this.progress.held(), this.progress.next().orElse(null));
-		}
-
-	}
-
 }
