--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/ProblemThresholds.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/ProblemThresholds.java
@@ -18,8 +18,11 @@
 public record ProblemThresholds(Duration daemonSilence, Duration platformSilence, Duration reportAge, Duration queueAge,
 		int kvPercent, Duration failureWindow) {
 
-	/** Thresholds that suit a fleet whose heartbeats come each second. */
+	/**
+	 * Thresholds that suit a fleet whose heartbeats come each second and in which an idle
+	 * endpoint's report is up to five seconds old.
+	 */
 	public static final ProblemThresholds DEFAULT = new ProblemThresholds(Duration.ofSeconds(3), Duration.ofSeconds(10),
-			Duration.ofSeconds(5), Duration.ofSeconds(5), 95, Duration.ofMinutes(1));
+			Duration.ofSeconds(15), Duration.ofSeconds(5), 95, Duration.ofMinutes(1));
 
 }
--- a/daemon/src/main/java/org/bramleyscale/daemon/command/Change.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/command/Change.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.daemon.command;
 
 import java.io.PrintStream;
+import java.util.List;
 
 import org.bramleyscale.daemon.CommandException;
 import org.bramleyscale.daemon.ExitCode;
@@ -67,12 +68,7 @@
 
 	private ExitCode conflict(ApplyResult.Conflict conflict, boolean doubtful, boolean json, PrintStream err) {
 		if (!json) {
-			err.println("Conflict: the file was made from version " + conflict.baseVersion() + ", but version "
-					+ conflict.currentVersion() + " is in force. How your file differs from it:");
-			DocumentDiff
-				.lines("version " + conflict.currentVersion() + " in force", conflict.current(), "your file",
-						conflict.proposed())
-				.forEach(err::println);
+			conflict(conflict, err);
 		}
 		if (doubtful) {
 			err.println("An earlier daemon gave no answer: your change may have been in force before the other one");
@@ -84,6 +80,16 @@
 		return ExitCode.CONFLICT;
 	}
 
+	private static void conflict(ApplyResult.Conflict conflict, PrintStream err) {
+		err.println("Conflict: the file was made from version " + conflict.baseVersion() + ", but version "
+				+ conflict.currentVersion() + " is in force.");
+		List<String> lines = DocumentDiff.lines("version " + conflict.currentVersion() + " in force",
+				conflict.current(), "your file", conflict.proposed());
+		err.println(lines.isEmpty() ? "Your file says the same as what is in force."
+				: "How your file differs from what is in force:");
+		lines.forEach(err::println);
+	}
+
 	private ExitCode rejected(ApplyResult.Rejected rejected, boolean json, PrintStream err) {
 		if (!json) {
 			err.println("Rejected; nothing was changed:");
--- a/daemon/src/test/java/org/bramleyscale/daemon/command/OperatorCommandsTests.java
+++ b/daemon/src/test/java/org/bramleyscale/daemon/command/OperatorCommandsTests.java
@@ -101,6 +101,14 @@
 		Truth.assertThat(text(this.err)).contains("+urgent: []");
 	}
 
+	@Test
+	void conflictWithAnEqualDocumentSaysSo() throws Exception {
+		this.daemon.answerChangesWith(
+				CompletableFuture.completedFuture(new ApplyResult.Conflict(7, 9, "urgent: []\n", "urgent: []\n")));
+		Truth.assertThat(rules("apply", this.rules.toString())).isEqualTo(ExitCode.CONFLICT.status());
+		Truth.assertThat(text(this.err)).contains("Your file says the same as what is in force.");
+	}
+
 	@Test
 	void rejectionTellsAllProblems() throws Exception {
 		this.daemon.answerChangesWith(CompletableFuture
