Name holds so that engines take them, and tell health of late first tokens

Cause: (1) hold ids held a slash and stood unencoded in a URL's path, so an engine refused each hold and release; in the demonstration no prompt over 200,000 tokens completed. (2) The request slice tells the pool of first tokens that are late before they come, and nobody passed that on, so a slow endpoint went on getting work until its first late answer. Ruled out for (1): too little memory on the engines (the same prompts complete with another separator). Change: a dot separates request and round; the pool and its learners pass late first tokens on to the endpoints' health. Result: the new test fails with the slash and passes with the dot.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointLearner.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointLearner.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.endpoint.pool;
 
+import java.time.Duration;
+
 import org.bramleyscale.internal.endpoint.Observation;
 
 /**
@@ -17,6 +19,14 @@
 	 */
 	void observed(Observation observation, long now);
 
+	/**
+	 * Learns that an attempt has brought no first token yet.
+	 * @param waited how long the attempt has been there
+	 * @param predicted the time to first token predicted at sending
+	 */
+	default void overdue(Duration waited, Duration predicted) {
+	}
+
 	/**
 	 * The learnt speed of prompt computation.
 	 * @return tokens a second, or 0 if unknown
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/GrantedEndpointPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/GrantedEndpointPool.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.endpoint.pool;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -158,6 +159,11 @@
 		}
 	}
 
+	@Override
+	public void overdue(EndpointId endpoint, Duration waited, Duration predicted) {
+		this.directory.find(endpoint).ifPresent((state) -> state.learner().overdue(waited, predicted));
+	}
+
 	@Override
 	public void onRoom(Runnable listener) {
 		this.roomListeners.add(listener);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservation.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservation.java
@@ -64,7 +64,10 @@
 		this.round++;
 		this.steps.clear();
 		for (GroupPlan.Part part : parts) {
-			this.steps.add(new Step(part, this.request + "/" + this.round));
+			// A hold's id is part of a URL's path. A slash in it would name another path,
+			// and
+			// the engine would refuse every hold and every release.
+			this.steps.add(new Step(part, this.request + "." + this.round));
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/SharedLearners.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/SharedLearners.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.node;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -105,6 +106,11 @@
 			SharedLearners.this.health.observe(this.endpoint, observation);
 		}
 
+		@Override
+		public void overdue(Duration waited, Duration predicted) {
+			SharedLearners.this.health.overdue(this.endpoint, waited, predicted);
+		}
+
 		@Override
 		public double prefillTokensPerSecond() {
 			return SharedLearners.this.speeds.prefillTokensPerSecond(this.endpoint);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/EndpointMessagesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/EndpointMessagesTests.java
@@ -24,7 +24,7 @@
 	/** Bytes of a frame's length before its payload. */
 	private static final int FRAME_LENGTH = 4;
 
-	private static final String HOLD = "vm-17~m5x8k2ab~42/1";
+	private static final String HOLD = "vm-17~m5x8k2ab~42.1";
 
 	private static final LoadReport REPORT = new LoadReport(ENDPOINT, 1_796_000_000_123L, 86_400, 40, 12, 64, 180_000,
 			700_000, 1_200_000, false, List.of("quote-8b", "notice-vi-3b"));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GroupReservationTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GroupReservationTests.java
@@ -40,6 +40,20 @@
 		Truth.assertThat(heldKv()).isEqualTo(0);
 	}
 
+	@Test
+	void namesHoldsSoThatTheyFitIntoAPath() {
+		// Symptom: no prompt larger than one engine is ever served; engines refuse each
+		// hold. Sequence: a hold is taken over HTTP. Cause: a slash in the hold's id,
+		// which the engine reads as another path.
+		this.fleet.daemon("vm-1").reservations.reserve(RequestId.parse("vm-1~1~path"), EndpointFleet.SERVICE,
+				EndpointFleet.MODEL, 2_100_000, WITHIN,
+				(group) -> group.forEach((member) -> this.events.add(member.hold())), (failure) -> {
+				});
+		this.fleet.advance(Duration.ofSeconds(2));
+		Truth.assertThat(this.events).isNotEmpty();
+		this.events.forEach((hold) -> Truth.assertThat(hold).matches("[A-Za-z0-9._~-]+"));
+	}
+
 	@Test
 	void keepsHoldsWhileInUseForLongerThanAnyOfTheirLifetimes() {
 		reserve("vm-1", 2_100_000);
