Read and write long prompts off the HTTP threads

A long prompt took an HTTP thread for as long as its JSON was read or written, and every stream of that thread stood still meanwhile. Bodies above 128 KB are now handled by the blocking pool.

A server could listen before it knew the accounts and told its first caller 401, seen once in the tests under load; it now waits. A call without time left or with a path that is no URI is refused as not run instead of ending as unknown.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/Catalog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/Catalog.java
@@ -69,7 +69,7 @@
 	 * @return the account, or empty if no account has the key
 	 */
 	Optional<AccountRule> account(String authorization) {
-		if (authorization == null || !authorization.startsWith(SCHEME)) {
+		if (authorization == null || !authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
 			return Optional.empty();
 		}
 		String key = authorization.substring(SCHEME.length()).trim();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/CompletionHandler.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/CompletionHandler.java
@@ -9,6 +9,7 @@
 import org.bramleyscale.internal.configuration.ServiceEntry;
 import org.bramleyscale.internal.request.GenerateRequest;
 import org.bramleyscale.internal.request.RequestService;
+import ratpack.exec.Blocking;
 import ratpack.handling.Context;
 import ratpack.handling.Handler;
 import ratpack.http.TypedData;
@@ -21,6 +22,8 @@
  */
 final class CompletionHandler implements Handler {
 
+	private static final int LARGEST_ON_HTTP_THREAD = 128 << 10;
+
 	private final EntryGate gate;
 
 	private final RequestService requests;
@@ -48,8 +51,23 @@
 
 	private void take(Context context, AccountRule account, CallOptions options, TypedData data)
 			throws ServingException {
-		CompletionBody body = (this.kind == AnswerFormat.Kind.CHAT) ? CompletionBody.chat(data.getInputStream())
+		if (data.getBuffer().readableBytes() <= LARGEST_ON_HTTP_THREAD) {
+			take(context, account, options, read(data));
+			return;
+		}
+		// A service manual takes tens of milliseconds to read. On the HTTP thread all
+		// streams of that thread would stand still meanwhile; short answers would stutter
+		// whenever a long prompt arrives.
+		Blocking.get(() -> read(data)).then((body) -> take(context, account, options, body));
+	}
+
+	private CompletionBody read(TypedData data) throws ServingException {
+		return (this.kind == AnswerFormat.Kind.CHAT) ? CompletionBody.chat(data.getInputStream())
 				: CompletionBody.text(data.getInputStream());
+	}
+
+	private void take(Context context, AccountRule account, CallOptions options, CompletionBody body)
+			throws ServingException {
 		ServiceEntry service = this.gate.catalog().serviceOf(account, body.model());
 		GenerateRequest request = new GenerateRequest(options.id(), account.name(), service.name(),
 				new ModelName(body.model()), body.prompt(), body.maxTokens(),
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EntryServer.java
@@ -10,6 +10,7 @@
 import org.bramleyscale.internal.address.AddressBook;
 import org.bramleyscale.internal.configuration.ConfigurationSource;
 import org.bramleyscale.internal.request.RequestService;
+import org.bramleyscale.internal.status.StateDump;
 import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.Scheduler;
 import org.jboss.logging.Logger;
@@ -66,7 +67,7 @@
 	}
 
 	/**
-	 * Starts to listen.
+	 * Starts to listen. Blocks until the scheduler's thread has told the configuration.
 	 * @throws Exception if the address can't be used
 	 */
 	public void start() throws Exception {
@@ -83,6 +84,14 @@
 		return this.server.getBindPort();
 	}
 
+	/**
+	 * What operators see of it.
+	 * @return the number of answers being streamed
+	 */
+	public StateDump state() {
+		return new EntryDump(this.answers);
+	}
+
 	/**
 	 * Stops listening and closes all connections.
 	 * @throws Exception if that fails
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
@@ -4,7 +4,6 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.bramleyscale.ErrorCode;
@@ -25,10 +24,14 @@
 import org.bramleyscale.internal.endpoint.ServiceReply;
 import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.Scheduler;
+import ratpack.exec.Blocking;
+import ratpack.exec.Promise;
 import ratpack.func.Action;
+import ratpack.func.Factory;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
+import ratpack.http.client.StreamedResponse;
 
 /**
  * Calls endpoints over HTTP.
@@ -58,8 +61,6 @@
  */
 public final class HttpEngineClient implements EngineClient, AutoCloseable {
 
-	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-
 	private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
 	private static final Duration READ_MARGIN = Duration.ofSeconds(1);
@@ -67,25 +68,19 @@
 	/** The request's own deadline is kept by the caller of resume. */
 	private static final Duration RESUME_READ_TIMEOUT = Duration.ofHours(24);
 
-	private static final int LARGEST_REPLY = 32 << 20;
-
-	private static final int STREAM_POOL = 4096;
+	private static final int LARGEST_ON_HTTP_THREAD = 128 << 10;
 
 	private static final int HTTP_CONFLICT = 409;
 
 	private static final int HTTP_ERRORS = 400;
 
-	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD");
-
 	private final Scheduler scheduler;
 
 	private final HttpExecution http;
 
-	private final HttpClient streams;
-
 	private final Mailbox mailbox;
 
-	private final SuspectConnections suspects;
+	private final EngineConnections connections;
 
 	/**
 	 * Creates a client.
@@ -96,65 +91,70 @@
 		this.scheduler = scheduler;
 		this.http = http;
 		this.mailbox = new Mailbox(scheduler);
-		this.suspects = new SuspectConnections(scheduler, http.poolIdleTimeout());
-		// A stream holds its connection until its end. In one pool with the short calls,
-		// cancels and reports would wait behind the streams of a busy engine.
-		this.streams = streamClient(http);
-	}
-
-	private static HttpClient streamClient(HttpExecution http) {
-		try {
-			return HttpClient.of((spec) -> spec.execController(http.controller())
-				.poolSize(STREAM_POOL)
-				.idleTimeout(http.poolIdleTimeout())
-				.connectTimeout(CONNECT_TIMEOUT));
-		}
-		catch (Exception ex) {
-			throw new IllegalStateException("the HTTP client for streams can't be configured", ex);
-		}
+		this.connections = new EngineConnections(scheduler, http);
 	}
 
 	@Override
 	public void close() {
-		this.streams.close();
+		this.connections.close();
 	}
 
 	@Override
 	public Cancellable generate(EndpointEntry endpoint, EngineRequest request, EngineListener listener) {
 		EngineStream stream = stream(endpoint, request.id(), Step.START, listener);
 		if (request.timeLeft().isNegative() || request.timeLeft().isZero()) {
-			stream.refuse(new ServingException(ErrorCode.DEADLINE_EXCEEDED, Ran.NO, Step.START, endpoint.name().value(),
-					"no time was left to start"));
+			stream.refuse(notSent(endpoint, ErrorCode.DEADLINE_EXCEEDED, "no time was left"));
 			return stream;
 		}
 		stream.timer(this.scheduler.schedule(request.timeLeft(), () -> stream.timedOut(request.timeLeft())));
-		HttpClient client = trusted(endpoint) ? this.streams : this.http.freshClient();
-		open(client, stream, uri(endpoint, "/v1/generate"), (spec) -> {
-			spec.post().readTimeout(request.timeLeft().plus(READ_MARGIN));
-			spec.body((body) -> body.type(ErrorBody.JSON).bytes(EngineJson.request(request)));
-		});
+		HttpClient client = this.connections.forStream(endpoint);
+		URI uri = uri(endpoint, "/v1/generate");
+		open(stream, () -> body(request).flatMap((bytes) -> client.requestStream(uri, (spec) -> {
+			configure(spec.post(), request.timeLeft().plus(READ_MARGIN));
+			spec.body((body) -> body.type(ErrorBody.JSON).bytes(bytes));
+		})));
 		return stream;
 	}
 
+	/**
+	 * Writes the order. Writing a long prompt takes long enough to hold up all streams of
+	 * the HTTP thread, so it is done on another.
+	 * @param request the order
+	 * @return its JSON
+	 */
+	private static Promise<byte[]> body(EngineRequest request) {
+		if (request.prompt().length() <= LARGEST_ON_HTTP_THREAD) {
+			return Promise.sync(() -> EngineJson.request(request));
+		}
+		return Blocking.get(() -> EngineJson.request(request));
+	}
+
 	@Override
 	public Cancellable resume(EndpointEntry endpoint, RequestId id, int attempt, long offset, EngineListener listener) {
-		this.suspects.failed(endpoint.address());
+		this.connections.failed(endpoint);
 		EngineStream stream = stream(endpoint, id, Step.RESUME, listener);
 		URI uri = uri(endpoint, attemptPath(id, attempt) + "/stream?offset=" + offset);
-		open(this.http.freshClient(), stream, uri, (spec) -> spec.get().readTimeout(RESUME_READ_TIMEOUT));
+		open(stream,
+				() -> this.http.freshClient().requestStream(uri, (spec) -> configure(spec.get(), RESUME_READ_TIMEOUT)));
 		return stream;
 	}
 
 	private EngineStream stream(EndpointEntry endpoint, RequestId id, Step step, EngineListener listener) {
-		return new EngineStream(endpoint, id, step, listener, this.mailbox,
-				() -> this.suspects.failed(endpoint.address()));
+		return new EngineStream(endpoint, id, step, listener, this.mailbox, () -> this.connections.failed(endpoint));
 	}
 
-	private void open(HttpClient client, EngineStream stream, URI uri, Action<RequestSpec> request) {
-		this.http.controller().fork().onError(stream::broken).start((execution) -> client.requestStream(uri, (spec) -> {
-			spec.redirects(0).decompressResponse(false).connectTimeout(CONNECT_TIMEOUT);
-			request.execute(spec);
-		}).then(stream::received));
+	private void open(EngineStream stream, Factory<Promise<StreamedResponse>> request) {
+		this.http.controller()
+			.fork()
+			.onError(stream::broken)
+			.start((execution) -> request.create().then(stream::received));
+	}
+
+	private static void configure(RequestSpec spec, Duration readTimeout) {
+		spec.redirects(0)
+			.decompressResponse(false)
+			.connectTimeout(EngineConnections.CONNECT_TIMEOUT)
+			.readTimeout(readTimeout);
 	}
 
 	@Override
@@ -201,22 +201,26 @@
 
 	@Override
 	public CompletableFuture<ServiceReply> call(EndpointEntry endpoint, ServiceCall call) {
-		boolean pooled = SAFE_METHODS.contains(call.method()) && trusted(endpoint);
-		return send(endpoint, Step.START, call.timeLeft(), pooled, call.path(), (spec) -> {
-			spec.method(call.method()).maxContentLength(LARGEST_REPLY);
-			call.headers().forEach(spec.getHeaders()::set);
-			spec.getHeaders().set(CallOptions.REQUEST_ID, call.id().toString());
-			spec.getHeaders().set(CallOptions.TIMEOUT, call.timeLeft().toMillis());
-			if (call.body().length > 0) {
-				spec.getBody().bytes(call.body());
-			}
-		}, (response) -> new ServiceReply(response.getStatusCode(), PassedHeaders.of(response.getHeaders()),
-				response.getBody().getBytes()));
+		if (call.timeLeft().isNegative() || call.timeLeft().isZero()) {
+			return CompletableFuture.failedFuture(notSent(endpoint, ErrorCode.DEADLINE_EXCEEDED, "no time was left"));
+		}
+		if (!ServiceCallHttp.wellFormed(call.path())) {
+			return CompletableFuture
+				.failedFuture(notSent(endpoint, ErrorCode.BAD_REQUEST, "'" + call.path() + "' is not a path of a URI"));
+		}
+		HttpClient client = ServiceCallHttp.safe(call.method()) ? this.connections.forCall(endpoint)
+				: this.connections.fresh();
+		return send(endpoint, Step.START, call.timeLeft(), client, call.path(),
+				(spec) -> ServiceCallHttp.write(call, spec), ServiceCallHttp::reply);
+	}
+
+	private static ServingException notSent(EndpointEntry endpoint, ErrorCode code, String message) {
+		return new ServingException(code, Ran.NO, Step.START, endpoint.name().value(), message);
 	}
 
 	private <T> CompletableFuture<T> control(EndpointEntry endpoint, Step step, String path,
 			Action<RequestSpec> request, Reader<byte[], T> reader) {
-		return send(endpoint, step, CONTROL_TIMEOUT, trusted(endpoint), path, request, (response) -> {
+		return send(endpoint, step, CONTROL_TIMEOUT, this.connections.forCall(endpoint), path, request, (response) -> {
 			byte[] body = response.getBody().getBytes();
 			if (response.getStatusCode() == HTTP_CONFLICT) {
 				throw new ServingException(ErrorCode.CONFLICT, Ran.NO, step, endpoint.name().value(),
@@ -229,15 +233,11 @@
 		});
 	}
 
-	private <T> CompletableFuture<T> send(EndpointEntry endpoint, Step step, Duration limit, boolean pooled,
+	private <T> CompletableFuture<T> send(EndpointEntry endpoint, Step step, Duration limit, HttpClient client,
 			String path, Action<RequestSpec> request, Reader<ReceivedResponse, T> reader) {
-		HttpClient client = pooled ? this.http.client() : this.http.freshClient();
 		CompletableFuture<T> result = new CompletableFuture<>();
 		this.http.call(limit, () -> client.request(uri(endpoint, path), (spec) -> {
-			spec.redirects(0)
-				.decompressResponse(false)
-				.connectTimeout(CONNECT_TIMEOUT)
-				.readTimeout(limit.plus(READ_MARGIN));
+			configure(spec, limit.plus(READ_MARGIN));
 			request.execute(spec);
 		}).map(reader::read)).whenComplete((value, failure) -> {
 			if (failure == null) {
@@ -245,17 +245,13 @@
 				return;
 			}
 			if (!(failure instanceof ServingException)) {
-				this.suspects.failed(endpoint.address());
+				this.connections.failed(endpoint);
 			}
 			result.completeExceptionally(EngineFailure.of(endpoint.name(), step, Ran.UNKNOWN, failure));
 		});
 		return result;
 	}
 
-	private boolean trusted(EndpointEntry endpoint) {
-		return !this.suspects.suspect(endpoint.address());
-	}
-
 	private static String attemptPath(RequestId id, int attempt) {
 		return "/v1/attempts/" + id + "/" + attempt;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/PlainServiceHandler.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/PlainServiceHandler.java
@@ -1,7 +1,5 @@
 package org.bramleyscale.internal.http;
 
-import java.util.Set;
-
 import org.bramleyscale.internal.configuration.AccountRule;
 import org.bramleyscale.internal.configuration.ServiceEntry;
 import org.bramleyscale.internal.request.PlainRequest;
@@ -20,8 +18,6 @@
 
 	static final String PREFIX = "/v1/services/";
 
-	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD");
-
 	private final EntryGate gate;
 
 	private final RequestService requests;
@@ -54,7 +50,7 @@
 		int end = nameEnd(target);
 		ServiceEntry service = this.gate.catalog().plainService(account, target.substring(0, end));
 		String method = request.getMethod().getName();
-		boolean repeatable = options.repeatable().orElse(SAFE_METHODS.contains(method) || service.repeatable());
+		boolean repeatable = options.repeatable().orElse(ServiceCallHttp.safe(method) || service.repeatable());
 		String path = target.startsWith("/", end) ? target.substring(end) : "/" + target.substring(end);
 		return new PlainRequest(options.id(), account.name(), service.name(), method, path,
 				PassedHeaders.of(request.getHeaders()), body, repeatable, options.timeout().orElse(service.timeout()));
--- a/standins/src/main/java/org/bramleyscale/standins/engine/Attempt.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/Attempt.java
@@ -16,7 +16,7 @@
  */
 final class Attempt {
 
-	private Generation generation;
+	private final Generation generation;
 
 	private final ExpectedAnswer answer;
 
@@ -34,13 +34,13 @@
 
 	private Phase phase = Phase.WAITING;
 
-	Attempt(Generation generation, int promptTokens, long arrival) {
+	Attempt(Generation generation, long arrival) {
 		this.generation = generation;
-		this.answer = ExpectedAnswer.to(generation.prompt());
-		this.promptTokens = promptTokens;
+		this.answer = generation.prompt().answer();
+		this.promptTokens = generation.prompt().tokens();
 		this.arrival = arrival;
 		this.made = generation.firstOffset();
-		this.prefillLeft = promptTokens + generation.firstOffset();
+		this.prefillLeft = this.promptTokens + generation.firstOffset();
 	}
 
 	Generation generation() {
@@ -115,13 +115,6 @@
 		}
 	}
 
-	/**
-	 * Drops the prompt, since ended attempts are kept for a while and prompts are long.
-	 */
-	void forgetPrompt() {
-		this.generation = this.generation.withoutPrompt();
-	}
-
 	void forgetReaders() {
 		this.readers.clear();
 	}
--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineServer.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineServer.java
@@ -15,6 +15,8 @@
 import org.bramleyscale.internal.time.Scheduler;
 import org.bramleyscale.standins.http.Replies;
 import org.bramleyscale.standins.http.StandInServer;
+import ratpack.exec.Blocking;
+import ratpack.exec.Promise;
 import ratpack.func.Action;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
@@ -33,6 +35,8 @@
 
 	private static final int LARGEST_BODY = 64 << 20;
 
+	private static final int LARGEST_ON_HTTP_THREAD = 128 << 10;
+
 	private static final long STREAM_BUFFER = 8 << 20;
 
 	private static final byte[] EMPTY = EngineWire.json(Map.of());
@@ -116,20 +120,24 @@
 	}
 
 	private void generate(Context context) {
+		EventStream stream = stream(context);
 		context.getRequest().getBody().then((body) -> {
-			Generation generation = EngineWire.generation(body.getInputStream());
-			EventStream stream = stream(context);
-			onScheduler(context, (reply) -> {
-				if (this.state.has(Fault.DROP_STARTS)) {
-					this.state.generate(generation, new SilentListener());
-					stream.abort();
-					return;
-				}
-				this.state.generate(generation, new AttemptStream(stream, generation.key(), reply));
-			});
+			Promise<Generation> reading = (body.getBuffer().readableBytes() <= LARGEST_ON_HTTP_THREAD)
+					? Promise.sync(() -> EngineWire.generation(body.getInputStream()))
+					: Blocking.get(() -> EngineWire.generation(body.getInputStream()));
+			reading.then((generation) -> onScheduler(context, (reply) -> start(generation, stream, reply)));
 		});
 	}
 
+	private void start(Generation generation, EventStream stream, Consumer<Action<Context>> reply) {
+		if (this.state.has(Fault.DROP_STARTS)) {
+			this.state.generate(generation, new SilentListener());
+			stream.abort();
+			return;
+		}
+		this.state.generate(generation, new AttemptStream(stream, generation.key(), reply));
+	}
+
 	private void resume(Context context) {
 		AttemptKey key = key(context);
 		long offset = Long.parseLong(context.getRequest().getQueryParams().getOrDefault("offset", "0"));
--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
@@ -98,7 +98,7 @@
 			return;
 		}
 		this.counts.started(this.faults.contains(Fault.LEAVING));
-		Attempt attempt = new Attempt(generation, TokenCount.of(generation.prompt()), this.arrivals++);
+		Attempt attempt = new Attempt(generation, this.arrivals++);
 		this.memory.accepted(attempt);
 		this.attempts.put(generation.key(), attempt);
 		attempt.read(generation.firstOffset(), listener);
@@ -115,9 +115,8 @@
 		if (!this.orders.loaded(generation.model())) {
 			return new Refusal(ErrorCode.UNKNOWN_MODEL, "model '" + generation.model() + "' is not loaded");
 		}
-		if (!generation.delivered()
-			.equals(ExpectedAnswer.text(generation.prompt(), 0,
-					generation.delivered().isEmpty() ? 0 : generation.firstOffset()))) {
+		long delivered = generation.delivered().isEmpty() ? 0 : generation.firstOffset();
+		if (!generation.delivered().equals(generation.prompt().answer().text(0, delivered))) {
 			return new Refusal(ErrorCode.BAD_REQUEST, "the delivered text is not the beginning of the answer");
 		}
 		return memoryRefusal(generation);
@@ -129,7 +128,7 @@
 			return this.memory.kept(hold.get()) ? null
 					: new Refusal(ErrorCode.CONFLICT, "there is no hold '" + hold.get() + "'");
 		}
-		long needed = TokenCount.of(generation.prompt()) + (long) generation.maxTokens();
+		long needed = generation.prompt().tokens() + (long) generation.maxTokens();
 		if (needed > this.parameters.kvCapacity()) {
 			return new Refusal(ErrorCode.TOO_LARGE,
 					needed + " tokens are more than this engine's " + this.parameters.kvCapacity() + " and need holds");
@@ -268,7 +267,6 @@
 
 	private void ended(Attempt attempt) {
 		this.counts.ended();
-		attempt.forgetPrompt();
 		this.scheduler.schedule(this.parameters.keepEnded(),
 				() -> this.attempts.remove(attempt.generation().key(), attempt));
 	}
--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineWire.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineWire.java
@@ -42,7 +42,7 @@
 		List<String> holds = new ArrayList<>();
 		json.path("holds").forEach((hold) -> holds.add(hold.asText()));
 		return new Generation(new AttemptKey(json.path("id").asText(), json.path("attempt").asInt()),
-				json.path("model").asText(), json.path("prompt").asText(), json.path("delivered").asText(),
+				json.path("model").asText(), Prompt.of(json.path("prompt").asText()), json.path("delivered").asText(),
 				json.path("firstOffset").asLong(), json.path("maxTokens").asInt(), json.path("priority").asInt(),
 				holds);
 	}
--- a/standins/src/main/java/org/bramleyscale/standins/engine/Generation.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/Generation.java
@@ -15,7 +15,7 @@
  * @param priority larger goes first
  * @param holds the holds to use, as {@code endpoint=hold}, this engine's first
  */
-public record Generation(AttemptKey key, String model, String prompt, String delivered, long firstOffset, int maxTokens,
+public record Generation(AttemptKey key, String model, Prompt prompt, String delivered, long firstOffset, int maxTokens,
 		int priority, List<String> holds) {
 
 	public Generation {
@@ -30,9 +30,4 @@
 		return this.holds.stream().findFirst().map((hold) -> hold.substring(hold.indexOf('=') + 1));
 	}
 
-	Generation withoutPrompt() {
-		return new Generation(this.key, this.model, "", "", this.firstOffset, this.maxTokens, this.priority,
-				this.holds);
-	}
-
 }
--- a/standins/src/main/java/org/bramleyscale/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/PrefixCache.java
@@ -1,16 +1,13 @@
 package org.bramleyscale.standins.engine;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-import com.google.common.hash.Hashing;
 import org.bramleyscale.internal.endpoint.CacheEvent;
 import org.bramleyscale.internal.time.Clock;
 
@@ -25,8 +22,6 @@
  */
 final class PrefixCache {
 
-	private static final int BLOCK_CHARACTERS = 1024;
-
 	private static final int KEPT_EVENTS = 4096;
 
 	private final Clock clock;
@@ -54,22 +49,22 @@
 	 * @param prompt the prompt
 	 * @return tokens
 	 */
-	int cachedTokens(String prompt) {
+	int cachedTokens(Prompt prompt) {
 		int cached = 0;
-		for (Block block : blocks(prompt)) {
-			if (this.blocks.get(block.hash) == null) {
+		for (PrefixBlock block : prompt.blocks()) {
+			if (this.blocks.get(block.hash()) == null) {
 				return cached;
 			}
-			cached += block.tokens;
+			cached += block.tokens();
 		}
 		return cached;
 	}
 
-	void store(String prompt, long room) {
-		for (Block block : blocks(prompt)) {
-			if (this.blocks.put(block.hash, block.tokens) == null) {
-				this.tokens += block.tokens;
-				publish(block.hash, true);
+	void store(Prompt prompt, long room) {
+		for (PrefixBlock block : prompt.blocks()) {
+			if (this.blocks.put(block.hash(), block.tokens()) == null) {
+				this.tokens += block.tokens();
+				publish(block.hash(), true);
 			}
 		}
 		shrinkTo(room);
@@ -104,28 +99,6 @@
 		}
 	}
 
-	private static List<Block> blocks(String prompt) {
-		List<Block> blocks = new ArrayList<>();
-		long hash = 0;
-		for (int end = BLOCK_CHARACTERS; end <= prompt.length(); end += BLOCK_CHARACTERS) {
-			String text = prompt.substring(end - BLOCK_CHARACTERS, end);
-			hash = Hashing.farmHashFingerprint64()
-				.newHasher()
-				.putLong(hash)
-				.putString(text, StandardCharsets.UTF_8)
-				.hash()
-				.asLong();
-			blocks.add(new Block(hash, TokenCount.of(text)));
-		}
-		return blocks;
-	}
-
-	/**
-	 * A block of a prompt.
-	 */
-	private record Block(long hash, int tokens) {
-	}
-
 	/**
 	 * An event and when it happened.
 	 */
--- a/standins/src/test/java/org/bramleyscale/standins/engine/EngineStateTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/engine/EngineStateTests.java
@@ -190,7 +190,7 @@
 	}
 
 	private static Generation generation(String name, String prompt, int maxTokens, int priority, List<String> holds) {
-		return new Generation(key(name), "assist", prompt, "", 0, maxTokens, priority, holds);
+		return new Generation(key(name), "assist", Prompt.of(prompt), "", 0, maxTokens, priority, holds);
 	}
 
 	private static AttemptKey key(String name) {
--- a/standins/src/test/java/org/bramleyscale/standins/service/ServiceClientContractTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/service/ServiceClientContractTests.java
@@ -13,6 +13,7 @@
 import com.google.common.truth.Truth;
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.EndpointId;
+import org.bramleyscale.ErrorCode;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.Ran;
 import org.bramleyscale.RequestId;
@@ -84,7 +85,7 @@
 		// taken
 		// for a lost request.
 		fault(fault);
-		ServingException failure = failure(this.service.port(), "POST");
+		ServingException failure = failure(this.service.port(), "POST", "/bookings", LIMIT);
 		Truth.assertThat(failure.ran()).isEqualTo(Ran.UNKNOWN);
 		Truth.assertThat(failure.peer()).isEqualTo("yard-1");
 		Truth.assertThat(executions()).isEqualTo(executions);
@@ -93,7 +94,16 @@
 	@Test
 	void tellsThatNothingRanWhereNobodyListens() throws Exception {
 		this.service.kill();
-		Truth.assertThat(failure(this.service.port(), "POST").ran()).isEqualTo(Ran.NO);
+		Truth.assertThat(failure(this.service.port(), "POST", "/bookings", LIMIT).ran()).isEqualTo(Ran.NO);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/a|b, 500, BAD_REQUEST", "//, 500, BAD_REQUEST", "/bookings, 0, DEADLINE_EXCEEDED" })
+	void sendsNothingOfACallThatCannotBeMade(String path, long millis, ErrorCode code) throws Exception {
+		ServingException failure = failure(this.service.port(), "POST", path, Duration.ofMillis(millis));
+		Truth.assertThat(failure.code()).isEqualTo(code);
+		Truth.assertThat(failure.ran()).isEqualTo(Ran.NO);
+		Truth.assertThat(executions()).isEqualTo(0);
 	}
 
 	@Test
@@ -119,16 +129,20 @@
 	}
 
 	private ServiceReply call(int port, String method, String path, String body) throws Exception {
+		return call(port, method, path, body, LIMIT);
+	}
+
+	private ServiceReply call(int port, String method, String path, String body, Duration limit) throws Exception {
 		RequestId id = new RequestId(new Incarnation(new VmId("entry-1"), 36), "7");
 		ServiceCall call = new ServiceCall(id, method, path, Map.of("Content-Type", "text/plain"),
-				body.getBytes(StandardCharsets.UTF_8), LIMIT);
+				body.getBytes(StandardCharsets.UTF_8), limit);
 		return await(submit(() -> this.client.call(entry(port), call)));
 	}
 
-	private ServingException failure(int port, String method) throws Exception {
+	private ServingException failure(int port, String method, String path, Duration limit) throws Exception {
 		ServiceReply reply;
 		try {
-			reply = call(port, method, "/bookings", "x");
+			reply = call(port, method, path, "x", limit);
 		}
 		catch (ExecutionException ex) {
 			return (ServingException) ex.getCause();
