Notice a lost data centre before the configuration is stale

Cause: daemons that are cut off together confirm each other's version for as long as they count a majority of all daemons as answering. A data centre's silence showed only after 6 s, individual suspicion after up to 5.25 s, so two daemons cut off admitted requests by a version that had been replaced more than 5 s before.

Change: a data centre out of reach makes its members suspect after 3 s, as long as a single member's silence takes.

Ruled out: a version or confirmation passed on late; the trace shows the last confirmation 5.25 s old and only the agreement of the peer that was cut off too.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipTimes.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipTimes.java
@@ -26,9 +26,13 @@
 		Duration suspicion, Duration dataCentreSilence, Duration poll, Duration listLag, Duration settle,
 		Duration exchange, Duration longestUnsettled, Duration forgetDead) {
 
-	/** What daemons use unless a test says otherwise. */
+	/**
+	 * What daemons use unless a test says otherwise. A lost data centre must show before
+	 * the configuration counts as stale: daemons cut off together confirm each other's
+	 * version, and only the missing majority tells them that nobody else does.
+	 */
 	public static final MembershipTimes DEFAULT = new MembershipTimes(Duration.ofSeconds(1), Duration.ofSeconds(3),
-			Duration.ofMillis(600), Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofSeconds(6),
+			Duration.ofMillis(600), Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofSeconds(3),
 			Duration.ofSeconds(3), Duration.ofSeconds(30), Duration.ofMillis(700), Duration.ofSeconds(1),
 			Duration.ofSeconds(10), Duration.ofHours(1));
 
