Keep a part for short work by counting what began before a collection

While a reservation collected, the limit on entries fell with time alone. Work begun before it used the part kept for short work, so short requests stood still until long ones had ended; and an entry that collected for its own request went past the limit, so under steady backfill a reservation of 2.5 million tokens on three engines got nothing within a minute. Entries now tell how much of their use began before they heard of the collection; that comes on top of the part kept, which new work can't exceed. Letting the limit rise again after a while was ruled out: steady backfill then starves the reservation.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/DemandItem.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/DemandItem.java
@@ -18,7 +18,10 @@
  * @param kvLargest KV tokens of the largest request that waits; 0 if none waits
  * @param leaving whether the entry knows that the endpoint is leaving
  * @param models the hash of the model list the entry knows; 0 if none
+ * @param collection the collection of memory that the entry heard of last; 0 if none
+ * @param olderKv KV tokens of its requests begun before it heard of that collection
  */
 public record DemandItem(EndpointId endpoint, int shard, long epoch, long grant, int heldSlots, long heldKv,
-		int inFlight, long kvInUse, int slotsWanted, long kvWanted, long kvLargest, boolean leaving, int models) {
+		int inFlight, long kvInUse, int slotsWanted, long kvWanted, long kvLargest, boolean leaving, int models,
+		int collection, long olderKv) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
@@ -12,7 +12,7 @@
 public final class EndpointSettings {
 
 	/** How many bytes a demand and its grant cost for one endpoint, names included. */
-	static final int PAIR_BYTES = 130;
+	static final int PAIR_BYTES = 140;
 
 	/** What the frames of a demand and its grant cost beyond their items. */
 	static final int EXCHANGE_BYTES = 50;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/Balance.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/Balance.java
@@ -32,6 +32,8 @@
 
 	private final Amount free;
 
+	private final int collection;
+
 	private final long[] slotTargets;
 
 	private final long[] memoryTargets;
@@ -40,15 +42,18 @@
 	 * Computes the targets.
 	 * @param accounts the entries' accounts
 	 * @param bounds what each may have in flight
-	 * @param available what may be divided among entries
+	 * @param divisible what may be divided among entries
 	 * @param free what no entry can be using and nothing holds; negative if exceeded
+	 * @param collection the collection of memory under way, or 0; what entries began
+	 * before it isn't part of what is divided
 	 */
-	Balance(List<EntryAccount> accounts, List<Amount> bounds, Amount available, Amount free) {
+	Balance(List<EntryAccount> accounts, List<Amount> bounds, Amount divisible, Amount free, int collection) {
 		this.accounts = accounts;
 		this.bounds = bounds;
 		this.free = free;
-		this.slotTargets = withAhead(available.slots(), wantedSlots());
-		this.memoryTargets = memory((long) (available.kvTokens() * (1 - HOLD_HEADROOM)));
+		this.collection = collection;
+		this.slotTargets = withAhead(divisible.slots(), wantedSlots());
+		this.memoryTargets = memory((long) (divisible.kvTokens() * (1 - HOLD_HEADROOM)));
 	}
 
 	/**
@@ -61,7 +66,8 @@
 		if (index < 0) {
 			return Amount.NONE;
 		}
-		Amount target = new Amount((int) this.slotTargets[index], this.memoryTargets[index]);
+		long memory = this.memoryTargets[index] + entry.olderKv(this.collection);
+		Amount target = new Amount((int) this.slotTargets[index], memory);
 		return target.min(this.free.plus(this.bounds.get(index))).max(Amount.NONE);
 	}
 
@@ -76,8 +82,8 @@
 	private List<FairShares.Claim> wantedMemory(EntryAccount except) {
 		List<FairShares.Claim> claims = new ArrayList<>(this.accounts.size());
 		for (EntryAccount account : this.accounts) {
-			long wanted = (account != except) ? account.wanted().kvTokens() : 0;
-			claims.add(new FairShares.Claim(wanted, account.waitingSince()));
+			long wanted = (account != except) ? account.wanted().kvTokens() - account.olderKv(this.collection) : 0;
+			claims.add(new FairShares.Claim(Math.max(0, wanted), account.waitingSince()));
 		}
 		return claims;
 	}
@@ -88,7 +94,7 @@
 		if (collector == null) {
 			return targets;
 		}
-		long needed = collector.inUse().kvTokens() + collector.demand().kvLargest();
+		long needed = neededForNext(collector);
 		targets = FairShares.divide(available - needed, wantedMemory(collector));
 		targets[this.accounts.indexOf(collector)] = needed;
 		return targets;
@@ -98,7 +104,7 @@
 		List<EntryAccount> stuck = new ArrayList<>();
 		for (int i = 0; i < targets.length; i++) {
 			EntryAccount account = this.accounts.get(i);
-			long needed = account.inUse().kvTokens() + account.demand().kvLargest();
+			long needed = neededForNext(account);
 			boolean waits = account.demand().kvLargest() > 0 && needed > targets[i];
 			if (waits && needed <= available * (1 - SHORT_WORK_SHARE)) {
 				stuck.add(account);
@@ -107,6 +113,10 @@
 		return stuck.stream().min(Comparator.comparingLong(EntryAccount::waitingSince)).orElse(null);
 	}
 
+	private long neededForNext(EntryAccount account) {
+		return account.inUse().kvTokens() + account.demand().kvLargest() - account.olderKv(this.collection);
+	}
+
 	private static long[] withAhead(long available, List<FairShares.Claim> claims) {
 		long[] shares = FairShares.divide(Math.max(0, available), claims);
 		long left = available;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointAccount.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointAccount.java
@@ -71,6 +71,14 @@
 		return this.holding.held();
 	}
 
+	/**
+	 * The number of the collection of memory under way.
+	 * @return the number; 0 if there is none
+	 */
+	int collection() {
+		return this.holding.collection();
+	}
+
 	Amount unknownUse() {
 		return this.unknown.amount(knownUse());
 	}
@@ -89,10 +97,9 @@
 	 * Sets what is held for reservations.
 	 * @param amount memory and slots held
 	 * @param needed what a waiting reservation still needs
-	 * @param now the time
 	 */
-	void hold(Amount amount, Amount needed, long now) {
-		this.holding.set(amount, needed, this.entries.sum(EntryAccount::inUse), now);
+	void hold(Amount amount, Amount needed) {
+		this.holding.set(amount, needed);
 	}
 
 	/**
@@ -246,9 +253,10 @@
 			bounds.add(account.bound(now, equal, this.floor));
 		}
 		Amount rest = capacity().minus(held()).minus(unknownUse());
-		Amount available = this.holding.leftForEntries(capacity(), rest, now);
-		Amount free = spare(now).min(available.minus(committed(now)));
-		return new Balance(accounts, bounds, available, free);
+		Amount divisible = this.holding.divisible(capacity(), rest);
+		long olderKv = accounts.stream().mapToLong((account) -> account.olderKv(collection())).sum();
+		Amount free = spare(now).min(divisible.plus(new Amount(0, olderKv)).minus(committed(now)));
+		return new Balance(accounts, bounds, divisible, free, collection());
 	}
 
 	private Amount spare(long now) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryAccount.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryAccount.java
@@ -120,6 +120,18 @@
 		this.toldPeak = inUse();
 	}
 
+	/**
+	 * The KV tokens of requests begun before a collection of memory.
+	 * @param collection the collection; 0 if there is none
+	 * @return the tokens; all in use if the entry hasn't heard of the collection yet
+	 */
+	long olderKv(int collection) {
+		if (collection == 0) {
+			return 0;
+		}
+		return (this.demand.collection() == collection) ? this.demand.olderKv() : this.demand.kvInUse();
+	}
+
 	Amount wanted() {
 		return new Amount(this.demand.slotsWanted(), this.demand.kvWanted());
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/HoldBook.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/HoldBook.java
@@ -197,7 +197,7 @@
 		Amount held = heldAmount();
 		Amount wanted = waiting().stream().findFirst().map(HoldBook::needed).orElse(Amount.NONE);
 		boolean possible = held.plus(wanted).within(this.account.holdable());
-		this.account.hold(held, possible ? wanted : Amount.NONE, this.clock.nanos());
+		this.account.hold(held, possible ? wanted : Amount.NONE);
 	}
 
 	private void repeated(MemoryHold hold, long now) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/HoldingShare.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/HoldingShare.java
@@ -1,7 +1,5 @@
 package org.bramleyscale.internal.endpoint.owner;
 
-import java.time.Duration;
-
 import org.bramleyscale.internal.endpoint.Amount;
 
 /**
@@ -15,18 +13,11 @@
 	/** Of slots and memory, this part stays with entries however much is held. */
 	private static final double SHORT_WORK_SHARE = 0.15;
 
-	/**
-	 * So long after a reservation began to collect, entries have no more than is kept.
-	 */
-	private static final long COLLECTED_WITHIN = Duration.ofSeconds(10).toNanos();
-
 	private Amount held = Amount.NONE;
 
 	private Amount collecting = Amount.NONE;
 
-	private Amount usedBefore = Amount.NONE;
-
-	private long collectingSince;
+	private int collections;
 
 	Amount held() {
 		return this.held;
@@ -40,18 +31,23 @@
 	 * Sets what is held.
 	 * @param amount memory and slots held
 	 * @param needed what a waiting reservation still needs
-	 * @param used what entries use
-	 * @param now the time
 	 */
-	void set(Amount amount, Amount needed, Amount used, long now) {
-		if (!collects() && !needed.equals(Amount.NONE)) {
-			this.collectingSince = now;
-			this.usedBefore = used;
+	void set(Amount amount, Amount needed) {
+		if (!needed.equals(Amount.NONE) && !needed.equals(this.collecting)) {
+			this.collections++;
 		}
 		this.held = amount;
 		this.collecting = needed;
 	}
 
+	/**
+	 * The number of the collection under way.
+	 * @return the number; 0 if nothing is collected
+	 */
+	int collection() {
+		return collects() ? this.collections : 0;
+	}
+
 	/**
 	 * The most that may ever be held, so that short work always has a part.
 	 * @param capacity the endpoint's capacity
@@ -63,22 +59,20 @@
 	}
 
 	/**
-	 * What entries may have while a reservation collects: less and less, down to what it
-	 * leaves or the part kept for short work. Were everything that is freed given to it
-	 * at once, short work would stand still until the longest requests have ended.
+	 * What may be divided among entries. While a reservation collects, that is only the
+	 * part kept for short work; what was in flight when the collection began comes on
+	 * top, and goes to the reservation as it ends.
 	 * @param capacity the endpoint's capacity
 	 * @param rest what isn't held
-	 * @param now the time
 	 * @return the amount
 	 */
-	Amount leftForEntries(Amount capacity, Amount rest, long now) {
+	Amount divisible(Amount capacity, Amount rest) {
 		if (!collects()) {
 			return rest.max(Amount.NONE);
 		}
-		Amount kept = capacity.minus(holdable(capacity)).min(rest);
-		double passed = Math.min(1, (double) (now - this.collectingSince) / COLLECTED_WITHIN);
-		Amount shrinking = this.usedBefore.times(1 - passed).min(rest);
-		return rest.minus(this.collecting).max(kept).max(shrinking).max(Amount.NONE);
+		long keptKv = capacity.kvTokens() - holdable(capacity).kvTokens();
+		int slots = rest.slots() - this.collecting.slots();
+		return new Amount(slots, Math.min(keptKv, rest.kvTokens())).max(Amount.NONE);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoint.java
@@ -173,7 +173,7 @@
 			report = GrantedReport.of(this.account.report(), ageMillis, receiver.demand().models());
 		}
 		return new GrantItem(this.entry.name(), this.shard.shard().code(), this.shard.epoch(), number, amount.slots(),
-				amount.kvTokens(), leaving(), report);
+				amount.kvTokens(), leaving(), report, this.account.collection());
 	}
 
 	private void reported(LoadReport report) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointPermit.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointPermit.java
@@ -22,6 +22,8 @@
 
 	private final Runnable closed;
 
+	private final int generation;
+
 	private boolean open = true;
 
 	EndpointPermit(EndpointState state, Amount amount, int promptTokens, long now, Runnable closed) {
@@ -29,6 +31,7 @@
 		this.use = state.use();
 		this.amount = amount;
 		this.closed = closed;
+		this.generation = this.use.generation();
 		this.prefill = this.use.begin(amount, promptTokens, now);
 	}
 
@@ -49,7 +52,7 @@
 		}
 		this.open = false;
 		this.use.computed(this.prefill);
-		this.use.end(this.amount);
+		this.use.end(this.amount, this.generation);
 		this.closed.run();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointState.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/EndpointState.java
@@ -195,6 +195,7 @@
 			return false;
 		}
 		this.owner = from;
+		this.use.collecting(item.collection());
 		this.ownerSaysLeaving = item.leaving();
 		if (item.report() != null) {
 			reported(item.report(), item.leaving(), now);
@@ -209,7 +210,8 @@
 		Amount wanted = wanted(now);
 		return new DemandItem(this.entry.name(), this.shard.code(), this.held.epoch(), this.held.number(), live.slots(),
 				live.kvTokens(), inUse.slots(), inUse.kvTokens(), wanted.slots(), wanted.kvTokens(),
-				this.unmet.largestKv(now), leaving(), GrantedReport.modelsHash(this.report));
+				this.unmet.largestKv(now), leaving(), GrantedReport.modelsHash(this.report), this.use.collection(),
+				this.use.olderKv());
 	}
 
 	Candidate candidate(long now, int sharing) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/OwnUse.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/OwnUse.java
@@ -29,10 +29,53 @@
 
 	private long uncoveredPrefillTokens;
 
+	private int collection;
+
+	private int generation;
+
+	private long olderKv;
+
 	Amount inUse() {
 		return this.inUse;
 	}
 
+	/**
+	 * The collection of memory heard of last.
+	 * @return its number, or 0
+	 */
+	int collection() {
+		return this.collection;
+	}
+
+	/**
+	 * How often the collection heard of has changed. Unlike the number, which a new owner
+	 * may use again, it tells whether a request began before the last change.
+	 * @return the count
+	 */
+	int generation() {
+		return this.generation;
+	}
+
+	/**
+	 * The KV tokens of requests begun before that collection was heard of.
+	 * @return the tokens
+	 */
+	long olderKv() {
+		return this.olderKv;
+	}
+
+	/**
+	 * Notes the collection that a grant tells of.
+	 * @param number its number, or 0 if there is none
+	 */
+	void collecting(int number) {
+		if (number != this.collection) {
+			this.collection = number;
+			this.generation++;
+			this.olderKv = (number != 0) ? this.inUse.kvTokens() : 0;
+		}
+	}
+
 	/**
 	 * Prompt tokens sent that the newest report can't include.
 	 * @return the tokens
@@ -71,8 +114,16 @@
 		}
 	}
 
-	void end(Amount amount) {
+	/**
+	 * Takes out a request.
+	 * @param amount what it used
+	 * @param begunIn the generation in which it began
+	 */
+	void end(Amount amount, int begunIn) {
 		this.inUse = this.inUse.minus(amount);
+		if (begunIn != this.generation && this.collection != 0) {
+			this.olderKv -= amount.kvTokens();
+		}
 	}
 
 	/**
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/EndpointMessagesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/EndpointMessagesTests.java
@@ -65,11 +65,11 @@
 
 	private static DemandItem demandItem() {
 		return new DemandItem(ENDPOINT, 5, 1_200, 4_000, 20, 300_000, 12, 180_000, 19, 270_000, 0, false,
-				GrantedReport.modelsHash(REPORT));
+				GrantedReport.modelsHash(REPORT), 3, 90_000);
 	}
 
 	private static GrantItem grantItem(GrantedReport report) {
-		return new GrantItem(ENDPOINT, 5, 1_200, 4_001, 20, 300_000, false, report);
+		return new GrantItem(ENDPOINT, 5, 1_200, 4_001, 20, 300_000, false, report, 3);
 	}
 
 	private static MessageCodec codec() {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GrantedEndpointPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GrantedEndpointPoolTests.java
@@ -79,7 +79,7 @@
 
 	@Test
 	void grantOfAnotherShardDoesNotApply() {
-		send(millis(), new GrantItem(EndpointFleet.id("e1"), this.shard + 1, 9, 1, 8, 0, false, null));
+		send(millis(), new GrantItem(EndpointFleet.id("e1"), this.shard + 1, 9, 1, 8, 0, false, null, 0));
 		Truth.assertThat(slots()).isAtMost(1);
 	}
 
@@ -129,11 +129,11 @@
 
 	private void grantWith(long number, List<String> models) {
 		GrantedReport report = new GrantedReport(1, number, 0, 0, 8, 0, 0, 1_000, 0, models);
-		send(millis(), new GrantItem(EndpointFleet.id("e1"), this.shard, 5, number, 4, 0, false, report));
+		send(millis(), new GrantItem(EndpointFleet.id("e1"), this.shard, 5, number, 4, 0, false, report, 0));
 	}
 
 	private void grant(long sentMillis, long epoch, long number, int slots) {
-		send(sentMillis, new GrantItem(EndpointFleet.id("e1"), this.shard, epoch, number, slots, 0, false, null));
+		send(sentMillis, new GrantItem(EndpointFleet.id("e1"), this.shard, epoch, number, slots, 0, false, null, 0));
 	}
 
 	private void send(long sentMillis, GrantItem item) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GroupReservationTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GroupReservationTests.java
@@ -101,6 +101,76 @@
 		Truth.assertThat(this.finished - before).isGreaterThan(40);
 	}
 
+	@Test
+	void shortWorkStartsWhileLongWorkDrains() {
+		// Symptom: notices stand still for minutes on an engine where a manual waits for
+		// its memory. Sequence: long summaries hold most of the memory; what is free goes
+		// to
+		// the manual. Cause: nothing is kept for short work.
+		EndpointFleet.Daemon summaries = this.fleet.daemon("vm-2");
+		for (int i = 0; i < 100; i++) {
+			summaries.pool.wanted(EndpointFleet.SERVICE, EndpointFleet.MODEL, 100_000);
+			List.of("e1", "e2", "e3").forEach((endpoint) -> summaries.run(endpoint, 100_000, Duration.ofSeconds(30)));
+			this.fleet.advance(Duration.ofMillis(20));
+		}
+		reserve("vm-1", 2_400_000);
+		this.fleet.advance(Duration.ofSeconds(5));
+		EndpointFleet.Daemon notices = this.fleet.daemon("vm-3");
+		int started = 0;
+		for (int i = 0; i < 100; i++) {
+			started += notices.run("e1", 20_000, Duration.ofMillis(500)) ? 1 : 0;
+			this.fleet.advance(Duration.ofMillis(100));
+		}
+		Truth.assertThat(started).isAtLeast(15);
+		Truth.assertThat(this.events).isEmpty();
+		this.fleet.advance(Duration.ofSeconds(20));
+		Truth.assertThat(this.events).containsExactly("reserved 2400000");
+	}
+
+	@Test
+	void backfillDoesNotKeepAReservationFromItsMemory() {
+		// Symptom: a manual waits until it times out. Sequence: whenever a summary ends,
+		// the next takes its place. Cause: what is kept for short work isn't bounded.
+		for (int i = 0; i < 400; i++) {
+			for (EndpointFleet.Daemon daemon : this.fleet.daemons()) {
+				List.of("e1", "e2", "e3").forEach((endpoint) -> daemon.run(endpoint, 20_000, Duration.ofSeconds(8)));
+			}
+			this.fleet.advance(Duration.ofMillis(100));
+			if (i == 100) {
+				reserve("vm-1", 2_500_000);
+			}
+		}
+		Truth.assertThat(this.events).containsExactly("reserved 2500000");
+	}
+
+	@Test
+	void enginesAreTakenInOneOrderWhateverTheirLoadWasWhenPlanned() {
+		// Symptom: two manuals hold an engine each and wait for the other's until both
+		// time
+		// out. Sequence: both engines are busy; one manual is planned when e1 has more
+		// room,
+		// the other when e2 has; both engines become free. Cause: each takes the emptier
+		// engine first.
+		this.fleet.engines.engine("e3").kvCapacity = 1_000;
+		use(400_000, 500_000);
+		Reservations.Reservation first = reserve("vm-1", 1_500_000);
+		this.fleet.advance(Duration.ofSeconds(5));
+		use(500_000, 400_000);
+		Reservations.Reservation second = reserve("vm-2", 1_500_000);
+		this.fleet.advance(Duration.ofSeconds(5));
+		use(0, 0);
+		Truth.assertThat(this.events).hasSize(1);
+		first.close();
+		second.close();
+	}
+
+	private void use(long first, long second) {
+		this.fleet.engines.engine("e1").kvUsed = first;
+		this.fleet.engines.engine("e2").kvUsed = second;
+		this.fleet.daemons().forEach((daemon) -> daemon.slotsLeft("e1"));
+		this.fleet.advance(Duration.ofSeconds(6));
+	}
+
 	private int finished;
 
 	private void keepBusy(int rounds) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/OwnerChangeTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/OwnerChangeTests.java
@@ -152,6 +152,28 @@
 		Truth.assertThat(idle.take("e1", 10)).isFalse();
 	}
 
+	@Test
+	void requestsOfADeadEntryCountUntilTheyEnd() {
+		// Symptom: an endpoint queues work it was never granted, after an entry died.
+		// Sequence: the entry's requests run on at the endpoint, its part is granted to
+		// others. Cause: the account forgets what the dead entry had.
+		EndpointFleet.Daemon entry = this.entries.get(0);
+		int running = fill(entry, 20, Duration.ofSeconds(20));
+		Truth.assertThat(running).isAtLeast(10);
+		this.fleet.kill(entry.incarnation.vm().value());
+		this.fleet.advance(Duration.ofSeconds(4));
+		fill(this.entries.get(1), 60, LONG);
+		Truth.assertThat(inFlight()).isAtMost(16 + 1);
+		this.fleet.advance(Duration.ofSeconds(20));
+		Truth.assertThat(fill(this.entries.get(1), 60, LONG)).isAtLeast(8);
+	}
+
+	@Test
+	void idleEntryMayStartAtOnce() {
+		this.fleet.advance(Duration.ofSeconds(60));
+		Truth.assertThat(this.entries.get(0).take("e1", 10)).isTrue();
+	}
+
 	@Test
 	void roomMovesToWhoeverNeedsItWithoutWaitingForAPeriod() {
 		EndpointFleet.Daemon rich = this.entries.get(0);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/owner/EndpointAccountTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/owner/EndpointAccountTests.java
@@ -119,7 +119,7 @@
 	private void hold(Amount nowHeld, Amount nowCollecting) {
 		this.held = nowHeld;
 		this.collecting = nowCollecting;
-		this.account.hold(nowHeld, nowCollecting, this.now);
+		this.account.hold(nowHeld, nowCollecting);
 	}
 
 	private void place() {
@@ -189,7 +189,8 @@
 			Amount heldNow = live() ? this.grant.amount : Amount.NONE;
 			long number = (this.grant != null) ? this.grant.number : 0;
 			DemandItem item = new DemandItem(new EndpointId("e"), 1, 1, number, heldNow.slots(), heldNow.kvTokens(),
-					this.inUse.slots(), this.inUse.kvTokens(), 1 + act.size, act.kvTokens, act.kvTokens / 3, false, 0);
+					this.inUse.slots(), this.inUse.kvTokens(), 1 + act.size, act.kvTokens, act.kvTokens / 3, false, 0,
+					0, 0);
 			EntryAccount mine = EndpointAccountTests.this.account.demanded(this.incarnation, item, sentMillis,
 					LIFETIME_MILLIS, now());
 			Amount amount = EndpointAccountTests.this.account.grantable(mine, now());
