Show the HTTP server's state in a daemon's dump

Cause: the server had a state dump that nothing showed. Change: the node adds it to the dumps of its adapters.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/Node.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/Node.java
@@ -27,6 +27,7 @@
 import org.bramleyscale.internal.status.OperatorBackend;
 import org.bramleyscale.internal.status.OperatorHandlers;
 import org.bramleyscale.internal.status.ProblemThresholds;
+import org.bramleyscale.internal.status.StateDump;
 import org.bramleyscale.internal.time.EventLoop;
 import org.jboss.logging.Logger;
 
@@ -73,7 +74,7 @@
 				this.metrics);
 		this.engines = new HttpEngineClient(loop, this.http);
 		this.slices = new NodeSlices(new NodePorts(this.identity, loop, random, this.tcp, objectStore(), this.engines,
-				this.metrics, List.of(this.tcp), this::end), settings);
+				this.metrics, List.of(this.tcp, new EntryState()), this::end), settings);
 		this.entry = entryServer();
 	}
 
@@ -214,4 +215,21 @@
 		return new InetSocketAddress(address.getHost(), address.getPort());
 	}
 
+	/**
+	 * The state of the HTTP server, which is made after the slices that it serves.
+	 */
+	private final class EntryState implements StateDump {
+
+		@Override
+		public String name() {
+			return "entry";
+		}
+
+		@Override
+		public Object dump() {
+			return Node.this.entry.state().dump();
+		}
+
+	}
+
 }
