Notice the end of the last daemon of a data centre that leaves

A daemon that was drained stayed listed as leaving, silent 0 s, long after its process had ended. Only relays speak for a data centre to the others, and leaving daemons were none, so nobody expected to hear the last daemon of a data centre once it left. With one daemon a data centre, as in examples/, that is every drain. In a fleet of two, the one that stays had no majority against the one that left.

Leaving daemons now act as relays where all daemons of a data centre leave; when such a data centre falls silent its daemons are dead without a word of the platform's list. The end of a leaving daemon needs no majority if no juror fails to answer. MemberHistory tells who ended by plan and for how long heartbeats have been missing.

A farewell message at the end was ruled out: it may be lost, so the silence has to be judged anyway.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/DataCentreSilences.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/DataCentreSilences.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.membership;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +31,8 @@
 
 	private final Map<DataCentre, DataCentreSilence> claims = new TreeMap<>(Comparator.comparing(DataCentre::value));
 
+	private final Map<DataCentre, Long> silentSince = new HashMap<>();
+
 	private final Map<DataCentre, Long> heardAt = new HashMap<>();
 
 	private final Map<DataCentre, Long> overruledAt = new HashMap<>();
@@ -44,6 +47,16 @@
 		return claim != null && claim.silent();
 	}
 
+	/**
+	 * For how long a data centre has been silent.
+	 * @param dataCentre the data centre
+	 * @return the time since it was claimed first, or zero if it isn't silent
+	 */
+	Duration silence(DataCentre dataCentre) {
+		Long since = this.silentSince.get(dataCentre);
+		return (since != null) ? Duration.ofNanos(this.clock.nanos() - since) : Duration.ZERO;
+	}
+
 	List<DataCentreSilence> claims() {
 		return List.copyOf(this.claims.values());
 	}
@@ -73,6 +86,7 @@
 		DataCentreSilence merged = (held != null) ? held.merge(claim) : claim;
 		this.claims.put(claim.target(), merged);
 		boolean changed = !merged.equals(held);
+		noteSilence(merged);
 		if (changed && !merged.silent()) {
 			this.overruledAt.put(merged.target(), this.clock.nanos());
 		}
@@ -115,6 +129,15 @@
 		this.heardAt.clear();
 	}
 
+	private void noteSilence(DataCentreSilence merged) {
+		if (merged.silent()) {
+			this.silentSince.putIfAbsent(merged.target(), this.clock.nanos());
+		}
+		else {
+			this.silentSince.remove(merged.target());
+		}
+	}
+
 	private boolean overruled(DataCentre target, long now) {
 		Long at = this.overruledAt.get(target);
 		Long heardLast = this.heardAt.get(target);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/FailureDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/FailureDetector.java
@@ -124,7 +124,7 @@
 			watch.nextStepAt = now + this.times.suspicion().toNanos();
 			this.verdicts.suspect(member);
 		}
-		else if (this.jury.convicts(outcome)) {
+		else if (this.jury.convicts(outcome, isLeaving(member))) {
 			this.verdicts.dead(member);
 		}
 		else {
@@ -133,6 +133,10 @@
 		}
 	}
 
+	private boolean isLeaving(Incarnation member) {
+		return this.table.get(member.vm()).filter(MemberEntry::leaving).isPresent();
+	}
+
 	private boolean isStill(Incarnation member) {
 		Optional<MemberEntry> entry = this.table.get(member.vm());
 		return entry.isPresent() && entry.get().incarnation().equals(member);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/Jury.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/Jury.java
@@ -66,11 +66,17 @@
 	}
 
 	/**
-	 * Whether a daemon that nobody heard may be declared dead.
+	 * Whether a daemon that nobody heard may be declared dead. The end of a leaving one
+	 * is expected, so nobody left to ask is no reason to doubt it; a juror that doesn't
+	 * answer is.
 	 * @param outcome what the jurors answered
+	 * @param leaving whether the daemon said that it leaves
 	 * @return false if this daemon should rather doubt its own connections
 	 */
-	boolean convicts(Inquiries.Outcome outcome) {
+	boolean convicts(Inquiries.Outcome outcome, boolean leaving) {
+		if (leaving && outcome.unanswered().isEmpty()) {
+			return true;
+		}
 		int heard = outcome.answered().size() + 1;
 		int silent = outcome.unanswered().size() + 1;
 		return heard > silent;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MemberTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MemberTable.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.membership;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -31,6 +32,8 @@
 
 	private final Map<VmId, Long> deadSince = new HashMap<>();
 
+	private final Map<VmId, Long> silentSince = new HashMap<>();
+
 	private final Map<DataCentre, Long> digests = new HashMap<>();
 
 	private long changes;
@@ -86,6 +89,7 @@
 		count(merged);
 		this.entries.put(merged.vm(), merged);
 		noteDeath(merged);
+		noteSilence(merged);
 		noteChange();
 		return true;
 	}
@@ -124,12 +128,32 @@
 			Map.Entry<VmId, Long> dead = iterator.next();
 			if (now - dead.getValue() > nanos) {
 				this.entries.remove(dead.getKey());
+				this.silentSince.remove(dead.getKey());
 				iterator.remove();
 				noteChange();
 			}
 		}
 	}
 
+	/**
+	 * For how long an entry hasn't been alive.
+	 * @param vm the VM
+	 * @return the time, or zero if it is alive or unknown
+	 */
+	Duration silence(VmId vm) {
+		Long since = this.silentSince.get(vm);
+		return (since != null) ? Duration.ofNanos(this.clock.nanos() - since) : Duration.ZERO;
+	}
+
+	private void noteSilence(MemberEntry merged) {
+		if (merged.health() == Health.ALIVE) {
+			this.silentSince.remove(merged.vm());
+		}
+		else {
+			this.silentSince.putIfAbsent(merged.vm(), this.clock.nanos());
+		}
+	}
+
 	private void noteDeath(MemberEntry merged) {
 		if (merged.health() == Health.DEAD) {
 			this.deadSince.putIfAbsent(merged.vm(), this.clock.nanos());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
@@ -195,6 +195,10 @@
 			.count();
 	}
 
+	public MemberHistory history() {
+		return this.view;
+	}
+
 	@Override
 	public String name() {
 		return "membership";
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformPoll.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformPoll.java
@@ -14,7 +14,9 @@
  * <p>
  * Invariant: the list alone declares nobody dead. A member is declared dead for being off
  * the list only if its whole data centre is silent, so that nobody is left there to hear
- * its silence. Confined to the scheduler's thread.
+ * its silence. If all of a silent data centre were leaving, their end was planned and
+ * needs no list to confirm it; one that lives after all refutes. Confined to the
+ * scheduler's thread.
  */
 final class PlatformPoll {
 
@@ -77,12 +79,16 @@
 			if (near && !entry.leaving() && this.list.leaving(entry.incarnation())) {
 				this.claims.markLeaving(entry.vm());
 			}
-			else if (!near && this.silences.silent(entry.identity().dataCentre()) && this.list.gone(entry.vm())) {
+			else if (!near && this.silences.silent(entry.identity().dataCentre()) && isOver(entry)) {
 				this.claims.dead(entry.incarnation());
 			}
 		}
 	}
 
+	private boolean isOver(MemberEntry entry) {
+		return this.list.gone(entry.vm()) || this.relays.allLeaving(entry.identity().dataCentre());
+	}
+
 	private void read(List<VmRecord> records) {
 		this.list.read(records, this.table);
 		apply();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/Relays.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/Relays.java
@@ -17,8 +17,10 @@
  * Which members speak for their data centre to the others.
  *
  * <p>
- * The two that rank first; alive ones before suspects, leaving ones never. Every daemon
- * works it out from its own table, so a few may act as relays at once while tables
+ * The two that rank first; alive ones before suspects, leaving ones only where all leave.
+ * If nobody spoke for a data centre whose last daemon leaves, nobody elsewhere would
+ * expect to hear it, and it would be listed as leaving for ever after its end. Every
+ * daemon works it out from its own table, so a few may act as relays at once while tables
  * differ; that costs messages and nothing else. Confined to the scheduler's thread.
  */
 final class Relays {
@@ -38,6 +40,8 @@
 
 	private final Map<DataCentre, List<VmId>> relays = new HashMap<>();
 
+	private final Set<DataCentre> allLeaving = new HashSet<>();
+
 	private long computedFor = -1;
 
 	Relays(MemberTable table, VmId self, DataCentre own) {
@@ -90,6 +94,16 @@
 		return result;
 	}
 
+	/**
+	 * Whether every daemon of a data centre leaves.
+	 * @param dataCentre the data centre
+	 * @return true if members of it are known and all of them are leaving
+	 */
+	boolean allLeaving(DataCentre dataCentre) {
+		refresh();
+		return this.allLeaving.contains(dataCentre);
+	}
+
 	private void refresh() {
 		if (this.computedFor == this.table.changes()) {
 			return;
@@ -97,16 +111,23 @@
 		this.computedFor = this.table.changes();
 		Map<DataCentre, List<VmId>> alive = new HashMap<>();
 		Map<DataCentre, List<VmId>> suspect = new HashMap<>();
+		Map<DataCentre, List<VmId>> leaving = new HashMap<>();
 		for (MemberEntry entry : this.table.all()) {
-			if (entry.health() != Health.DEAD && !entry.leaving()) {
-				((entry.health() == Health.ALIVE) ? alive : suspect)
+			if (entry.health() != Health.DEAD) {
+				Map<DataCentre, List<VmId>> staying = (entry.health() == Health.ALIVE) ? alive : suspect;
+				(entry.leaving() ? leaving : staying)
 					.computeIfAbsent(entry.identity().dataCentre(), (key) -> new ArrayList<>())
 					.add(entry.vm());
 			}
 		}
+		leaving.keySet().removeAll(alive.keySet());
+		leaving.keySet().removeAll(suspect.keySet());
+		this.allLeaving.clear();
+		this.allLeaving.addAll(leaving.keySet());
 		this.relays.clear();
 		Set<DataCentre> all = new HashSet<>(alive.keySet());
 		all.addAll(suspect.keySet());
+		leaving.forEach((dataCentre, vms) -> this.relays.put(dataCentre, this.hash.first(KEY, vms, RELAYS)));
 		for (DataCentre dataCentre : all) {
 			List<VmId> chosen = new ArrayList<>(
 					this.hash.first(KEY, alive.getOrDefault(dataCentre, List.of()), RELAYS));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/ViewCache.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/ViewCache.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.membership;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -14,7 +15,7 @@
  * Invariant: listeners are called only after what they read has changed. Confined to the
  * scheduler's thread.
  */
-final class ViewCache {
+final class ViewCache implements MemberHistory {
 
 	private final MemberTable table;
 
@@ -59,6 +60,22 @@
 		return this.table.get(vm).map(this::member);
 	}
 
+	@Override
+	public boolean endedByPlan(VmId vm) {
+		return this.table.get(vm).filter((entry) -> entry.leaving() && entry.health() == Health.DEAD).isPresent();
+	}
+
+	@Override
+	public Duration silence(VmId vm) {
+		Duration own = this.table.silence(vm);
+		Duration ofDataCentre = this.table.get(vm)
+			.map((entry) -> entry.identity().dataCentre())
+			.filter((dataCentre) -> !dataCentre.equals(this.own))
+			.map(this.silences::silence)
+			.orElse(Duration.ZERO);
+		return (own.compareTo(ofDataCentre) >= 0) ? own : ofDataCentre;
+	}
+
 	private void refresh() {
 		if (this.stale) {
 			this.members = this.table.all().stream().map(this::member).toList();
