Show waiting work and what other daemons say of themselves in the status

The table of waiting work was always empty, and an operator had to open each daemon's page to learn how much waits there. Admission now tells what waits by service and for how long. When a status is asked for, the daemon asks up to 100 others for a report of a few bytes: waiting requests, oldest wait, admitting, version. It answers after 1 s with what came, and asks at most every 2 s, however many look; when nobody looks nothing is sent. A periodic message was ruled out for that reason. Daemons that ended by plan are left out, and times of silence come from heartbeats; those of the configuration were forgotten after two minutes and then read 0 s.

The settings operatorReadKeyHash and openStatusPage reach the access rule that already knew them. Three settings were documented and had no effect: limits.maxRequests now bounds the waiting requests, timeouts.platformWatch the watch, timeouts.connect the connections to endpoints.

--- a/bramleyscale/src/main/java/org/bramleyscale/SettingKey.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/SettingKey.java
@@ -51,6 +51,15 @@
 	public static final SettingKey<String> OPERATOR_KEY_HASH = required("operatorKeyHash", SettingTypes.sha256(),
 			"SHA-256 of the key that operators show to change and to see things");
 
+	/** What those show who may look only. */
+	public static final SettingKey<String> OPERATOR_READ_KEY_HASH = optional("operatorReadKeyHash",
+			SettingTypes.sha256(), "",
+			"SHA-256 of a second key that shows status, documents and metrics but changes nothing");
+
+	/** Whether the status page needs a key. */
+	public static final SettingKey<Boolean> OPEN_STATUS_PAGE = optional("openStatusPage", SettingTypes.flag(), "false",
+			"Whether the page /status is shown without a key; everything else still needs one");
+
 	/** Peers known beforehand. */
 	public static final SettingKey<List<SeedPeer>> SEED_PEERS = optional("seedPeers", SettingTypes.seedPeers(), "",
 			"Daemons to connect to at the start while the platform doesn't answer");
@@ -85,9 +94,10 @@
 			bytes("64KB", "1024MB"), "64MB",
 			"Most bytes waiting to be sent to one other daemon; must be at least limits.maxFrameBytes");
 
-	/** The bound on requests held at a time. */
+	/** The bound on requests that wait. */
 	public static final SettingKey<Integer> MAX_REQUESTS = optional("limits.maxRequests",
-			SettingTypes.count(1, 1_000_000), "10000", "Most requests that the daemon holds at a time");
+			SettingTypes.count(1, 1_000_000), "10000",
+			"Most requests that wait at the daemon at a time; more are refused");
 
 	/** The share of requests that may be repeated. */
 	public static final SettingKey<Double> RETRY_BUDGET = optional("limits.retryBudget", SettingTypes.share(), "0.1",
@@ -103,7 +113,7 @@
 
 	/** The time to connect. */
 	public static final SettingKey<Duration> CONNECT_TIMEOUT = optional("timeouts.connect", duration("50ms", "30s"),
-			"1s", "Time to open a connection to an endpoint or another daemon");
+			"1s", "Time to open a connection to an endpoint");
 
 	/** The silence after which a stream is resumed. */
 	public static final SettingKey<Duration> STREAM_SILENCE = optional("timeouts.streamSilence",
@@ -114,9 +124,10 @@
 			"Longest planned stop; requests still running then are failed");
 
 	private static final List<SettingKey<?>> ALL = List.of(VM, DATA_CENTRE, HTTP_ADDRESS, PEER_ADDRESS, PLATFORM_URL,
-			PEER_KEY, PEER_KEY_FILE, OPERATOR_KEY_HASH, SEED_PEERS, LOG_LEVEL, LEASE_DURATION, ADDRESS_KEEP_FOR,
-			CONFIGURATION_STALE_AFTER, MAX_BODY_BYTES, MAX_FRAME_BYTES, MAX_QUEUED_BYTES, MAX_REQUESTS, RETRY_BUDGET,
-			PLATFORM_CALL_TIMEOUT, PLATFORM_WATCH_WAIT, CONNECT_TIMEOUT, STREAM_SILENCE, DRAIN_LIMIT);
+			PEER_KEY, PEER_KEY_FILE, OPERATOR_KEY_HASH, OPERATOR_READ_KEY_HASH, OPEN_STATUS_PAGE, SEED_PEERS, LOG_LEVEL,
+			LEASE_DURATION, ADDRESS_KEEP_FOR, CONFIGURATION_STALE_AFTER, MAX_BODY_BYTES, MAX_FRAME_BYTES,
+			MAX_QUEUED_BYTES, MAX_REQUESTS, RETRY_BUDGET, PLATFORM_CALL_TIMEOUT, PLATFORM_WATCH_WAIT, CONNECT_TIMEOUT,
+			STREAM_SILENCE, DRAIN_LIMIT);
 
 	private final String name;
 
--- a/bramleyscale/src/main/java/org/bramleyscale/SettingTypes.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/SettingTypes.java
@@ -85,6 +85,13 @@
 		});
 	}
 
+	static SettingType<Boolean> flag() {
+		return type("true or false", (text) -> {
+			require(text, "true".equals(text) || "false".equals(text), "is neither true nor false");
+			return Boolean.valueOf(text);
+		});
+	}
+
 	static SettingType<Double> share() {
 		return type("a number from 0 to 1", (text) -> {
 			double value = Double.parseDouble(text);
--- a/bramleyscale/src/main/java/org/bramleyscale/Settings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/Settings.java
@@ -14,8 +14,9 @@
  * The settings of one daemon.
  *
  * <p>
- * Invariant: every key of {@link SettingKey#all()} but {@code peerKeyFile} has a value,
- * and the values fit together. Immutable and safe for use by multiple threads. <pre>
+ * Invariant: every key of {@link SettingKey#all()} but {@code peerKeyFile} and
+ * {@code operatorReadKeyHash} has a value, and the values fit together. Immutable and
+ * safe for use by multiple threads. <pre>
  * Settings settings = Settings.builder()
  * 	.set(SettingKey.VM, new VmId("entry-1"))
  * 	...
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/admission/FairAdmission.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/admission/FairAdmission.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 import com.codahale.metrics.Gauge;
@@ -135,6 +137,21 @@
 		this.limits.share(account, tokensPerSecond, this.scheduler.nanos() + validFor.toNanos());
 	}
 
+	/**
+	 * The work that waits, service by service.
+	 * @return a line for each service with waiting requests, sorted by name
+	 */
+	public List<WaitingWork> waitingWork() {
+		Map<String, WaitingWork> byService = new TreeMap<>();
+		long now = this.scheduler.nanos();
+		for (Waiting waiting : this.queued.values()) {
+			WaitingWork one = new WaitingWork(waiting.service(), waiting.request().urgent(), 1,
+					Duration.ofNanos(now - waiting.since()));
+			byService.merge(waiting.service().value(), one, WaitingWork::and);
+		}
+		return List.copyOf(byService.values());
+	}
+
 	/**
 	 * What accounts with a limit asked for since the last call, admitted or not.
 	 * @return tokens by account
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EngineConnections.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EngineConnections.java
@@ -15,8 +15,6 @@
  */
 final class EngineConnections implements AutoCloseable {
 
-	static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-
 	private static final int STREAM_POOL = 4096;
 
 	private final HttpExecution http;
@@ -25,20 +23,20 @@
 
 	private final SuspectConnections suspects;
 
-	EngineConnections(Clock clock, HttpExecution http) {
+	EngineConnections(Clock clock, HttpExecution http, Duration connectTimeout) {
 		this.http = http;
 		this.suspects = new SuspectConnections(clock, http.poolIdleTimeout());
 		// A stream holds its connection until its end. In one pool with the short calls,
 		// cancels and reports would wait behind the streams of a busy engine.
-		this.streams = streamClient(http);
+		this.streams = streamClient(http, connectTimeout);
 	}
 
-	private static HttpClient streamClient(HttpExecution http) {
+	private static HttpClient streamClient(HttpExecution http, Duration connectTimeout) {
 		try {
 			return HttpClient.of((spec) -> spec.execController(http.controller())
 				.poolSize(STREAM_POOL)
 				.idleTimeout(http.poolIdleTimeout())
-				.connectTimeout(CONNECT_TIMEOUT));
+				.connectTimeout(connectTimeout));
 		}
 		catch (Exception ex) {
 			throw new IllegalStateException("the HTTP client for streams can't be configured", ex);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
@@ -61,6 +61,8 @@
  */
 public final class HttpEngineClient implements EngineClient, AutoCloseable {
 
+	private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
 	private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
 	private static final Duration READ_MARGIN = Duration.ofSeconds(1);
@@ -78,6 +80,8 @@
 
 	private final HttpExecution http;
 
+	private final Duration connectTimeout;
+
 	private final Mailbox mailbox;
 
 	private final EngineConnections connections;
@@ -88,10 +92,21 @@
 	 * @param http the daemon's HTTP clients; not closed by this class
 	 */
 	public HttpEngineClient(Scheduler scheduler, HttpExecution http) {
+		this(scheduler, http, DEFAULT_CONNECT_TIMEOUT);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param scheduler the daemon's scheduler
+	 * @param http the daemon's HTTP clients; not closed by this class
+	 * @param connectTimeout how long opening a connection to an endpoint may take
+	 */
+	public HttpEngineClient(Scheduler scheduler, HttpExecution http, Duration connectTimeout) {
 		this.scheduler = scheduler;
 		this.http = http;
+		this.connectTimeout = connectTimeout;
 		this.mailbox = new Mailbox(scheduler);
-		this.connections = new EngineConnections(scheduler, http);
+		this.connections = new EngineConnections(scheduler, http, connectTimeout);
 	}
 
 	@Override
@@ -150,11 +165,8 @@
 			.start((execution) -> request.create().then(stream::received));
 	}
 
-	private static void configure(RequestSpec spec, Duration readTimeout) {
-		spec.redirects(0)
-			.decompressResponse(false)
-			.connectTimeout(EngineConnections.CONNECT_TIMEOUT)
-			.readTimeout(readTimeout);
+	private void configure(RequestSpec spec, Duration readTimeout) {
+		spec.redirects(0).decompressResponse(false).connectTimeout(this.connectTimeout).readTimeout(readTimeout);
 	}
 
 	@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/Node.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/Node.java
@@ -72,7 +72,7 @@
 		SplittableRandom random = new SplittableRandom();
 		this.tcp = new TcpPeerNetwork(peerSettings(), loop, new MessageCodec(NodeMessages.catalog()), random,
 				this.metrics);
-		this.engines = new HttpEngineClient(loop, this.http);
+		this.engines = new HttpEngineClient(loop, this.http, settings.value(SettingKey.CONNECT_TIMEOUT));
 		this.slices = new NodeSlices(new NodePorts(this.identity, loop, random, this.tcp, objectStore(), this.engines,
 				this.metrics, List.of(this.tcp, new EntryState()), this::end), settings);
 		this.entry = entryServer();
@@ -208,7 +208,11 @@
 	}
 
 	private OperatorAccess operatorAccess() {
-		return OperatorAccess.builder().keyHash(this.settings.operatorKeyHash()).build();
+		return OperatorAccess.builder()
+			.keyHash(this.settings.operatorKeyHash())
+			.readKeyHash(this.settings.value(SettingKey.OPERATOR_READ_KEY_HASH))
+			.openStatusPage(this.settings.value(SettingKey.OPEN_STATUS_PAGE))
+			.build();
 	}
 
 	private static InetSocketAddress socketAddress(HostAndPort address) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeMessages.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeMessages.java
@@ -18,6 +18,10 @@
 
 	private static final int DRAIN = 90;
 
+	private static final int REPORT_WANTED = 91;
+
+	private static final int REPORT_GIVEN = 92;
+
 	private NodeMessages() {
 	}
 
@@ -34,6 +38,8 @@
 		RequestMessages.register(builder);
 		AdmissionMessages.register(builder);
 		builder.add(DRAIN, Drain.class);
+		builder.add(REPORT_WANTED, ReportWanted.class);
+		builder.add(REPORT_GIVEN, ReportGiven.class);
 		return builder.build();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeOperatorBackend.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeOperatorBackend.java
@@ -43,6 +43,8 @@
 
 	private final NodeStatus status;
 
+	private final DaemonReports reports;
+
 	private final PeerNetwork network;
 
 	NodeOperatorBackend(NodeSlices node) {
@@ -50,11 +52,12 @@
 		this.scheduler = node.scheduler();
 		this.status = new NodeStatus(node);
 		this.network = node.network();
+		this.reports = new DaemonReports(this.scheduler, node.membership(), this.network, this.status::report);
 	}
 
 	@Override
 	public CompletableFuture<StatusSummary> status() {
-		return onLoop(() -> CompletableFuture.completedFuture(this.status.summary()));
+		return onLoop(() -> this.reports.collect().thenApply(this.status::summary));
 	}
 
 	@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
@@ -103,7 +103,9 @@
 				ports.metrics());
 		this.steward = newSteward();
 		this.addresses = new RendezvousAddressBook(this.membership, this.configuration, settings.addressKeepFor());
-		this.admission = FairAdmission.builder(this.scheduler, this.configuration, ports.metrics()).build();
+		this.admission = FairAdmission.builder(this.scheduler, this.configuration, ports.metrics())
+			.mostWaiting(settings.value(SettingKey.MAX_REQUESTS))
+			.build();
 		new LimitShares(this.scheduler, this.membership, this.addresses, this.configuration, this.network,
 				this.admission);
 		this.requests = newRequests();
@@ -166,6 +168,10 @@
 		return this.network;
 	}
 
+	FairAdmission admission() {
+		return this.admission;
+	}
+
 	FailureLog failures() {
 		return this.failures;
 	}
@@ -209,6 +215,7 @@
 			.relays(new NodeRelays(this.membership))
 			.metrics(this.ports.metrics())
 			.staleAfter(this.settings.configurationStaleAfter())
+			.watchWait(this.settings.value(SettingKey.PLATFORM_WATCH_WAIT))
 			.build();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeStatus.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeStatus.java
@@ -11,15 +11,19 @@
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.address.LeavePlan;
+import org.bramleyscale.internal.admission.WaitingWork;
 import org.bramleyscale.internal.configuration.Configuration;
 import org.bramleyscale.internal.configuration.EndpointEntry;
 import org.bramleyscale.internal.configuration.HoldersView;
 import org.bramleyscale.internal.configuration.ServiceEntry;
 import org.bramleyscale.internal.endpoint.LoadReport;
 import org.bramleyscale.internal.membership.Member;
+import org.bramleyscale.internal.membership.MemberHistory;
 import org.bramleyscale.internal.routing.Candidate;
+import org.bramleyscale.internal.status.DaemonReport;
 import org.bramleyscale.internal.status.DaemonStatus;
 import org.bramleyscale.internal.status.EndpointStatus;
+import org.bramleyscale.internal.status.QueueStatus;
 import org.bramleyscale.internal.status.StatusSummary;
 
 /**
@@ -40,37 +44,62 @@
 		this.node = node;
 	}
 
-	StatusSummary summary() {
+	/**
+	 * The status.
+	 * @param reports what other daemons say about themselves
+	 * @return the summary
+	 */
+	StatusSummary summary(Map<VmId, DaemonReport> reports) {
 		Configuration current = this.node.configuration().current();
-		boolean admitting = this.node.configuration().fresh()
+		return new StatusSummary(this.node.membership().self(), this.node.scheduler().wallTime(), admitting(),
+				current.version(), this.node.platformSilence().toMillis(), daemons(current, reports),
+				endpoints(current), queues(), this.node.failures().latest());
+	}
+
+	/**
+	 * What this daemon says about itself to others.
+	 * @return the report
+	 */
+	DaemonReport report() {
+		List<WaitingWork> work = this.node.admission().waitingWork();
+		long oldest = work.stream().mapToLong((line) -> line.oldest().toMillis()).max().orElse(0);
+		int waiting = work.stream().mapToInt(WaitingWork::requests).sum();
+		return new DaemonReport(admitting(), this.node.configuration().current().version(), waiting, oldest);
+	}
+
+	private boolean admitting() {
+		return this.node.configuration().fresh()
 				&& this.node.leavePlan().phase().compareTo(LeavePlan.Phase.REFUSING) < 0;
-		return new StatusSummary(this.node.membership().self(), this.node.scheduler().wallTime(), admitting,
-				current.version(), this.node.platformSilence().toMillis(), daemons(current), endpoints(current),
-				List.of(), this.node.failures().latest());
 	}
 
-	private List<DaemonStatus> daemons(Configuration current) {
-		Map<VmId, HoldersView.Holder> holders = new HashMap<>();
-		this.node.configuration().holders().holders().forEach((holder) -> holders.put(holder.vm(), holder));
-		VmId self = this.node.membership().self().vm();
-		return this.node.membership().members().stream().map((member) -> {
-			boolean own = member.vm().equals(self);
-			Optional<HoldersView.Holder> holder = Optional.ofNullable(holders.get(member.vm()));
-			long version = own ? current.version() : holder.map(HoldersView.Holder::version).orElse(0L);
-			return daemon(member, own ? 0 : silence(member, holder), version);
-		}).toList();
+	private List<QueueStatus> queues() {
+		return this.node.admission()
+			.waitingWork()
+			.stream()
+			.map((line) -> new QueueStatus(line.service(), line.urgent(), line.requests(), line.oldest().toMillis()))
+			.toList();
 	}
 
-	// Heartbeats judge whether a daemon is silent; the configuration slice says for how
-	// long.
-	private static long silence(Member member, Optional<HoldersView.Holder> holder) {
-		boolean answers = member.state() == Member.State.ALIVE || member.state() == Member.State.LEAVING;
-		return answers ? 0 : holder.map((known) -> known.heardAgo().toMillis()).orElse(0L);
+	private List<DaemonStatus> daemons(Configuration current, Map<VmId, DaemonReport> reports) {
+		Map<VmId, HoldersView.Holder> holders = new HashMap<>();
+		this.node.configuration().holders().holders().forEach((holder) -> holders.put(holder.vm(), holder));
+		Map<VmId, DaemonReport> all = new HashMap<>(reports);
+		all.put(this.node.membership().self().vm(), report());
+		MemberHistory history = this.node.membership().history();
+		return this.node.membership()
+			.members()
+			.stream()
+			.filter((member) -> !history.endedByPlan(member.vm()))
+			.map((member) -> daemon(member, Optional.ofNullable(all.get(member.vm())),
+					Optional.ofNullable(holders.get(member.vm()))))
+			.toList();
 	}
 
-	private static DaemonStatus daemon(Member member, long silentMillis, long version) {
-		return new DaemonStatus(member.vm(), member.dataCentre(), member.httpAddress(), member.state(), silentMillis,
-				version);
+	private DaemonStatus daemon(Member member, Optional<DaemonReport> report, Optional<HoldersView.Holder> holder) {
+		long silent = this.node.membership().history().silence(member.vm()).toMillis();
+		long version = report.map(DaemonReport::version).or(() -> holder.map(HoldersView.Holder::version)).orElse(0L);
+		return new DaemonStatus(member.vm(), member.dataCentre(), member.httpAddress(), member.state(), silent, version,
+				report);
 	}
 
 	private List<EndpointStatus> endpoints(Configuration current) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/DaemonStatus.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/DaemonStatus.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.status;
 
+import java.util.Optional;
+
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.membership.Member;
@@ -11,10 +13,11 @@
  * @param dataCentre where it runs
  * @param httpAddress {@code host:port} for callers and operators
  * @param state what is known of it
- * @param silentMillis for how long it has not answered; 0 for the answering daemon
+ * @param silentMillis for how long heartbeats have said that it doesn't answer
  * @param version the configuration version it last said to hold; 0 if it said nothing
+ * @param report what it says about itself; empty if it wasn't asked or didn't answer
  */
 public record DaemonStatus(VmId vm, DataCentre dataCentre, String httpAddress, Member.State state, long silentMillis,
-		long version) {
+		long version, Optional<DaemonReport> report) {
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/ProblemFinder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/ProblemFinder.java
@@ -73,25 +73,43 @@
 			.stream()
 			.collect(Collectors.groupingBy(DaemonStatus::dataCentre,
 					() -> new TreeMap<>(Comparator.comparing(DataCentre::value)), Collectors.toList()));
-		byDataCentre.forEach((dataCentre, daemons) -> dataCentre(dataCentre, daemons, problems));
+		byDataCentre.forEach((dataCentre, daemons) -> dataCentre(dataCentre, daemons, summary, problems));
 	}
 
-	private void dataCentre(DataCentre dataCentre, List<DaemonStatus> daemons, List<StatusProblem> problems) {
+	private void dataCentre(DataCentre dataCentre, List<DaemonStatus> daemons, StatusSummary summary,
+			List<StatusProblem> problems) {
 		if (daemons.size() > 1 && daemons.stream().allMatch(this::silent)) {
 			add(problems, Severity.URGENT, "No daemon in " + dataCentre + " answers (" + daemons.size() + " daemons)");
 			return;
 		}
 		for (DaemonStatus daemon : daemons) {
 			if (daemon.state() == Member.State.LEAVING) {
-				add(problems, Severity.NOTICE, daemon.vm() + " is leaving: it finishes what it has");
+				add(problems, Severity.NOTICE, daemon.vm() + " is leaving: it finishes what it has" + unheard(daemon));
 			}
 			else if (silent(daemon)) {
 				add(problems, Severity.WARNING,
 						daemon.vm() + " has not answered for " + seconds(daemon.silentMillis()));
 			}
+			else if (!daemon.vm().equals(summary.daemon().vm())) {
+				daemon.report().ifPresent((report) -> report(daemon, report, problems));
+			}
+		}
+	}
+
+	private void report(DaemonStatus daemon, DaemonReport report, List<StatusProblem> problems) {
+		if (!report.admitting()) {
+			add(problems, Severity.WARNING, daemon.vm() + " says that it takes no new requests");
+		}
+		if (report.waiting() > 0 && over(report.oldestMillis(), this.thresholds.queueAge())) {
+			add(problems, Severity.WARNING, requestsWait(report.waiting()) + "at " + daemon.vm() + ", the oldest for "
+					+ seconds(report.oldestMillis()));
 		}
 	}
 
+	private String unheard(DaemonStatus daemon) {
+		return silent(daemon) ? "; it has not answered for " + seconds(daemon.silentMillis()) : "";
+	}
+
 	private void versions(StatusSummary summary, List<StatusProblem> problems) {
 		List<DaemonStatus> expected = summary.daemons()
 			.stream()
@@ -151,9 +169,8 @@
 	private void queues(StatusSummary summary, List<StatusProblem> problems) {
 		for (QueueStatus queue : summary.queues()) {
 			if (queue.waiting() > 0 && over(queue.oldestMillis(), this.thresholds.queueAge())) {
-				add(problems, queue.urgent() ? Severity.URGENT : Severity.WARNING,
-						queue.waiting() + ((queue.waiting() == 1) ? " request waits for " : " requests wait for ")
-								+ queue.service() + ", the oldest for " + seconds(queue.oldestMillis()));
+				add(problems, queue.urgent() ? Severity.URGENT : Severity.WARNING, requestsWait(queue.waiting())
+						+ "for " + queue.service() + ", the oldest for " + seconds(queue.oldestMillis()));
 			}
 		}
 	}
@@ -180,6 +197,10 @@
 		return daemon.state() == Member.State.DEAD || over(daemon.silentMillis(), this.thresholds.daemonSilence());
 	}
 
+	private static String requestsWait(int count) {
+		return count + ((count == 1) ? " request waits " : " requests wait ");
+	}
+
 	private static String versionWord(long version) {
 		return (version == 0) ? "none" : Long.toString(version);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/StatusPage.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/StatusPage.java
@@ -86,10 +86,9 @@
 
 	private void daemons() {
 		List<DaemonStatus> daemons = this.report.summary().daemons();
-		table("Daemons", daemons.size(), "VM", "State", "Silent", "Version");
+		table("Daemons", daemons.size(), "VM", "State", "Waiting", "Version");
 		for (DaemonStatus daemon : shown(daemons)) {
-			row(daemon.vm() + "\n" + daemon.dataCentre(), lower(daemon.state()), seconds(daemon.silentMillis()),
-					daemon.version());
+			row(daemon.vm() + "\n" + daemon.dataCentre(), state(daemon), waiting(daemon), daemon.version());
 		}
 		this.html.append("</table>\n");
 	}
@@ -144,6 +143,19 @@
 		return rows.subList(0, Math.min(SHOWN_ROWS, rows.size()));
 	}
 
+	private static String state(DaemonStatus daemon) {
+		String silent = (daemon.silentMillis() >= SECOND) ? "\nsilent " + seconds(daemon.silentMillis()) : "";
+		boolean refuses = daemon.report().isPresent() && !daemon.report().get().admitting();
+		return lower(daemon.state()) + (refuses ? "\ntakes nothing new" : "") + silent;
+	}
+
+	private static String waiting(DaemonStatus daemon) {
+		return daemon.report()
+			.map((report) -> (report.waiting() == 0) ? "0"
+					: report.waiting() + "\noldest " + seconds(report.oldestMillis()))
+			.orElse("no word");
+	}
+
 	private static String memory(EndpointStatus endpoint) {
 		return (endpoint.kvCapacity() > 0) ? (100 * endpoint.kvUsed() / endpoint.kvCapacity()) + " %" : "";
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/settings/SettingsLoaderTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/settings/SettingsLoaderTests.java
@@ -50,6 +50,16 @@
 		Truth.assertThat(settings.toString()).doesNotContain("abcdefghijklmnop");
 	}
 
+	@Test
+	void aKeyForLookingAndAnOpenStatusPageAreChoices() throws SettingsException {
+		Settings usual = this.loader.parse(GOOD + KEY);
+		Truth.assertThat(usual.value(SettingKey.OPERATOR_READ_KEY_HASH)).isNull();
+		Truth.assertThat(usual.value(SettingKey.OPEN_STATUS_PAGE)).isFalse();
+		Settings chosen = this.loader.parse(GOOD + KEY + "operatorReadKeyHash: " + HASH + "\nopenStatusPage: true\n");
+		Truth.assertThat(chosen.value(SettingKey.OPERATOR_READ_KEY_HASH)).isEqualTo(HASH);
+		Truth.assertThat(chosen.value(SettingKey.OPEN_STATUS_PAGE)).isTrue();
+	}
+
 	@Test
 	void reportsAllErrorsAtOnce() {
 		String yaml = GOOD.replace("vm: entry-1", "wm: entry-1").replace("8080", "99999")
@@ -73,6 +83,8 @@
 			platformUrl            | ftp://127.0.0.1
 			platformUrl            | 'http://a b'
 			operatorKeyHash        | abc
+			operatorReadKeyHash    | abc
+			openStatusPage         | 'yes'
 			logLevel               | LOUD
 			leaseDuration          | 10
 			leaseDuration          | 3s
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/status/ProblemFinderTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/status/ProblemFinderTests.java
@@ -37,6 +37,10 @@
 		return Stream.of(row(daemon(Member.State.SUSPECT, 12_400, 41), "WARNING entry-3 has not answered for 12 s"),
 				row(daemon(Member.State.DEAD, 2000, 40), "WARNING entry-3 has not answered for 2 s"),
 				row(daemon(Member.State.LEAVING, 0, 41), "NOTICE entry-3 is leaving: it finishes what it has"),
+				row(daemon(Member.State.LEAVING, 12_000, 41),
+						"NOTICE entry-3 is leaving: it finishes what it has; it has not answered for 12 s"),
+				row(fleet().report("entry-3", false, 0, 0), "WARNING entry-3 says that it takes no new requests"),
+				row(fleet().report("entry-3", true, 2, 9000), "WARNING 2 requests wait at entry-3, the oldest for 9 s"),
 				row(daemon(Member.State.ALIVE, 0, 40),
 						"WARNING Configuration 41 is held by 2 of 3 daemons; entry-3 holds 40"),
 				row(daemon(Member.State.ALIVE, 0, 0),
@@ -80,7 +84,7 @@
 	static Stream<StatusSummaries> harmless() {
 		return Stream.of(fleet().queue("yard-app", false, 9, 4000), fleet().queue("yard-app", true, 0, 9000),
 				fleet().failure(ErrorCode.NO_ENDPOINT, "self", 61), fleet().platformSilent(9000),
-				engine(EndpointStatus.State.USABLE, 94, 14_900));
+				fleet().report("entry-3", true, 2, 4000), engine(EndpointStatus.State.USABLE, 94, 14_900));
 	}
 
 	@Test
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/status/StatusSummaries.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/status/StatusSummaries.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.EndpointId;
@@ -48,9 +49,19 @@
 	}
 
 	StatusSummaries daemon(String vm, String dataCentre, Member.State state, long silentMillis, long held) {
+		return daemon(vm, dataCentre, state, silentMillis, held, Optional.empty());
+	}
+
+	StatusSummaries report(String vm, boolean takesNew, int waiting, long oldestMillis) {
+		DaemonReport report = new DaemonReport(takesNew, VERSION, waiting, oldestMillis);
+		return daemon(vm, "semenyih", Member.State.ALIVE, 0, VERSION, Optional.of(report));
+	}
+
+	private StatusSummaries daemon(String vm, String dataCentre, Member.State state, long silentMillis, long held,
+			Optional<DaemonReport> report) {
 		this.daemons.removeIf((daemon) -> daemon.vm().value().equals(vm));
-		this.daemons.add(
-				new DaemonStatus(new VmId(vm), new DataCentre(dataCentre), "10.0.0.1:8080", state, silentMillis, held));
+		this.daemons.add(new DaemonStatus(new VmId(vm), new DataCentre(dataCentre), "10.0.0.1:8080", state,
+				silentMillis, held, report));
 		return this;
 	}
 
--- a/daemon/src/main/java/org/bramleyscale/daemon/command/StatusText.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/command/StatusText.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import org.bramleyscale.internal.status.DaemonReport;
 import org.bramleyscale.internal.status.DaemonStatus;
 import org.bramleyscale.internal.status.EndpointStatus;
 import org.bramleyscale.internal.status.QueueStatus;
@@ -50,8 +51,13 @@
 	}
 
 	private static void daemon(DaemonStatus daemon, StringBuilder text) {
-		line(text, "  %-16s %-14s %-22s %-8s silent %3d s  version %d", daemon.vm(), daemon.dataCentre(),
-				daemon.httpAddress(), lower(daemon.state()), daemon.silentMillis() / SECOND, daemon.version());
+		line(text, "  %-16s %-14s %-22s %-8s silent %3d s  version %d  %s", daemon.vm(), daemon.dataCentre(),
+				daemon.httpAddress(), lower(daemon.state()), daemon.silentMillis() / SECOND, daemon.version(),
+				daemon.report().map(StatusText::report).orElse("no word of its own"));
+	}
+
+	private static String report(DaemonReport report) {
+		return (report.admitting() ? "admitting" : "not admitting") + "  waiting " + report.waiting();
 	}
 
 	private static void endpoint(EndpointStatus endpoint, StringBuilder text) {
--- a/daemon/src/test/java/org/bramleyscale/daemon/command/FakeDaemon.java
+++ b/daemon/src/test/java/org/bramleyscale/daemon/command/FakeDaemon.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
@@ -92,7 +93,7 @@
 	@Override
 	public CompletableFuture<StatusSummary> status() {
 		DaemonStatus other = new DaemonStatus(new VmId("entry-2"), new DataCentre("rawang"), address(),
-				Member.State.SUSPECT, 12_000, 7);
+				Member.State.SUSPECT, 12_000, 7, Optional.empty());
 		return CompletableFuture.completedFuture(new StatusSummary(Incarnation.parse("entry-1~a"),
 				Instant.parse("2026-12-01T08:00:00Z"), true, 7, 0, List.of(other), List.of(), List.of(), List.of()));
 	}
