Keep their equal split for entries that are cut off from their owner

Random acts on six daemons showed an endpoint of 16 slots with 30 requests: an owner cut off from all others served its own callers as if they were idle, while the others used their equal split. In a small fleet, where every entry makes contact, an owner now keeps the split of entries that don't.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
@@ -79,7 +79,16 @@
 	 * @return the number
 	 */
 	public int maxPairs(int members) {
-		return (members <= this.smallFleet) ? Integer.MAX_VALUE : this.maxPairs;
+		return (smallFleet(members)) ? Integer.MAX_VALUE : this.maxPairs;
+	}
+
+	/**
+	 * Whether a fleet is so small that every entry keeps in contact with every owner.
+	 * @param members how many daemons there are
+	 * @return true if neither endpoints in use nor bytes for control are limited
+	 */
+	public boolean smallFleet(int members) {
+		return members <= this.smallFleet;
 	}
 
 	public Duration demandPeriod() {
@@ -98,7 +107,7 @@
 	 */
 	public Duration reportPeriod(int endpoints, int members) {
 		Duration affordable = Duration.ofMillis(1_000L * endpoints * REPORT_BYTES / REPORT_BYTES_PER_SECOND);
-		boolean limited = members > this.smallFleet && affordable.compareTo(this.reportPeriod) > 0;
+		boolean limited = !smallFleet(members) && affordable.compareTo(this.reportPeriod) > 0;
 		return limited ? affordable : this.reportPeriod;
 	}
 
@@ -118,7 +127,7 @@
 	 * @return the period in milliseconds
 	 */
 	public int periodMillis(int pairs, int members) {
-		if (members <= this.smallFleet) {
+		if (smallFleet(members)) {
 			return (int) this.demandPeriod.toMillis();
 		}
 		long bytes = (long) pairs * (PAIR_BYTES + EXCHANGE_BYTES);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointAccount.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EndpointAccount.java
@@ -41,6 +41,8 @@
 
 	private int members = Integer.MAX_VALUE;
 
+	private int cutOff;
+
 	private long lastNumber;
 
 	/**
@@ -93,6 +95,14 @@
 		this.members = live;
 	}
 
+	/**
+	 * Sets how many entries without an account are cut off and use their equal split.
+	 * @param entries the number
+	 */
+	void cutOff(int entries) {
+		this.cutOff = entries;
+	}
+
 	/**
 	 * Sets what is held for reservations.
 	 * @param amount memory and slots held
@@ -260,7 +270,8 @@
 	}
 
 	private Amount spare(long now) {
-		return capacity().minus(held()).minus(unknownUse()).minus(committed(now)).minus(unheard(now));
+		Amount kept = unheard(now).max(OwnerlessShare.equalSplit(capacity(), this.equalEntries).times(this.cutOff));
+		return capacity().minus(held()).minus(unknownUse()).minus(committed(now)).minus(kept);
 	}
 
 	private boolean unsettled(long now) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryAccounts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryAccounts.java
@@ -41,6 +41,10 @@
 		return this.accounts.values();
 	}
 
+	boolean has(VmId vm) {
+		return this.accounts.containsKey(vm);
+	}
+
 	/**
 	 * The accounts of entries that use or want something.
 	 * @return the accounts in a stable order
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryMessages.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryMessages.java
@@ -72,6 +72,7 @@
 		int lifetimeMillis = this.settings.lifetimeMillis(demand.periodMillis());
 		List<GrantItem> grants = new ArrayList<>();
 		Set<OwnedEndpoint> touched = new LinkedHashSet<>();
+		this.endpoints.heard(from.vm());
 		this.demanded.inc(demand.items().size());
 		for (DemandItem item : demand.items()) {
 			Optional<OwnedEndpoint> endpoint = current(item);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoints.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/OwnedEndpoints.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,9 @@
  */
 final class OwnedEndpoints {
 
+	/** Less than the time after which a cut-off entry uses its equal split. */
+	private static final long SILENT = Duration.ofSeconds(7).toNanos();
+
 	private final Scheduler scheduler;
 
 	private final MembershipView membership;
@@ -44,6 +48,8 @@
 
 	private final Counter pushes;
 
+	private final Map<VmId, Long> heardAt = new HashMap<>();
+
 	private final Map<EndpointId, OwnedEndpoint> endpoints = new TreeMap<>(Comparator.comparing(EndpointId::value));
 
 	OwnedEndpoints(EndpointOwner.Builder builder, Predicate<OwnedShard> leaseHeld) {
@@ -81,6 +87,14 @@
 		this.endpoints.values().removeIf(condition);
 	}
 
+	/**
+	 * Notes that an entry was heard, whatever it asked for.
+	 * @param vm the entry
+	 */
+	void heard(VmId vm) {
+		this.heardAt.put(vm, this.scheduler.nanos());
+	}
+
 	/**
 	 * Does what is due for one endpoint and sends the grants that should go out unasked.
 	 * @param endpoint the endpoint
@@ -124,6 +138,26 @@
 		int sharing = Math.max(1, this.membership.eligible().size());
 		int live = (int) this.membership.members().stream().filter(OwnedEndpoints::mayHold).count();
 		account.members(sharing, live);
+		account.cutOff(cutOff(account));
+	}
+
+	// In a small fleet every entry makes contact every few seconds. One that doesn't is
+	// cut off from this owner and after a while uses its equal split. Unless that is kept
+	// for it, an owner cut off from everybody gives everything to its own entry, and the
+	// endpoint gets up to twice what it takes.
+	private int cutOff(EndpointAccount account) {
+		List<Member> members = this.membership.eligible();
+		if (!this.settings.smallFleet(members.size())) {
+			return 0;
+		}
+		long now = this.scheduler.nanos();
+		int silent = 0;
+		for (Member member : members) {
+			long heard = this.heardAt.computeIfAbsent(member.vm(), (vm) -> now);
+			boolean accounted = account.entries().has(member.vm());
+			silent += (!accounted && now - heard > SILENT) ? 1 : 0;
+		}
+		return silent;
 	}
 
 	private void forgetDead(OwnedEndpoint endpoint, long now) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/OwnerChangeTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/OwnerChangeTests.java
@@ -161,13 +161,27 @@
 		int running = fill(entry, 20, Duration.ofSeconds(20));
 		Truth.assertThat(running).isAtLeast(10);
 		this.fleet.kill(entry.incarnation.vm().value());
-		this.fleet.advance(Duration.ofSeconds(4));
+		this.fleet.advance(Duration.ofMillis(2_300));
 		fill(this.entries.get(1), 60, LONG);
 		Truth.assertThat(inFlight()).isAtMost(16 + 1);
 		this.fleet.advance(Duration.ofSeconds(20));
 		Truth.assertThat(fill(this.entries.get(1), 60, LONG)).isAtLeast(8);
 	}
 
+	@Test
+	void ownerCutOffFromAllEntriesLeavesThemTheirPart() {
+		// Symptom: an endpoint gets nearly twice what it takes while a network is split.
+		// Sequence: the owner is cut off and serves its own callers; after ten seconds
+		// the
+		// other entries use their equal split. Cause: the owner takes them for idle.
+		this.fleet.network().cut(new VmId(this.owner));
+		this.fleet.advance(Duration.ofSeconds(12));
+		fill(this.fleet.daemon(this.owner), 40, LONG);
+		this.entries.forEach((entry) -> fill(entry, 10, LONG));
+		Truth.assertThat(inFlight()).isAtLeast(12);
+		Truth.assertThat(inFlight()).isAtMost(16 + 1);
+	}
+
 	@Test
 	void idleEntryMayStartAtOnce() {
 		this.fleet.advance(Duration.ofSeconds(60));
