--- a/bench/src/main/java/org/bramleyscale/bench/capacity/RequestCounts.java
+++ b/bench/src/main/java/org/bramleyscale/bench/capacity/RequestCounts.java
@@ -1,9 +1,5 @@
 package org.bramleyscale.bench.capacity;
 
-import java.util.Map;
-import java.util.TreeMap;
-
-import org.bramleyscale.ErrorCode;
 import org.bramleyscale.RequestId;
 import org.bramleyscale.ServingException;
 import org.bramleyscale.internal.endpoint.EngineUsage;
@@ -17,8 +13,6 @@
  */
 final class RequestCounts implements AnswerSink {
 
-	private final Map<ErrorCode, Integer> failures = new TreeMap<>();
-
 	private int sent;
 
 	private int completed;
@@ -27,8 +21,8 @@
 		this.sent++;
 	}
 
-	int completed() {
-		return this.completed;
+	int started() {
+		return this.sent;
 	}
 
 	/**
@@ -39,10 +33,6 @@
 		return this.sent - this.completed;
 	}
 
-	Map<ErrorCode, Integer> failures() {
-		return this.failures;
-	}
-
 	@Override
 	public void admitted(RequestId id) {
 	}
@@ -58,7 +48,6 @@
 
 	@Override
 	public void failed(ServingException failure) {
-		this.failures.merge(failure.code(), 1, Integer::sum);
 	}
 
 }
--- a/bench/src/main/java/org/bramleyscale/bench/capacity/SliceFleet.java
+++ b/bench/src/main/java/org/bramleyscale/bench/capacity/SliceFleet.java
@@ -14,6 +14,7 @@
 import com.google.common.net.HostAndPort;
 import org.bramleyscale.ClientAccountId;
 import org.bramleyscale.Incarnation;
+import org.bramleyscale.RequestId;
 import org.bramleyscale.SettingKey;
 import org.bramleyscale.Settings;
 import org.bramleyscale.SettingsException;
@@ -163,7 +164,7 @@
 	Duration change() {
 		this.changes++;
 		long version = this.daemons.get(0).configuration().current().version();
-		return awaitVersion(apply(version, "rules-" + this.changes));
+		return awaitVersion(apply(version, "rules-change-" + this.changes));
 	}
 
 	/**
@@ -183,18 +184,24 @@
 	/**
 	 * Sends one request to the first entry of an account.
 	 * @param account the number of the account
-	 * @param repeatable whether it may run again
+	 * @param repeatable whether it may run again; if not, its id is the caller's choice
 	 */
 	void send(int account, boolean repeatable) {
 		ClientAccountId name = this.documents.account(account);
 		AddressAnswer answer = this.daemons.get(0).addresses().addresses(name);
-		NodeSlices entry = this.byAddress.get(answer.entries().get(0).address());
-		GenerateRequest request = new GenerateRequest(Optional.empty(), name, FleetDocuments.service(account),
-				FleetDocuments.model(account), prompt(), LONGEST_ANSWER, repeatable, REQUEST_TIME);
+		AddressAnswer.Entry home = answer.entries().get(0);
+		NodeSlices entry = this.byAddress.get(home.address());
+		GenerateRequest request = new GenerateRequest(repeatable ? Optional.empty() : Optional.of(chosenId(home)), name,
+				FleetDocuments.service(account), FleetDocuments.model(account), prompt(), LONGEST_ANSWER, repeatable,
+				REQUEST_TIME);
 		this.counts.sent();
 		entry.requests().generate(request, this.counts);
 	}
 
+	private RequestId chosenId(AddressAnswer.Entry home) {
+		return new RequestId(Incarnation.parse(home.requestIdPrefix()), "booking-" + this.counts.started());
+	}
+
 	private String prompt() {
 		return Strings.repeat(Integer.toHexString(this.random.nextInt()), 20);
 	}
--- a/bench/src/main/java/org/bramleyscale/bench/capacity/StateCosts.java
+++ b/bench/src/main/java/org/bramleyscale/bench/capacity/StateCosts.java
@@ -25,6 +25,8 @@
 
 	private static final int SMALL = 50;
 
+	private static final int REQUESTS_TO_WARM_UP = 5_000;
+
 	private static final Duration BATCH = Duration.ofMillis(20);
 
 	private static final Duration ALL_ENDED = Duration.ofSeconds(5);
@@ -43,16 +45,20 @@
 	}
 
 	void measure() {
-		slope("configuration", "heap of a daemon, by client accounts", "account", new int[] { 1_000, 2_000, 4_000 },
+		// Classes and compiled code would else count as state of the first fleet.
+		requests(REQUESTS_TO_WARM_UP, false, RECORDS_DROPPED);
+		heap(new FleetSize(1, MANY, SMALL, SMALL));
+		slope("configuration", "heap of a daemon, by client accounts", "account",
+				new int[] { 2_000, 4_000, 8_000, 13_000 },
 				(count) -> perDaemon((daemons) -> new FleetSize(1, daemons, SMALL, count)));
-		slope("configuration", "heap of a daemon, by endpoints", "endpoint", new int[] { 1_000, 2_000, 4_000 },
+		slope("configuration", "heap of a daemon, by endpoints", "endpoint", new int[] { 2_000, 4_000, 8_000, 12_000 },
 				(count) -> perDaemon((daemons) -> new FleetSize(1, daemons, count, SMALL)));
-		slope("membership", "heap of a daemon, by members of its data centre", "member", new int[] { 8, 17, 34, 68 },
-				(count) -> (double) heap(new FleetSize(1, count, SMALL, SMALL)) / count);
+		slope("membership", "heap of a daemon, by members of its data centre", "member", new int[] { 17, 34, 68, 136 },
+				(count) -> (double) heap(new FleetSize(1, count, FEW, FEW)) / count);
 		slope("request", "heap of a daemon, by kept records of 16 tokens", "record",
 				new int[] { 2_000, 4_000, 8_000, 16_000 }, (count) -> requests(count, true, ALL_ENDED));
-		slope("request", "heap of a daemon, by spent ids", "id", new int[] { 24_000, 48_000, 96_000 },
-				(count) -> requests(count, false, RECORDS_DROPPED));
+		slope("request", "heap of a daemon, by spent ids that callers chose", "id",
+				new int[] { 24_000, 48_000, 96_000 }, (count) -> requests(count, false, RECORDS_DROPPED));
 	}
 
 	private void slope(String duty, String what, String per, int[] sizes, IntToDoubleFunction cost) {
--- a/daemon/src/main/java/org/bramleyscale/daemon/demo/FreePorts.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/demo/FreePorts.java
@@ -9,7 +9,7 @@
 /**
  * Finds free ports on the loopback address.
  */
-final class FreePorts {
+public final class FreePorts {
 
 	private FreePorts() {
 	}
@@ -20,7 +20,7 @@
 	 * @return the ports
 	 * @throws IOException if there are not as many
 	 */
-	static List<Integer> find(int count) throws IOException {
+	public static List<Integer> find(int count) throws IOException {
 		List<ServerSocket> sockets = new ArrayList<>();
 		try {
 			for (int i = 0; i < count; i++) {
