Let the relays read first when a whole fleet starts

Cause: when all daemons start at once nobody holds a version, and each read every part from the platform; at the target size that would take its rate for minutes. Pings also went to daemons without a connection, where they are lost. Change: a daemon that isn't a relay waits up to three seconds for a peer that holds the version before it reads the platform; pings and pushes go only to daemons with a working connection.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationFetch.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationFetch.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -38,6 +36,12 @@
 
 	private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
+	// When a whole fleet starts at once nobody holds anything. If every daemon read all
+	// parts
+	// then, the platform's rate would be used up for minutes; so the relays read, and the
+	// others wait for a while to get the version from them.
+	private static final int PAUSES_FOR_RELAYS = 6;
+
 	private final Scheduler scheduler;
 
 	private final ConfigurationState state;
@@ -46,6 +50,8 @@
 
 	private final PeerNetwork network;
 
+	private final Relays relays;
+
 	private final HoldersView holders;
 
 	private final Freshness freshness;
@@ -54,7 +60,7 @@
 
 	private final Set<VmId> tried = new HashSet<>();
 
-	private final List<Waiter> waiters = new ArrayList<>();
+	private final VersionWaiters waiters;
 
 	private long wanted;
 
@@ -62,6 +68,8 @@
 
 	private boolean busy;
 
+	private int pauses;
+
 	private Optional<VmId> source = Optional.empty();
 
 	private SnapshotAssembly assembly = new SnapshotAssembly();
@@ -70,11 +78,13 @@
 	};
 
 	ConfigurationFetch(Scheduler scheduler, ConfigurationState state, ConfigurationStore store, PeerNetwork network,
-			HoldersView holders, Freshness freshness, Adopter adopter) {
+			Relays relays, HoldersView holders, Freshness freshness, Adopter adopter) {
 		this.scheduler = scheduler;
+		this.waiters = new VersionWaiters(scheduler);
 		this.state = state;
 		this.store = store;
 		this.network = network;
+		this.relays = relays;
 		this.holders = holders;
 		this.freshness = freshness;
 		this.adopter = adopter;
@@ -122,25 +132,16 @@
 		if (this.state.version() >= version) {
 			return CompletableFuture.completedFuture(true);
 		}
-		Waiter waiter = new Waiter(version, new CompletableFuture<>());
-		this.waiters.add(waiter);
-		this.scheduler.schedule(limit, () -> expire(waiter));
+		CompletableFuture<Boolean> held = this.waiters.await(version, limit);
 		wanted(version);
-		return waiter.future;
-	}
-
-	private void expire(Waiter waiter) {
-		this.waiters.remove(waiter);
-		waiter.future.complete(false);
+		return held;
 	}
 
 	/**
 	 * To be called after a version was put in force, wherever it came from.
 	 */
 	void adopted() {
-		List<Waiter> done = this.waiters.stream().filter((waiter) -> waiter.version <= this.state.version()).toList();
-		this.waiters.removeAll(done);
-		done.forEach((waiter) -> waiter.future.complete(true));
+		this.waiters.reached(this.state.version());
 		if (this.state.version() >= this.wanted) {
 			idle();
 		}
@@ -185,6 +186,10 @@
 		if (peer.isPresent()) {
 			ask(peer.get());
 		}
+		else if (this.state.version() == 0 && !this.relays.isRelay() && this.pauses < PAUSES_FOR_RELAYS) {
+			this.pauses++;
+			restartTimer(RETRY_PAUSE, this::next);
+		}
 		else {
 			readPlatform();
 		}
@@ -267,6 +272,7 @@
 
 	private void idle() {
 		this.busy = false;
+		this.pauses = 0;
 		this.source = Optional.empty();
 		this.tried.clear();
 		this.timer.cancel();
@@ -277,7 +283,4 @@
 		this.timer = this.scheduler.schedule(delay, task);
 	}
 
-	private record Waiter(long version, CompletableFuture<Boolean> future) {
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationGossip.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationGossip.java
@@ -122,6 +122,7 @@
 
 	private void addNext(Set<VmId> targets, List<VmId> from, int count) {
 		List<VmId> rest = new ArrayList<>(from);
+		rest.retainAll(this.network.connected());
 		rest.removeAll(targets);
 		for (int index = 0; index < Math.min(count, rest.size()); index++) {
 			targets.add(rest.get((this.round * count + index) % rest.size()));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationService.java
@@ -77,8 +77,8 @@
 		this.freshness = new Freshness(builder.staleAfter);
 		this.holders = new HoldersView(builder.scheduler);
 		this.holderWait = new HolderWait(builder.scheduler, builder.relays, this.holders, this.state::version);
-		this.fetch = new ConfigurationFetch(builder.scheduler, this.state, this.store, builder.network, this.holders,
-				this.freshness, this::adopt);
+		this.fetch = new ConfigurationFetch(builder.scheduler, this.state, this.store, builder.network, builder.relays,
+				this.holders, this.freshness, this::adopt);
 		this.spread = new ConfigurationSpread(this.state, builder.network, builder.relays, this.holders, this.fetch,
 				this::adopt, this.metrics, builder.random, builder.self, builder.chunkBytes);
 		this.gossip = new ConfigurationGossip(builder.scheduler, builder.random, builder.network, builder.relays,
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationSpread.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/ConfigurationSpread.java
@@ -186,6 +186,7 @@
 
 	private List<VmId> few(List<VmId> all) {
 		List<VmId> rest = new ArrayList<>(all);
+		rest.retainAll(this.network.connected());
 		List<VmId> chosen = new ArrayList<>();
 		while (!rest.isEmpty() && chosen.size() < FAN_OUT) {
 			chosen.add(rest.remove(this.random.nextInt(rest.size())));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
@@ -352,6 +352,28 @@
 		assertAllHold(2);
 	}
 
+	@Test
+	void aFleetThatStartsAsAWholeReadsThePartsOnlyOnItsRelays() {
+		// Symptom: after a power failure the platform is at its rate limit for minutes.
+		// Sequence: all daemons start at once and hold nothing. Cause: each reads all
+		// parts.
+		accepted("a-2",
+				new Change("large-one", 1, "mei", Optional.of(Samples.register(3000)), Optional.empty(), false));
+		this.fleet.advance(65_000);
+		ALL.forEach(this.fleet::kill);
+		this.fleet.advance(1000);
+		long before = this.fleet.platform.calls();
+		ALL.forEach(this.fleet::start);
+		this.fleet.advance(5000);
+		assertAllHold(2);
+		assertFresh(ALL);
+		int relays = 6;
+		long watching = 6 * relays;
+		int parts = this.fleet.platform.count("configuration-part");
+		Truth.assertThat(parts).isGreaterThan(20);
+		Truth.assertThat(this.fleet.platform.calls() - before).isAtMost(relays * parts + watching + 2 * ALL.size());
+	}
+
 	@Test
 	void aConflictAtADaemonThatStartedLaterShowsBothSides() {
 		accepted("a-0", rules("change-2", 1, 1, 2, 3));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePeers.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePeers.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
+import java.util.stream.Collectors;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
@@ -141,7 +142,10 @@
 
 		@Override
 		public Set<VmId> connected() {
-			return Set.copyOf(FakePeers.this.nodes.keySet());
+			return FakePeers.this.nodes.keySet()
+				.stream()
+				.filter((vm) -> linked(this.incarnation.vm(), vm))
+				.collect(Collectors.toSet());
 		}
 
 		@Override
