Give a leaving data centre time to refute, and show whole seconds of silence

Since a data centre counts as silent after three seconds, the last daemon of one that leaves was declared dead after a pause of that length, though it still worked; others would then have said of its requests that nobody knows what became of them. It now gets the time that any suspect has. With the old rule the row of PlannedLeaveTests for a cut of six seconds reads DEAD.

Silence is shown from the last heartbeat rather than from the suspicion. The status page at 360 px: times without fractions of a second, running and waiting work in words, "here" in place of "with self", no empty lines.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MemberHistory.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MemberHistory.java
@@ -20,9 +20,9 @@
 	boolean endedByPlan(VmId vm);
 
 	/**
-	 * For how long heartbeats have said that a daemon doesn't answer.
+	 * For how long heartbeats of a daemon have been missing.
 	 * @param vm its VM
-	 * @return the time since it or its data centre was suspected, or zero if it answers
+	 * @return the time, to a second or two, or zero if it answers
 	 */
 	Duration silence(VmId vm);
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
@@ -85,7 +85,7 @@
 		this.silences = new DataCentreSilences(own, this.scheduler);
 		this.relays = new Relays(this.table, self, own);
 		this.topology = new Topology(this.table, this.relays, list, builder.settings, this.scheduler);
-		this.view = new ViewCache(this.table, this.silences, own);
+		this.view = new ViewCache(this.table, this.silences, own, this.times.silence());
 		this.heartbeats = new Heartbeats(this.table, this.silences, this.topology, this.relays, builder.network,
 				this.random, this.identity);
 		Rumours rumours = new Rumours(this.table, this.silences, builder.network, this.scheduler, own,
@@ -97,7 +97,7 @@
 		this.detector = new FailureDetector(this.table, inquiries, jury, this.scheduler, this.times, this.claims,
 				builder.metrics);
 		this.platform = new PlatformPoll(builder.store, list, this.table, this.silences, this.relays, this.claims, own,
-				builder.metrics);
+				this.times.suspicion(), builder.metrics);
 		TableExchange exchange = new TableExchange(this.table, builder.network, this.scheduler, this.times,
 				builder.metrics);
 		new Receiver(this.table, this.claims, this.silences, exchange, this.detector, builder.network, own);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformPoll.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformPoll.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.membership;
 
+import java.time.Duration;
 import java.util.List;
 
 import com.codahale.metrics.Counter;
@@ -34,12 +35,14 @@
 
 	private final DataCentre own;
 
+	private final Duration suspicion;
+
 	private final Counter polls;
 
 	private boolean reading;
 
 	PlatformPoll(ObjectStore store, PlatformList list, MemberTable table, DataCentreSilences silences, Relays relays,
-			Claims claims, DataCentre own, MetricRegistry metrics) {
+			Claims claims, DataCentre own, Duration suspicion, MetricRegistry metrics) {
 		this.store = store;
 		this.list = list;
 		this.table = table;
@@ -47,6 +50,7 @@
 		this.relays = relays;
 		this.claims = claims;
 		this.own = own;
+		this.suspicion = suspicion;
 		this.polls = metrics.counter("membership.list-polls");
 	}
 
@@ -85,8 +89,17 @@
 		}
 	}
 
+	/**
+	 * Whether a member of a silent data centre is dead. Of a leaving one that only paused
+	 * others would say that nobody knows what became of its requests, so it gets the time
+	 * that any suspect has to refute.
+	 * @param entry the member
+	 * @return true if its end is certain enough
+	 */
 	private boolean isOver(MemberEntry entry) {
-		return this.list.gone(entry.vm()) || this.relays.allLeaving(entry.identity().dataCentre());
+		DataCentre dataCentre = entry.identity().dataCentre();
+		boolean silentForLong = this.silences.silence(dataCentre).compareTo(this.suspicion) >= 0;
+		return this.list.gone(entry.vm()) || (silentForLong && this.relays.allLeaving(dataCentre));
 	}
 
 	private void read(List<VmRecord> records) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/ViewCache.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/ViewCache.java
@@ -23,6 +23,8 @@
 
 	private final DataCentre own;
 
+	private final Duration unheard;
+
 	private final List<Runnable> listeners = new ArrayList<>();
 
 	private List<Member> members = List.of();
@@ -31,10 +33,18 @@
 
 	private boolean stale = true;
 
-	ViewCache(MemberTable table, DataCentreSilences silences, DataCentre own) {
+	/**
+	 * Makes the view.
+	 * @param table the members
+	 * @param silences the silent data centres
+	 * @param own the own data centre
+	 * @param unheard how long somebody isn't heard before being suspected
+	 */
+	ViewCache(MemberTable table, DataCentreSilences silences, DataCentre own, Duration unheard) {
 		this.table = table;
 		this.silences = silences;
 		this.own = own;
+		this.unheard = unheard;
 	}
 
 	void onChange(Runnable listener) {
@@ -73,7 +83,8 @@
 			.filter((dataCentre) -> !dataCentre.equals(this.own))
 			.map(this.silences::silence)
 			.orElse(Duration.ZERO);
-		return (own.compareTo(ofDataCentre) >= 0) ? own : ofDataCentre;
+		Duration longer = (own.compareTo(ofDataCentre) >= 0) ? own : ofDataCentre;
+		return longer.isZero() ? longer : longer.plus(this.unheard);
 	}
 
 	private void refresh() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/status/StatusPage.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/status/StatusPage.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.status;
 
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.Locale;
 
@@ -25,6 +27,12 @@
 
 	private static final long SECOND = 1000;
 
+	private static final String SELF = "self";
+
+	private static final DateTimeFormatter DAY_AND_TIME = formatter("yyyy-MM-dd HH:mm:ss 'UTC'");
+
+	private static final DateTimeFormatter TIME = formatter("HH:mm:ss");
+
 	private static final String STYLE = """
 			body{font:16px/1.4 system-ui,sans-serif;margin:0 auto;padding:8px;max-width:720px;overflow-wrap:anywhere}
 			h1{font-size:20px;margin:4px 0}h2{font-size:17px;margin:16px 0 4px}
@@ -64,7 +72,7 @@
 		this.html.append("<h1>bramleyscale</h1><p class=\"faint\">As ")
 			.append(escape(summary.daemon().vm()))
 			.append(" sees it at ")
-			.append(escape(summary.at()))
+			.append(escape(DAY_AND_TIME.format(summary.at())))
 			.append(", configuration ")
 			.append(summary.version())
 			.append("</p>\n");
@@ -98,8 +106,8 @@
 		table("Endpoints", endpoints.size(), "Endpoint", "State", "Work", "Memory", "Report");
 		for (EndpointStatus endpoint : shown(endpoints)) {
 			row(endpoint.name() + "\n" + endpoint.service(), lower(endpoint.state()),
-					endpoint.running() + "+" + endpoint.waiting(), memory(endpoint),
-					(endpoint.reportAgeMillis() < 0) ? "never" : seconds(endpoint.reportAgeMillis()));
+					endpoint.running() + " run\n" + endpoint.waiting() + " wait", memory(endpoint),
+					(endpoint.reportAgeMillis() < 0) ? "never" : seconds(endpoint.reportAgeMillis()) + " ago");
 		}
 		this.html.append("</table>\n");
 	}
@@ -115,10 +123,9 @@
 
 	private void failures() {
 		List<RecentFailure> failures = this.report.summary().failures();
-		table("Latest failures here", failures.size(), "When", "What");
+		table("Latest failures here", failures.size(), "UTC", "What");
 		for (RecentFailure failure : failures.subList(0, Math.min(SHOWN_FAILURES, failures.size()))) {
-			row(failure.at(), failure.code() + " (ran: " + lower(failure.ran()) + ") at " + lower(failure.step())
-					+ " with " + failure.peer() + "\n" + failure.message() + "\n" + failure.requestId());
+			row(TIME.format(failure.at()), what(failure));
 		}
 		this.html.append("</table>\n");
 	}
@@ -139,6 +146,17 @@
 		this.html.append("</tr>\n");
 	}
 
+	private static String what(RecentFailure failure) {
+		String place = failure.peer().equals(SELF) ? " here" : " with " + failure.peer();
+		String request = failure.requestId().isEmpty() ? "" : "\n" + failure.requestId();
+		return failure.code() + " (ran: " + lower(failure.ran()) + ") at " + lower(failure.step()) + place + "\n"
+				+ failure.message() + request;
+	}
+
+	private static DateTimeFormatter formatter(String pattern) {
+		return DateTimeFormatter.ofPattern(pattern, Locale.ROOT).withZone(ZoneOffset.UTC);
+	}
+
 	private static <T> List<T> shown(List<T> rows) {
 		return rows.subList(0, Math.min(SHOWN_ROWS, rows.size()));
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/membership/PlannedLeaveTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/membership/PlannedLeaveTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import com.google.common.collect.Range;
 import com.google.common.truth.Truth;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.membership.Member.State;
@@ -52,14 +53,16 @@
 	 * centre leaves and is out of reach for a while. Cause: a verdict that it couldn't
 	 * take back.
 	 */
-	@Test
-	void aLeavingDaemonThatWasOutOfReachIsLeavingAgain() {
+	@ParameterizedTest
+	@CsvSource({ "6, LEAVING", "30, DEAD" })
+	void aLeavingDaemonThatWasOutOfReachIsLeavingAgain(int seconds, State meanwhile) {
 		Fleet fleet = Fleet.of(1, THREE);
 		fleet.daemon("rawang-0").membership.leave();
 		fleet.advance(Duration.ofSeconds(5));
 		List<String> others = List.of("semenyih-0", "shah-alam-0");
 		fleet.between(List.of("rawang-0"), others, fleet.hub::cut);
-		fleet.advance(Duration.ofSeconds(30));
+		fleet.advance(Duration.ofSeconds(seconds));
+		Truth.assertThat(fleet.seenBy(others, "rawang-0")).containsExactly(meanwhile);
 		fleet.between(List.of("rawang-0"), others, fleet.hub::heal);
 		fleet.advance(Duration.ofSeconds(20));
 		Truth.assertThat(fleet.seen("rawang-0")).containsExactly(State.LEAVING);
@@ -71,7 +74,7 @@
 		Truth.assertThat(silence(fleet)).isEqualTo(Duration.ZERO);
 		fleet.kill("rawang-0");
 		fleet.advance(Duration.ofSeconds(200));
-		Truth.assertThat(silence(fleet)).isGreaterThan(Duration.ofSeconds(190));
+		Truth.assertThat(silence(fleet)).isIn(Range.closed(Duration.ofSeconds(198), Duration.ofSeconds(200)));
 		Truth.assertThat(fleet.daemon("semenyih-0").membership.history().endedByPlan(LEAVER)).isFalse();
 	}
 
