--- a/bench/src/main/java/org/bramleyscale/bench/Figures.java
+++ b/bench/src/main/java/org/bramleyscale/bench/Figures.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.bench;
 
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -29,8 +30,20 @@
 
 	private final List<Figure> figures = new ArrayList<>();
 
+	private final PrintStream progress;
+
 	public Figures(String measurement) {
+		this(measurement, new PrintStream(OutputStream.nullOutputStream()));
+	}
+
+	/**
+	 * Makes figures that are also told one by one, for measurements that take minutes.
+	 * @param measurement the name of the measurement
+	 * @param progress takes each figure once it is known
+	 */
+	public Figures(String measurement, PrintStream progress) {
 		this.measurement = measurement;
+		this.progress = progress;
 	}
 
 	/**
@@ -45,7 +58,9 @@
 	}
 
 	public Figures add(String duty, String what, double value, String unit) {
-		this.figures.add(new Figure(duty, what, value, unit));
+		Figure figure = new Figure(duty, what, value, unit);
+		this.figures.add(figure);
+		this.progress.println(figure);
 		return this;
 	}
 
