Choose another group when one of its engines leaves meanwhile

Cause: a reservation that waits for its last engine kept the group planned at its start. An engine that announced meanwhile to stop, or was marked as leaving, still held its part and got the prompt when the last engine had room, up to the request's time later.

Change: a group that hasn't been handed to its request is looked at with each hold that comes and every 2 s. If one of its engines can no longer be used the round is given up and another group is chosen. A round given up is no longer taken for complete.

Ruled out: a late report or configuration; every daemon knew of the leaving 3.4 s before the engine got the prompt.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/ActiveReservation.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/ActiveReservation.java
@@ -50,6 +50,8 @@
 
 	private Cancellable deadline;
 
+	private boolean handedOver;
+
 	ActiveReservation(GroupReservations host, RequestId request, ServiceName service, ModelName model, long kvTokens,
 			Consumer<List<Reservations.GroupMember>> reserved, Consumer<ServingException> failed) {
 		this.host = host;
@@ -90,9 +92,13 @@
 	 * An engine holds its part: asks the next, or hands over the group.
 	 */
 	void proceed() {
-		if (this.progress.complete()) {
+		if (overtaken()) {
+			refused();
+		}
+		else if (this.progress.complete()) {
 			this.deadline.cancel();
 			this.wait.stop();
+			this.handedOver = true;
 			this.reserved.accept(this.progress.members());
 		}
 		else {
@@ -101,7 +107,20 @@
 	}
 
 	/**
-	 * An engine refused or lost its part before all was held: gives back the rest and
+	 * Whether an engine of the group can no longer be used though the request hasn't
+	 * started. A group may wait long for its last engine. Without this look an engine
+	 * that announced meanwhile to stop would get a long prompt seconds later.
+	 * @return true if another group must be chosen
+	 */
+	boolean overtaken() {
+		if (!this.progress.planned() || this.handedOver) {
+			return false;
+		}
+		return !this.host.usable(this.service, this.model).containsAll(this.progress.engines());
+	}
+
+	/**
+	 * An engine refused, lost its part or leaves before all was held: gives back the rest and
 	 * looks for another group.
 	 */
 	void refused() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservation.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservation.java
@@ -147,6 +147,14 @@
 		return result;
 	}
 
+	/**
+	 * The engines of the present round, held or not.
+	 * @return their names
+	 */
+	List<EndpointId> engines() {
+		return this.steps.stream().map((step) -> step.part.entry().name()).toList();
+	}
+
 	List<Reservations.GroupMember> members() {
 		return this.steps.stream().map(Step::member).toList();
 	}
@@ -159,6 +167,7 @@
 		List<HeldMemory> asked = new ArrayList<>(held());
 		next().ifPresent(asked::add);
 		this.steps.clear();
+		this.complete = false;
 		return asked;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservations.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/GroupReservations.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -20,6 +21,7 @@
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.ServingException;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.configuration.EndpointEntry;
 import org.bramleyscale.internal.endpoint.EngineClient;
 import org.bramleyscale.internal.endpoint.EngineHold;
 import org.bramleyscale.internal.endpoint.HeldMemory;
@@ -235,10 +237,17 @@
 		this.endpoints.owner(endpoint).ifPresent((owner) -> this.peers.send(owner, message));
 	}
 
+	Set<EndpointId> usable(ServiceName service, ModelName model) {
+		return this.endpoints.usable(service, model).stream().map(EndpointEntry::name).collect(Collectors.toSet());
+	}
+
 	private void tick() {
 		long now = this.scheduler.nanos();
 		Map<VmId, List<HeldMemory>> byOwner = new HashMap<>();
 		for (ActiveReservation reservation : List.copyOf(this.active)) {
+			if (reservation.overtaken()) {
+				reservation.refused();
+			}
 			reservation.progress().next().ifPresent(this::ask);
 			for (HeldMemory held : reservation.progress().held()) {
 				Optional<VmId> owner = this.endpoints.owner(held.endpoint());
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GroupReservationTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/endpoint/GroupReservationTests.java
@@ -171,6 +171,28 @@
 		this.fleet.advance(Duration.ofSeconds(6));
 	}
 
+	@Test
+	void givesUpAnEngineThatLeavesWhileItWaitsForAnother() {
+		// Symptom: an engine gets a manual to compute seconds after it announced to stop.
+		// Sequence: e1 holds its part, the request waits for e2, meanwhile e1 announces
+		// to stop, then e2 has room. Cause: a group once planned was not looked at again.
+		List<String> group = new ArrayList<>();
+		EndpointFleet.Daemon daemon = this.fleet.daemon("vm-1");
+		this.fleet.engines.engine("e2").kvUsed = 900_000;
+		daemon.reservations.reserve(new RequestId(daemon.incarnation, "r1"), EndpointFleet.SERVICE, EndpointFleet.MODEL,
+				1_200_000, WITHIN,
+				(members) -> members.forEach((member) -> group.add(member.endpoint().name().value())),
+				(ServingException failure) -> group.add("failed " + failure.peer()));
+		this.fleet.advance(Duration.ofSeconds(1));
+		Truth.assertThat(this.fleet.engines.engine("e1").heldKv()).isGreaterThan(0);
+		this.fleet.engines.engine("e1").leaving = true;
+		this.fleet.advance(Duration.ofSeconds(6));
+		Truth.assertThat(this.fleet.engines.engine("e1").heldKv()).isEqualTo(0);
+		this.fleet.engines.engine("e2").kvUsed = 0;
+		this.fleet.advance(Duration.ofSeconds(6));
+		Truth.assertThat(group).containsExactly("e2", "e3").inOrder();
+	}
+
 	private int finished;
 
 	private void keepBusy(int rounds) {
