Strike whole daemons with every pair of faults

Cause: each slice was proved under its own faults, but nothing showed that what must always hold holds when daemons, engines, services and the platform fail together.

Change: an engine client without sockets over the engine and service stand-ins; a fleet of five daemons, four engines and two plain services on one manual clock with switches for 19 faults; callers that stream, resume, book and retry; checks of the eight properties. One table-driven test runs no fault, each fault alone and each pair, each with its own seed.

Ruled out: a cluster simulator; the fleet only joins the slices with the stand-ins and has no behaviour of its own.

--- /dev/null
+++ b/standins/src/test/java/org/bramleyscale/standins/fleet/CallerWorld.java
@@ -0,0 +1,11 @@
+package org.bramleyscale.standins.fleet;
+
+/**
+ * What all callers of a run share.
+ *
+ * @param fleet the fleet
+ * @param addresses the addresses they keep
+ * @param violations takes what must not happen
+ */
+record CallerWorld(Fleet fleet, AddressKeeper addresses, Violations violations) {
+}
--- /dev/null
+++ b/standins/src/test/java/org/bramleyscale/standins/fleet/FaultTrials.java
@@ -0,0 +1,41 @@
+package org.bramleyscale.standins.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Prints, for each fault, the outcomes of requests, the longest time that memory stayed
+ * lost and what must not have happened. Takes the number of seeds; run by hand.
+ */
+public final class FaultTrials {
+
+	private FaultTrials() {
+	}
+
+	public static void main(String[] arguments) {
+		int seeds = (arguments.length > 0) ? Integer.parseInt(arguments[0]) : 3;
+		row("NONE", List.of(), seeds);
+		for (FleetFault fault : FleetFault.values()) {
+			row(fault.name(), List.of(fault), seeds);
+		}
+	}
+
+	private static void row(String name, List<FleetFault> faults, int seeds) {
+		Duration longest = Duration.ZERO;
+		Map<String, Integer> outcomes = new TreeMap<>();
+		long began = System.nanoTime();
+		for (int seed = 1; seed <= seeds; seed++) {
+			FaultRun run = new FaultRun(seed);
+			List<String> violations = run.run(faults);
+			longest = (run.memoryLost().compareTo(longest) > 0) ? run.memoryLost() : longest;
+			run.outcomes().forEach((outcome, count) -> outcomes.merge(outcome, count, Integer::sum));
+			int number = seed;
+			violations.forEach((violation) -> System.out.println("  seed " + number + " " + violation));
+		}
+		System.out.printf("%-26s memory free after at most %s; %s; %d ms a run%n", name, longest, outcomes,
+				(System.nanoTime() - began) / 1_000_000 / seeds);
+	}
+
+}
--- /dev/null
+++ b/standins/src/test/java/org/bramleyscale/standins/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Whole daemons under faults, on a manual clock.
+ */
+package org.bramleyscale.standins.fleet;
--- a/standins/src/test/java/org/bramleyscale/standins/platform/PausableScheduler.java
+++ b/standins/src/test/java/org/bramleyscale/standins/platform/PausableScheduler.java
@@ -10,9 +10,9 @@
 
 /**
  * The scheduler of one daemon among several on a manual clock; it can be paused as a
- * whole, while the clock goes on.
+ * whole, while the clock goes on, or ended for good.
  */
-final class PausableScheduler implements Scheduler {
+public final class PausableScheduler implements Scheduler {
 
 	private final Scheduler shared;
 
@@ -20,21 +20,31 @@
 
 	private boolean paused;
 
-	PausableScheduler(Scheduler shared) {
+	private boolean ended;
+
+	public PausableScheduler(Scheduler shared) {
 		this.shared = shared;
 	}
 
-	void pause() {
+	public void pause() {
 		this.paused = true;
 	}
 
-	void resume() {
+	public void resume() {
 		this.paused = false;
 		while (!this.paused && !this.pending.isEmpty()) {
 			this.pending.removeFirst().run();
 		}
 	}
 
+	/**
+	 * Drops all tasks, now and from now on, as the death of the process does.
+	 */
+	public void end() {
+		this.ended = true;
+		this.pending.clear();
+	}
+
 	@Override
 	public long nanos() {
 		return this.shared.nanos();
@@ -62,10 +72,10 @@
 	}
 
 	private void runOrHold(Runnable task) {
-		if (this.paused) {
+		if (this.paused && !this.ended) {
 			this.pending.addLast(task);
 		}
-		else {
+		else if (!this.ended) {
 			task.run();
 		}
 	}
