--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/ActiveReservation.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/reservation/ActiveReservation.java
@@ -120,8 +120,8 @@
 	}
 
 	/**
-	 * An engine refused, lost its part or leaves before all was held: gives back the rest and
-	 * looks for another group.
+	 * An engine refused, lost its part or leaves before all was held: gives back the rest
+	 * and looks for another group.
 	 */
 	void refused() {
 		this.progress.giveUp().forEach(this.host::giveBack);
