Give each endpoint about as many entries as any other

Subsets drawn by hashing with the entry's name left endpoints without any entry: 2 of 300 with a hundred entries of 24. Windows on a hashed order, begun at equal distances by the entries of a data centre, cover all endpoints evenly. A large fleet's entry now uses 24 endpoints and 1,800 bytes a second for demands and grants by default. Opening an account for a new entry no longer restarts the count of unclaimed use; only replacing or dropping one does.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/EndpointSettings.java
@@ -163,11 +163,11 @@
 
 		private int subsetSize = 30;
 
-		private int maxPairs = 30;
+		private int maxPairs = 24;
 
 		private int smallFleet = 64;
 
-		private int controlBytesPerSecond = 2_500;
+		private int controlBytesPerSecond = 1_800;
 
 		private Duration demandPeriod = Duration.ofMillis(250);
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/Rendezvous.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/Rendezvous.java
@@ -1,8 +1,6 @@
 package org.bramleyscale.internal.endpoint;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -54,32 +52,4 @@
 		return Optional.ofNullable(best);
 	}
 
-	/**
-	 * The nodes with the greatest weights.
-	 * @param <N> the type of node
-	 * @param key the key
-	 * @param nodes the nodes
-	 * @param name the name of a node, unique among the nodes
-	 * @param count how many are wanted
-	 * @return at most so many nodes, in their original order
-	 */
-	public static <N> List<N> top(String key, List<N> nodes, Function<N, String> name, int count) {
-		if (nodes.size() <= count) {
-			return nodes;
-		}
-		List<Weighted<N>> weighted = new ArrayList<>(nodes.size());
-		for (int i = 0; i < nodes.size(); i++) {
-			weighted.add(new Weighted<>(nodes.get(i), i, weight(key, name.apply(nodes.get(i)))));
-		}
-		weighted.sort(Comparator.comparingLong((Weighted<N> node) -> node.weight).reversed());
-		return weighted.subList(0, count)
-			.stream()
-			.sorted(Comparator.comparingInt((node) -> node.index))
-			.map((node) -> node.node)
-			.toList();
-	}
-
-	private record Weighted<N>(N node, int index, long weight) {
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryAccounts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/owner/EntryAccounts.java
@@ -65,12 +65,15 @@
 		if (account != null && account.entry().start() > entry.start()) {
 			return null;
 		}
-		if (account == null || account.entry().start() < entry.start()) {
-			account = new EntryAccount(entry);
-			this.accounts.put(entry.vm(), account);
+		if (account != null && account.entry().equals(entry)) {
+			return account;
+		}
+		EntryAccount opened = new EntryAccount(entry);
+		this.accounts.put(entry.vm(), opened);
+		if (account != null) {
 			this.forgotten.run();
 		}
-		return account;
+		return opened;
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/Subsets.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/endpoint/pool/Subsets.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.configuration.Configuration;
 import org.bramleyscale.internal.configuration.EndpointEntry;
+import org.bramleyscale.internal.configuration.VmEntry;
 import org.bramleyscale.internal.endpoint.EndpointSettings;
 import org.bramleyscale.internal.endpoint.Rendezvous;
 
@@ -21,15 +23,21 @@
  *
  * <p>
  * A fleet of thousands of endpoints is more than an entry can hold grants for. Each entry
- * uses a subset by rendezvous hashing with its own name, two thirds of it from its own
- * data centre where that has enough. The more services are in use here, the smaller the
- * subsets. Confined to the scheduler's thread.
+ * uses a subset, two thirds of it from its own data centre where that has enough. The
+ * more services are in use here, the smaller the subsets. Invariant: of the subsets of
+ * one data centre's entries, as many hold any of its endpoints as any other, or one less;
+ * subsets drawn by hashing would leave some endpoints without any entry. Confined to the
+ * scheduler's thread.
  */
 final class Subsets {
 
+	private static final Comparator<VmId> BY_NAME = Comparator.comparing(VmId::value);
+
 	private static final long SERVICE_IN_USE_FOR = Duration.ofSeconds(60).toNanos();
 
-	private static final int SMALLEST = 4;
+	private static final int SMALLEST = 3;
+
+	private static final float LOCAL_PART = 2 / 3f;
 
 	private final EndpointSettings settings;
 
@@ -43,6 +51,8 @@
 
 	private Configuration configuration = Configuration.NONE;
 
+	private List<VmId> entries = List.of();
+
 	private int size;
 
 	private int maxPairs;
@@ -56,6 +66,13 @@
 
 	void update(Configuration newer, int members) {
 		this.configuration = newer;
+		this.entries = newer.register()
+			.vms()
+			.stream()
+			.filter((vm) -> vm.dataCentre().equals(this.dataCentre))
+			.map(VmEntry::name)
+			.sorted(BY_NAME)
+			.toList();
 		this.maxPairs = this.settings.maxPairs(members);
 		this.chosen.clear();
 	}
@@ -113,16 +130,32 @@
 			return all;
 		}
 		List<EndpointEntry> local = all.stream().filter((entry) -> entry.dataCentre().equals(this.dataCentre)).toList();
-		List<EndpointEntry> fromLocal = top(service, local, 2 * this.size / 3);
-		List<EndpointEntry> rest = new ArrayList<>(all);
-		rest.removeAll(Set.copyOf(fromLocal));
-		List<EndpointEntry> result = new ArrayList<>(fromLocal);
-		result.addAll(top(service, rest, this.size - fromLocal.size()));
+		int localCount = Math.min(local.size(), Math.round(this.size * LOCAL_PART));
+		List<EndpointEntry> remote = new ArrayList<>(all);
+		remote.removeAll(Set.copyOf(local));
+		int remoteCount = Math.min(remote.size(), this.size - localCount);
+		List<EndpointEntry> result = new ArrayList<>();
+		result.addAll(window(service, local, this.size - remoteCount));
+		result.addAll(window(service, remote, remoteCount));
 		return List.copyOf(result);
 	}
 
-	private List<EndpointEntry> top(ServiceName service, List<EndpointEntry> entries, int count) {
-		return Rendezvous.top(service + "/" + this.self, entries, (entry) -> entry.name().value(), count);
+	// The entry's window on the endpoints in a hashed order; the windows of all entries
+	// of
+	// its data centre begin at equal distances.
+	private List<EndpointEntry> window(ServiceName service, List<EndpointEntry> endpoints, int count) {
+		if (endpoints.size() <= count) {
+			return endpoints;
+		}
+		List<EndpointEntry> ordered = new ArrayList<>(endpoints);
+		ordered.sort(Comparator.comparingLong((entry) -> Rendezvous.weight(service.value(), entry.name().value())));
+		int rank = Math.max(0, this.entries.indexOf(this.self));
+		int start = (int) ((long) rank * ordered.size() / Math.max(1, this.entries.size()));
+		List<EndpointEntry> result = new ArrayList<>(count);
+		for (int i = 0; i < count; i++) {
+			result.add(ordered.get((start + i) % ordered.size()));
+		}
+		return result;
 	}
 
 }
