Follow the engine stand-in's prompts and the names of holds

Cause: the in-memory engine client passed the prompt as text where a generation now takes what an engine knows of it, so the module did not compile; and the engine's list of requests in memory parted hold names at a slash, where they now have a dot before the round.

Change: the client makes the prompt as the wire does; a hold's request is what stands before its last dot.

--- a/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/EngineState.java
@@ -266,7 +266,7 @@
 			.stream()
 			.filter((attempt) -> attempt.phase() == Attempt.Phase.RUNNING)
 			.forEach((attempt) -> requests.add(attempt.generation().key().id()));
-		holds().forEach((hold) -> requests.add(hold.hold().substring(0, (hold.hold() + "/").indexOf('/'))));
+		holds().forEach((hold) -> requests.add(hold.hold().substring(0, hold.hold().lastIndexOf('.'))));
 		return requests;
 	}
 
--- a/standins/src/main/java/org/bramleyscale/standins/engine/InMemoryEngineClient.java
+++ b/standins/src/main/java/org/bramleyscale/standins/engine/InMemoryEngineClient.java
@@ -74,7 +74,7 @@
 		}
 		stream.limit(this.scheduler, request.timeLeft());
 		Generation generation = new Generation(new AttemptKey(request.id().toString(), request.attempt()),
-				request.model().value(), request.prompt(), request.delivered(), request.firstOffset(),
+				request.model().value(), Prompt.of(request.prompt()), request.delivered(), request.firstOffset(),
 				request.maxTokens(), request.priority(), request.holds());
 		open(endpoint, stream, (target, connection) -> {
 			this.endpoints.observer().taken(endpoint.name(), request.id().toString());
