Count the holders of a change against all daemons, not those heard

Cause: a random sequence showed a change called spread that the larger part of a split fleet never heard of. While a fleet splits, the number of daemons heard falls, until the two that were left seemed to be enough.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/HolderWait.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/HolderWait.java
@@ -75,9 +75,13 @@
 		}
 	}
 
+	// The majority counts those that should be there, not those that are heard: while a
+	// fleet splits, the number heard falls until the few that are left seem to be enough,
+	// and a change would be called spread that the larger part never heard of.
 	private int required() {
-		int wanted = Math.max(FEWEST_OTHERS, Math.min(MOST_OTHERS, this.relays.members() / 2));
-		return Math.max(0, Math.min(wanted, this.relays.heard() - 1));
+		int majority = Math.min(MOST_OTHERS, this.relays.members() / 2);
+		int others = Math.min(FEWEST_OTHERS, this.relays.heard() - 1);
+		return Math.max(majority, others);
 	}
 
 	private record Waiter(long version, CompletableFuture<ChangeResult.Accepted> future) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
@@ -249,6 +249,23 @@
 		assertAllHold(2);
 	}
 
+	@Test
+	void aChangeThatOnlyASplitOffGroupHoldsIsNotCalledSpread() {
+		// Symptom: an operator is told that a change is in force while most daemons serve
+		// by
+		// the rules before. Sequence: six daemons lose the platform; the fleet splits;
+		// before
+		// anybody notices, a change is made in the smaller part. Cause: counting holders
+		// against those that are still heard.
+		this.fleet.cutOffPlatform(List.of("a-0", "a-1", "b-0", "b-1", "b-2", "c-1"));
+		this.fleet.advance(7000);
+		this.fleet.partition(Set.of("a-2", "c-0", "c-2"));
+		ChangeResult.Accepted result = (ChangeResult.Accepted) result("c-0", rules("change-2", 1, 1));
+		Truth.assertThat(result.spread()).isFalse();
+		Truth.assertThat(result.holders()).isEqualTo(3);
+		Truth.assertThat(result.members()).isEqualTo(9);
+	}
+
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 6, 12, 18, 24 })
 	void aRelayThatDiesMidSpreadLeavesNoGap(long millis) {
