Find an entry's position once per change of the members

Cause: routing asked for the entry's position with every candidate, and each time all members were walked: 155 us for 30 candidates among 1,700 members in a trial of the measurements, beside about 1 us for the decision itself. Change: the position is found when the membership changes.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
@@ -86,6 +86,8 @@
 
 	private final FailureLog failures;
 
+	private int position;
+
 	public NodeSlices(NodePorts ports, Settings settings) {
 		this.ports = ports;
 		this.settings = settings;
@@ -111,6 +113,7 @@
 		this.requests = newRequests();
 		this.loggedRequests = new LoggedRequests(this.requests, this.failures);
 		this.leavePlan = new LeavePlan(this.scheduler, new Leaving(), this.addresses, leaveTimes());
+		this.membership.onChange(this::findPosition);
 		this.membership.onLeave(() -> beginLeave("membership"));
 		this.network.listen(Drain.class, (from, drain) -> beginLeave(drain.askedBy()));
 	}
@@ -263,7 +266,7 @@
 			.network(this.network)
 			.admission(this.admission)
 			.estimator(new RatioTokenEstimator())
-			.policy(PredictivePolicy.builder(this.scheduler).position(this::position).build())
+			.policy(PredictivePolicy.builder(this.scheduler).position(() -> this.position).build())
 			.pool(this.pool)
 			.reservations(this.reservations)
 			.client(this.ports.engines())
@@ -283,15 +286,18 @@
 			.toList();
 	}
 
-	private int position() {
-		int position = 0;
+	// Routing asks for the position with every candidate; walking 1,700 members each time
+	// took a hundred times as long as the decision, so it is found once per change.
+	private void findPosition() {
+		int found = 0;
 		for (Member member : this.membership.eligible()) {
 			if (member.vm().equals(self().vm())) {
-				return position;
+				this.position = found;
+				return;
 			}
-			position++;
+			found++;
 		}
-		return 0;
+		this.position = 0;
 	}
 
 	private RequestSettings requestSettings() {
