Let entries agree about speeds, and cut lanes by what reports show

Cause: entries that learnt different speeds cut the lanes differently, so one sent manuals where another sent questions; first samples taken behind a queue marked endpoints as slow; groups of engines landed on the endpoints kept for short prompts; the fakes' grants served only the oldest large request of an entry. Change: speeds are a high value of recent samples and are told to the other entries; lane loads come from the reports; a medium lane stands between short and long; whether priorities are honoured is learnt from late short prompts. Ruled out by trials: drawing endpoints at random in proportion to room (no gain), deeper queues at the engines (no gain).

--- a/bench/src/main/java/org/bramleyscale/bench/routing/Contenders.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/Contenders.java
@@ -7,6 +7,7 @@
 
 import org.bramleyscale.internal.routing.PredictivePolicy;
 import org.bramleyscale.internal.routing.RoutingPolicy;
+import org.bramleyscale.internal.routing.SpeedLearner;
 import org.bramleyscale.internal.routing.baseline.LeastInFlightPolicy;
 import org.bramleyscale.internal.routing.baseline.PrefixHomePolicy;
 import org.bramleyscale.internal.routing.baseline.RandomPolicy;
@@ -28,21 +29,23 @@
 	static final Contender OURS = ours("bramleyscale", EnumSet.allOf(Mechanism.class));
 
 	static final Contender LEAST_IN_FLIGHT = new Contender("least-in-flight",
-			(clock, entry) -> new LeastInFlightPolicy(), Set.of());
+			(clock, entry, speeds) -> new LeastInFlightPolicy(), Set.of());
 
 	/** The baseline with the engine priorities of the real decisions. */
 	static final Contender LEAST_WITH_PRIORITY = new Contender("least+priority",
-			(clock, entry) -> new LeastInFlightPolicy(), Set.of(Mechanism.PRIORITY));
+			(clock, entry, speeds) -> new LeastInFlightPolicy(), Set.of(Mechanism.PRIORITY));
 
 	private Contenders() {
 	}
 
 	static List<Contender> baselines() {
-		return List.of(new Contender("random", (clock, entry) -> new RandomPolicy(), Set.of()),
-				new Contender("round-robin", (clock, entry) -> new RoundRobinPolicy(), Set.of()), LEAST_IN_FLIGHT,
-				new Contender("two-choices", (clock, entry) -> new TwoChoicesPolicy(), Set.of()),
-				new Contender("prefix-home", (clock, entry) -> new PrefixHomePolicy(), Set.of(Mechanism.AFFINITY)),
-				new Contender("two-hashed", (clock, entry) -> new TwoHashedPolicy(),
+		return List.of(new Contender("random", (clock, entry, speeds) -> new RandomPolicy(), Set.of()),
+				new Contender("round-robin", (clock, entry, speeds) -> new RoundRobinPolicy(), Set.of()),
+				LEAST_IN_FLIGHT,
+				new Contender("two-choices", (clock, entry, speeds) -> new TwoChoicesPolicy(), Set.of()),
+				new Contender("prefix-home", (clock, entry, speeds) -> new PrefixHomePolicy(),
+						Set.of(Mechanism.AFFINITY)),
+				new Contender("two-hashed", (clock, entry, speeds) -> new TwoHashedPolicy(),
 						Set.of(Mechanism.AFFINITY, Mechanism.OWN_WORK)));
 	}
 
@@ -55,12 +58,13 @@
 	}
 
 	private static Contender ours(String name, Set<Mechanism> mechanisms) {
-		return new Contender(name, (clock, entry) -> policy(clock, entry, mechanisms), mechanisms);
+		return new Contender(name, (clock, entry, speeds) -> policy(clock, entry, speeds, mechanisms), mechanisms);
 	}
 
-	private static RoutingPolicy policy(Clock clock, int entry, Set<Mechanism> mechanisms) {
+	private static RoutingPolicy policy(Clock clock, int entry, SpeedLearner speeds, Set<Mechanism> mechanisms) {
 		return PredictivePolicy.builder(clock)
 			.position(() -> mechanisms.contains(Mechanism.ENTRY_HOMES) ? entry : 0)
+			.speeds(speeds)
 			.lanes(mechanisms.contains(Mechanism.LANES))
 			.queueing(mechanisms.contains(Mechanism.ENTRY_QUEUE))
 			.build();
--- a/bench/src/main/java/org/bramleyscale/bench/routing/FakeEngine.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/FakeEngine.java
@@ -53,6 +53,8 @@
 
 	private boolean stepping;
 
+	private double computingSeconds;
+
 	FakeEngine(Scheduler scheduler, EndpointId id, EngineProfile profile) {
 		this.scheduler = scheduler;
 		this.id = id;
@@ -75,6 +77,10 @@
 		this.slowdown = factor;
 	}
 
+	double computingSeconds() {
+		return this.computingSeconds;
+	}
+
 	void submit(EngineJob job) {
 		job.accepted(this.accepted++);
 		this.waiting.add(job);
@@ -127,6 +133,7 @@
 		}
 		double seconds = this.profile.stepSeconds() + decodes * this.profile.tokenSeconds()
 				+ (this.profile.chunkTokens() - left) / this.profile.prefillTokensPerSecond();
+		this.computingSeconds += (left < this.profile.chunkTokens()) ? seconds : 0;
 		List<EngineJob> decoded = new ArrayList<>(this.decoding);
 		this.scheduler.schedule(Duration.ofNanos((long) (seconds * this.slowdown * 1e9)),
 				() -> stepped(computed, shares, decoded));
--- a/bench/src/main/java/org/bramleyscale/bench/routing/FakeEntry.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/FakeEntry.java
@@ -34,6 +34,8 @@
 
 	static final ServiceName PLAIN_SERVICE = new ServiceName("yard");
 
+	private static final int MOST_WISHES = 8;
+
 	private final Scheduler scheduler;
 
 	private final int number;
@@ -69,17 +71,21 @@
 		this.number = number;
 		this.contender = contender;
 		this.admission = admission;
-		this.policy = contender.policies().create(cluster.scheduler(), number);
 		this.engines = cluster.engines();
 		this.grants = cluster.grants();
 		this.groups = cluster.groups();
 		this.plain = cluster.plain();
 		this.outcomes = cluster.outcomes();
 		this.pool = new FakePool(this.scheduler, this.engines, this.grants, number, contender);
+		this.policy = contender.policies().create(cluster.scheduler(), number, this.pool.speeds());
 		this.random = random;
 		this.incarnation = new Incarnation(new VmId("entry-" + number), 1);
 	}
 
+	Incarnation incarnation() {
+		return this.incarnation;
+	}
+
 	FakePool pool() {
 		return this.pool;
 	}
@@ -111,18 +117,18 @@
 	}
 
 	/**
-	 * Tells the grants the oldest request for which the entry's usual part is too small.
+	 * Tells the grants for which requests the entry's usual part is too small.
 	 * @param smallest the memory from which a request counts as large
 	 */
 	void wish(long smallest) {
+		List<Long> wishes = new ArrayList<>();
 		for (Live live : this.waiting.values()) {
 			boolean large = live.arrival.kvTokens() >= smallest;
-			if (large && !live.arrival.plain() && !this.groups.needsGroup(live.arrival)) {
-				this.grants.wish(this.number, live.arrival.kvTokens(), live.arrival.atNanos());
-				return;
+			if (large && !this.groups.needsGroup(live.arrival) && wishes.size() < MOST_WISHES) {
+				wishes.add(live.arrival.kvTokens());
 			}
 		}
-		this.grants.wish(this.number, 0, 0);
+		this.grants.wish(this.number, wishes);
 	}
 
 	private RoutingChoice predict(Live live) {
--- a/bench/src/main/java/org/bramleyscale/bench/routing/FakeGrants.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/FakeGrants.java
@@ -1,10 +1,11 @@
 package org.bramleyscale.bench.routing;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
  * The owners' side in small: at each round every engine's free slots and memory are
- * divided among the entries, the oldest large wish first.
+ * divided among the entries, after their waiting large requests.
  *
  * <p>
  * Invariant: what is granted and held never exceeds an engine's capacity.
@@ -27,9 +28,9 @@
 
 	private final long[] heldKv;
 
-	private final long[] wishedKv;
+	private final List<List<Long>> wishes = new ArrayList<>();
 
-	private final long[] wishedSince;
+	private int round;
 
 	FakeGrants(List<FakeEngine> engines, int entries) {
 		this.engines = engines;
@@ -39,22 +40,22 @@
 		this.usedSlots = new int[engines.size()][entries];
 		this.usedKv = new long[engines.size()][entries];
 		this.heldKv = new long[engines.size()];
-		this.wishedKv = new long[entries];
-		this.wishedSince = new long[entries];
+		for (int entry = 0; entry < entries; entry++) {
+			this.wishes.add(List.of());
+		}
 	}
 
 	/**
-	 * Sets an entry's largest waiting request.
+	 * Sets the memory that an entry's waiting large requests need.
 	 * @param entry the entry
-	 * @param kvTokens memory it needs; 0 if none waits
-	 * @param since when it began to wait
+	 * @param kvTokens memory for each, the oldest request first
 	 */
-	void wish(int entry, long kvTokens, long since) {
-		this.wishedKv[entry] = kvTokens;
-		this.wishedSince[entry] = since;
+	void wish(int entry, List<Long> kvTokens) {
+		this.wishes.set(entry, kvTokens);
 	}
 
 	void divide() {
+		this.round++;
 		for (int engine = 0; engine < this.engines.size(); engine++) {
 			divide(engine);
 		}
@@ -112,7 +113,7 @@
 			freeSlots -= used;
 		}
 		long freeKv = free(engine);
-		long[] claims = claims(freeKv);
+		long[] claims = claims(engine, freeKv);
 		for (long claim : claims) {
 			freeKv -= claim;
 		}
@@ -124,22 +125,20 @@
 		}
 	}
 
-	private long[] claims(long freeKv) {
+	// Entries take turns, a different one first at each engine, so that they don't all
+	// wait for the same engine.
+	private long[] claims(int engine, long freeKv) {
 		long[] claims = new long[this.entries];
 		long left = freeKv;
-		for (int round = 0; round < this.entries; round++) {
-			int oldest = -1;
-			for (int entry = 0; entry < this.entries; entry++) {
-				boolean open = this.wishedKv[entry] > 0 && claims[entry] == 0 && this.wishedKv[entry] <= left;
-				if (open && (oldest < 0 || this.wishedSince[entry] < this.wishedSince[oldest])) {
-					oldest = entry;
+		for (int i = 0; i < this.entries; i++) {
+			int entry = (engine + this.round + i) % this.entries;
+			for (long wish : this.wishes.get(entry)) {
+				if (wish <= left) {
+					claims[entry] = wish;
+					left -= wish;
+					break;
 				}
 			}
-			if (oldest < 0) {
-				break;
-			}
-			claims[oldest] = this.wishedKv[oldest];
-			left -= claims[oldest];
 		}
 		return claims;
 	}
--- a/bench/src/main/java/org/bramleyscale/bench/routing/FakePool.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/FakePool.java
@@ -62,6 +62,10 @@
 		this.reportedAt[engine] = at;
 	}
 
+	SpeedLearner speeds() {
+		return this.speeds;
+	}
+
 	long ejections() {
 		return this.metrics.counter("routing.ejections").getCount();
 	}
--- a/bench/src/main/java/org/bramleyscale/bench/routing/Mechanism.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/Mechanism.java
@@ -19,6 +19,9 @@
 	/** Learnt speeds. */
 	LEARNT_SPEED,
 
+	/** Speeds told to the other entries. */
+	SPEED_EXCHANGE,
+
 	/** Prefix affinity. */
 	AFFINITY,
 
--- a/bench/src/main/java/org/bramleyscale/bench/routing/Trial.java
+++ b/bench/src/main/java/org/bramleyscale/bench/routing/Trial.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.ClientAccountId;
 import org.bramleyscale.EndpointId;
+import org.bramleyscale.VmId;
 import org.bramleyscale.internal.admission.FairAdmission;
 import org.bramleyscale.internal.configuration.AccountRule;
 import org.bramleyscale.internal.configuration.Configuration;
@@ -16,6 +19,7 @@
 import org.bramleyscale.internal.configuration.Register;
 import org.bramleyscale.internal.configuration.Rules;
 import org.bramleyscale.internal.endpoint.LoadReport;
+import org.bramleyscale.internal.routing.SpeedExchange;
 import org.bramleyscale.internal.time.ManualScheduler;
 
 /**
@@ -31,7 +35,7 @@
 
 	private static final Duration REPORT_PERIOD = Duration.ofMillis(250);
 
-	private static final int LARGE_PART = 16;
+	private static final int LARGE_PART = 32;
 
 	private static final int PLAIN_SLOTS = 6;
 
@@ -61,12 +65,18 @@
 		this.outcomes = new Outcomes(arrivals);
 		FakeService plain = new FakeService(this.scheduler, PLAIN_SLOTS, plainSeconds(setting, arrivals),
 				Workload.random(seed));
+		Map<VmId, FakeNetwork> networks = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
 		Cluster cluster = new Cluster(this.scheduler, this.engines, this.grants, this.groups, plain, this.outcomes);
 		for (int i = 0; i < Workload.ENTRIES; i++) {
 			FairAdmission admission = FairAdmission
 				.builder(this.scheduler, new FixedConfiguration(), new MetricRegistry())
 				.build();
-			this.entries.add(new FakeEntry(cluster, i, contender, admission, Workload.random(seed + i)));
+			FakeEntry entry = new FakeEntry(cluster, i, contender, admission, Workload.random(seed + i));
+			this.entries.add(entry);
+			if (contender.uses(Mechanism.SPEED_EXCHANGE)) {
+				FakeNetwork network = new FakeNetwork(this.scheduler, entry.incarnation(), networks);
+				new SpeedExchange(this.scheduler, network, network, entry.pool().speeds());
+			}
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/LaneLoads.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/LaneLoads.java
@@ -18,11 +18,17 @@
 
 	private static final int LANES = Lane.values().length;
 
-	private static final double MEMORY_NANOS = 20e9;
+	private static final double MEMORY_NANOS = 60e9;
 
 	/** Assumed until reports were seen. */
 	private static final double[] INITIAL = { 0.05, 0.1, 0.4 };
 
+	/**
+	 * How busy each lane's endpoints look in reports when the lane can do no more: long
+	 * work leaves gaps while the next prompt is on its way.
+	 */
+	private static final double[] FULL = { 1, 1, 0.95 };
+
 	private final Clock clock;
 
 	private final double[] loads = INITIAL.clone();
@@ -68,13 +74,13 @@
 	 * @return from 0 to 1
 	 */
 	double load(Lane lane) {
-		return this.loads[lane.ordinal()];
+		return this.loads[lane.ordinal()] / FULL[lane.ordinal()];
 	}
 
 	double spare() {
 		double spare = 1;
-		for (double load : this.loads) {
-			spare -= load;
+		for (int i = 0; i < LANES; i++) {
+			spare -= this.loads[i] / FULL[i];
 		}
 		return Math.max(0, spare);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/LaneOrder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/LaneOrder.java
@@ -16,6 +16,8 @@
  */
 public final class LaneOrder {
 
+	private static final double CLASSES_PER_OCTAVE = 4;
+
 	private LaneOrder() {
 	}
 
@@ -35,14 +37,14 @@
 	}
 
 	/**
-	 * The class of a speed. Classes are wide, so that estimates of equal endpoints fall
-	 * into the same one.
+	 * The class of a speed. Classes are wide enough for estimates of equal endpoints to
+	 * fall into the same one.
 	 * @param speed the speed
 	 * @param usualSpeed the speed in the middle of the pool
-	 * @return 0 for about the usual speed, 1 for about twice that
+	 * @return 0 for about the usual speed, 4 for about twice that
 	 */
 	static int speedClass(double speed, double usualSpeed) {
-		return (int) Math.round(Math.log(speed / usualSpeed) / Math.log(2));
+		return (int) Math.round(CLASSES_PER_OCTAVE * Math.log(speed / usualSpeed) / Math.log(2));
 	}
 
 	static long hash(EndpointId endpoint) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/LanePlan.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/LanePlan.java
@@ -19,7 +19,7 @@
 final class LanePlan {
 
 	/** Parts of the spare capacity that the lanes get. */
-	private static final double[] SPARE_PARTS = { 0.5, 0.2, 0.3 };
+	private static final double[] SPARE_PARTS = { 0.6, 0.1, 0.3 };
 
 	/** Under overload the short lane still isn't loaded above this. */
 	private static final double LARGEST_SHORT_LOAD = 0.6;
@@ -38,6 +38,8 @@
 
 	private final int[] laneSizes = new int[Lane.values().length];
 
+	private final double[] parts = new double[Lane.values().length];
+
 	/**
 	 * Decides anew.
 	 * @param candidates the candidates
@@ -70,6 +72,19 @@
 		return this.laneSizes[lane.ordinal()];
 	}
 
+	/**
+	 * The part of the pool's capacity that a lane has.
+	 * @param lane the lane
+	 * @return from 0 to 1
+	 */
+	double part(Lane lane) {
+		return this.parts[lane.ordinal()];
+	}
+
+	int index(EndpointId endpoint) {
+		return this.endpoints.indexOf(endpoint);
+	}
+
 	private void cut(double[] speeds, LaneLoads loads) {
 		int count = this.endpoints.size();
 		double total = 0;
@@ -81,6 +96,7 @@
 		double shortPart = Math.max(shortLoad + SPARE_PARTS[0] * spare, shortLoad / LARGEST_SHORT_LOAD);
 		double mediumPart = loads.load(Lane.MEDIUM) + SPARE_PARTS[1] * spare;
 		Arrays.fill(this.laneSizes, 0);
+		Arrays.fill(this.parts, 0);
 		double before = 0;
 		for (int i = 0; i < count; i++) {
 			int next = this.order[i];
@@ -88,7 +104,7 @@
 			double middle = (before + speeds[next] / 2) / total;
 			before += speeds[next];
 			Lane lane = (middle < shortPart) ? Lane.SHORT : (middle < shortPart + mediumPart) ? Lane.MEDIUM : Lane.LONG;
-			put(next, place(lane, i, count));
+			put(next, place(lane, i, count), speeds[next] / total);
 		}
 	}
 
@@ -99,9 +115,10 @@
 		return (position == count - 1) ? Lane.LONG : lane;
 	}
 
-	private void put(int index, Lane lane) {
+	private void put(int index, Lane lane, double part) {
 		this.lanes[index] = lane;
 		this.ranks[index] = this.laneSizes[lane.ordinal()]++;
+		this.parts[lane.ordinal()] += part;
 	}
 
 	private boolean track(List<Candidate> candidates) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/PredictivePolicy.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/PredictivePolicy.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import org.bramleyscale.EndpointId;
+import org.bramleyscale.internal.endpoint.Observation;
 import org.bramleyscale.internal.time.Clock;
 
 /**
@@ -21,14 +22,6 @@
  */
 public final class PredictivePolicy implements RoutingPolicy {
 
-	/** Work ahead from which a longer prompt rather waits at the entry. */
-	private static final double LONGEST_AHEAD_SECONDS = 1;
-
-	/** The same, in ages of the report: what was seen ahead may be done by now. */
-	private static final double LONGEST_AHEAD_AGES = 2;
-
-	private static final double NANOS = 1e9;
-
 	private final Clock clock;
 
 	private final IntSupplier position;
@@ -46,6 +39,9 @@
 		this.position = builder.position;
 		this.lanes = builder.lanes;
 		this.queueing = builder.queueing;
+		if (builder.speeds != null) {
+			builder.speeds.onObserved(this::observed);
+		}
 	}
 
 	public static Builder builder(Clock clock) {
@@ -59,91 +55,34 @@
 		}
 		PoolState pool = pool(candidates);
 		pool.update(candidates);
-		Lane lane = Lane.of(request.promptTokens());
+		Decision decision = new Decision(request, candidates, pool, this.prefixes, this.position.getAsInt());
 		int best = -1;
 		int soonest = 0;
 		double bestScore = Double.POSITIVE_INFINITY;
 		double soonestScore = Double.POSITIVE_INFINITY;
 		for (int i = 0; i < candidates.size(); i++) {
-			double score = score(request, pool, candidates.get(i), i, lane);
+			double score = decision.score(i, this.lanes);
 			if (score < soonestScore) {
 				soonest = i;
 				soonestScore = score;
 			}
-			if (score < bestScore && open(request, pool, candidates.get(i), i, lane)) {
+			if (score < bestScore && decision.open(i, this.lanes, this.queueing)) {
 				best = i;
 				bestScore = score;
 			}
 		}
+		RoutingChoice choice = decision.choice(best, (best >= 0) ? best : soonest);
 		if (best >= 0) {
-			return placed(request, pool, candidates.get(best), best);
+			this.prefixes.sent(request.prefix(), candidates.get(best).endpoint(), request.promptTokens());
 		}
-		return choice(request, pool, candidates.get(soonest), soonest, -1);
-	}
-
-	private RoutingChoice placed(RoutingRequest request, PoolState pool, Candidate candidate, int index) {
-		RoutingChoice choice = choice(request, pool, candidate, index, index);
-		this.prefixes.sent(request.prefix(), candidate.endpoint(), request.promptTokens());
 		return choice;
 	}
 
-	private boolean open(RoutingRequest request, PoolState pool, Candidate candidate, int index, Lane lane) {
-		if (candidate.grantSlots() <= 0 || candidate.grantKv() < request.kvTokens()) {
-			return false;
-		}
-		if (lane == Lane.SHORT) {
-			return true;
-		}
-		if (this.lanes && pool.plan().lane(index).compareTo(lane) < 0) {
-			return false;
+	private void observed(EndpointId endpoint, Observation observation) {
+		PoolState pool = this.pools.get(endpoint);
+		if (pool != null && Lane.of(observation.promptTokens()) == Lane.SHORT) {
+			pool.observed(endpoint, observation);
 		}
-		return !this.queueing || aheadSeconds(pool, candidate, index) <= longestAhead(candidate);
-	}
-
-	private static double longestAhead(Candidate candidate) {
-		return Math.max(LONGEST_AHEAD_SECONDS, LONGEST_AHEAD_AGES * candidate.reportAgeNanos() / NANOS);
-	}
-
-	private double score(RoutingRequest request, PoolState pool, Candidate candidate, int index, Lane lane) {
-		double seconds = firstTokenSeconds(request, pool, candidate, index);
-		Lane other = pool.plan().lane(index);
-		if (this.lanes && other.compareTo(lane) > 0) {
-			// Prompts of that lane may arrive there before the report shows them.
-			seconds += other.typicalTokens() / pool.speed(index);
-		}
-		return seconds + preference(pool, index) * pool.step(candidate);
-	}
-
-	// A small bias that differs between entries, so that entries with the same view don't
-	// all choose the same endpoint among equals.
-	private double preference(PoolState pool, int index) {
-		int size = pool.plan().size(pool.plan().lane(index));
-		int place = Math.floorMod(pool.plan().rank(index) - this.position.getAsInt(), size);
-		return (double) place / size;
-	}
-
-	private double firstTokenSeconds(RoutingRequest request, PoolState pool, Candidate candidate, int index) {
-		double own = request.promptTokens();
-		if (request.prefix() != 0 && this.prefixes.cached(request.prefix(), candidate.endpoint())) {
-			own = Math.max(1, own - request.prefixTokens());
-		}
-		return pool.step(candidate) + aheadSeconds(pool, candidate, index) + own / pool.speed(index)
-				+ candidate.penaltySeconds();
-	}
-
-	// What was queued by the report less what was done since, and what this entry has
-	// sent
-	// since.
-	private static double aheadSeconds(PoolState pool, Candidate candidate, int index) {
-		double age = Math.max(0, candidate.reportAgeNanos()) / NANOS;
-		double reported = candidate.queuedPrefillTokens() / pool.speed(index);
-		return Math.max(0, reported - age) + candidate.ownPrefillTokens() / pool.speed(index);
-	}
-
-	private RoutingChoice choice(RoutingRequest request, PoolState pool, Candidate candidate, int index, int chosen) {
-		double first = firstTokenSeconds(request, pool, candidate, index);
-		double finish = first + request.maxTokens() * pool.step(candidate);
-		return new RoutingChoice(chosen, (long) (first * NANOS), (long) (finish * NANOS));
 	}
 
 	private PoolState pool(List<Candidate> candidates) {
@@ -167,6 +106,8 @@
 
 		private IntSupplier position = () -> 0;
 
+		private SpeedLearner speeds;
+
 		private boolean lanes = true;
 
 		private boolean queueing = true;
@@ -186,6 +127,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets where observations come from, to learn whether the endpoints honour
+		 * priorities.
+		 * @param learner the entry's learner of speeds
+		 * @return this builder
+		 */
+		public Builder speeds(SpeedLearner learner) {
+			this.speeds = learner;
+			return this;
+		}
+
 		/**
 		 * Sets whether prompts of unlike lengths are kept on different endpoints.
 		 * @param on true to keep them apart
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/routing/SpeedLearner.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/routing/SpeedLearner.java
@@ -1,12 +1,15 @@
 package org.bramleyscale.internal.routing;
 
 import java.time.Duration;
-import java.util.Arrays;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 import org.bramleyscale.EndpointId;
+import org.bramleyscale.VmId;
 import org.bramleyscale.internal.endpoint.Observation;
 
 /**
@@ -47,14 +50,25 @@
 
 	private final Map<EndpointId, Speeds> speeds = new HashMap<>();
 
+	private final List<BiConsumer<EndpointId, Observation>> listeners = new ArrayList<>();
+
 	private double usual;
 
+	/**
+	 * Adds a listener called with each observation.
+	 * @param listener the listener
+	 */
+	public void onObserved(BiConsumer<EndpointId, Observation> listener) {
+		this.listeners.add(listener);
+	}
+
 	/**
 	 * Learns from one attempt.
 	 * @param endpoint the endpoint
 	 * @param observation what was seen
 	 */
 	public void observe(EndpointId endpoint, Observation observation) {
+		this.listeners.forEach((listener) -> listener.accept(endpoint, observation));
 		if (observation.failed()) {
 			return;
 		}
@@ -70,11 +84,7 @@
 	 */
 	public double prefillTokensPerSecond(EndpointId endpoint) {
 		Speeds known = this.speeds.get(endpoint);
-		if (known == null || known.prefill.count() == 0) {
-			return 0;
-		}
-		double weight = known.prefill.count() / (known.prefill.count() + PRIOR_SAMPLES);
-		return Math.pow(known.prefill.value(), weight) * Math.pow(this.usual, 1 - weight);
+		return (known != null) ? known.estimate(this.usual) : 0;
 	}
 
 	/**
@@ -87,6 +97,51 @@
 		return (known != null) ? known.stepSeconds : 0;
 	}
 
+	/**
+	 * What this entry measured itself.
+	 * @return the digest for other entries
+	 */
+	SpeedDigest digest() {
+		List<String> endpoints = new ArrayList<>();
+		List<Double> tokensPerSecond = new ArrayList<>();
+		List<Integer> samples = new ArrayList<>();
+		this.speeds.forEach((endpoint, known) -> {
+			if (known.prefill.count() > 0) {
+				endpoints.add(endpoint.value());
+				tokensPerSecond.add(known.prefill.value());
+				samples.add(known.prefill.count());
+			}
+		});
+		return new SpeedDigest(endpoints, tokensPerSecond, samples);
+	}
+
+	/**
+	 * Takes in what another entry measured, in place of what it told before.
+	 * @param from the entry
+	 * @param digest its measurements
+	 */
+	void heard(VmId from, SpeedDigest digest) {
+		forget(from);
+		for (int i = 0; i < digest.endpoints().size(); i++) {
+			double speed = digest.tokensPerSecond().get(i);
+			if (speed >= SLOWEST_TOKENS_PER_SECOND && speed <= FASTEST_TOKENS_PER_SECOND) {
+				Speeds known = this.speeds.computeIfAbsent(new EndpointId(digest.endpoints().get(i)),
+						(id) -> new Speeds());
+				known.others.put(from, new Measurement(speed, digest.samples().get(i)));
+			}
+		}
+		changed();
+	}
+
+	/**
+	 * Forgets what another entry told.
+	 * @param from the entry
+	 */
+	void forget(VmId from) {
+		this.speeds.values().forEach((known) -> known.others.remove(from));
+		changed();
+	}
+
 	/**
 	 * Forgets all other endpoints.
 	 * @param endpoints the endpoints that still exist
@@ -120,7 +175,7 @@
 			return;
 		}
 		known.prefill.add(Math.max(SLOWEST_TOKENS_PER_SECOND, Math.min(FASTEST_TOKENS_PER_SECOND, rate)));
-		updateUsual();
+		changed();
 	}
 
 	private static boolean expectedToWait(Speeds known, Observation observation) {
@@ -131,20 +186,29 @@
 		return own < SMALLEST_OWN_PART * seconds(observation.predictedFirstToken());
 	}
 
-	private void updateUsual() {
+	private void changed() {
 		double[] values = this.speeds.values()
 			.stream()
-			.mapToDouble((known) -> known.prefill.value())
+			.mapToDouble((known) -> known.measured())
 			.filter((value) -> value > 0)
+			.sorted()
 			.toArray();
-		Arrays.sort(values);
-		this.usual = values[values.length / 2];
+		this.usual = (values.length > 0) ? values[values.length / 2] : 0;
 	}
 
 	private static double seconds(Duration duration) {
 		return Math.max(1, duration.toNanos()) / 1e9;
 	}
 
+	/**
+	 * What another entry measured.
+	 *
+	 * @param tokensPerSecond the speed
+	 * @param samples how many recent measurements it rests on
+	 */
+	private record Measurement(double tokensPerSecond, int samples) {
+	}
+
 	/**
 	 * What is known of one endpoint.
 	 */
@@ -152,8 +216,32 @@
 
 		private final RecentPeak prefill = new RecentPeak();
 
+		private final Map<VmId, Measurement> others = new HashMap<>();
+
 		private double stepSeconds;
 
+		double measured() {
+			return combined(0, 1);
+		}
+
+		double estimate(double usualSpeed) {
+			return (measured() > 0) ? combined(PRIOR_SAMPLES, usualSpeed) : 0;
+		}
+
+		// The mean of the logarithms, weighted by samples.
+		private double combined(double priorSamples, double priorSpeed) {
+			double weights = priorSamples + this.prefill.count();
+			double sum = priorSamples * Math.log(priorSpeed);
+			if (this.prefill.count() > 0) {
+				sum += this.prefill.count() * Math.log(this.prefill.value());
+			}
+			for (Measurement other : this.others.values()) {
+				weights += other.samples();
+				sum += other.samples() * Math.log(other.tokensPerSecond());
+			}
+			return (weights > 0) ? Math.exp(sum / weights) : 0;
+		}
+
 	}
 
 }
