Let daemons tell each other the speeds that they measured

Cause: routing's exchange of speeds was measured but not joined to daemons. Change: the node joins it; one learner of speeds serves the pool, the policy and the exchange.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeMessages.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeMessages.java
@@ -7,6 +7,7 @@
 import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.PeerMessages;
 import org.bramleyscale.internal.request.forward.RequestMessages;
+import org.bramleyscale.internal.routing.RoutingMessages;
 
 /**
  * The messages of all slices in one catalog.
@@ -37,6 +38,7 @@
 		EndpointMessages.register(builder);
 		RequestMessages.register(builder);
 		AdmissionMessages.register(builder);
+		RoutingMessages.register(builder);
 		builder.add(DRAIN, Drain.class);
 		builder.add(REPORT_WANTED, ReportWanted.class);
 		builder.add(REPORT_GIVEN, ReportGiven.class);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeSlices.java
@@ -32,6 +32,8 @@
 import org.bramleyscale.internal.request.RequestService;
 import org.bramleyscale.internal.request.RequestSettings;
 import org.bramleyscale.internal.routing.PredictivePolicy;
+import org.bramleyscale.internal.routing.SpeedExchange;
+import org.bramleyscale.internal.routing.SpeedLearner;
 import org.bramleyscale.internal.status.FailureLog;
 import org.bramleyscale.internal.status.StateDump;
 import org.bramleyscale.internal.steward.Steward;
@@ -86,6 +88,8 @@
 
 	private final FailureLog failures;
 
+	private final SpeedLearner speeds = new SpeedLearner();
+
 	private int position;
 
 	public NodeSlices(NodePorts ports, Settings settings) {
@@ -110,6 +114,7 @@
 			.build();
 		new LimitShares(this.scheduler, this.membership, this.addresses, this.configuration, this.network,
 				this.admission);
+		new SpeedExchange(this.scheduler, this.membership, this.network, this.speeds);
 		this.requests = newRequests();
 		this.loggedRequests = new LoggedRequests(this.requests, this.failures);
 		this.leavePlan = new LeavePlan(this.scheduler, new Leaving(), this.addresses, leaveTimes());
@@ -229,7 +234,7 @@
 			.membership(this.membership)
 			.peers(this.network)
 			.metrics(this.ports.metrics())
-			.learners(new SharedLearners(this.scheduler, this.configuration, this.ports.metrics()))
+			.learners(new SharedLearners(this.scheduler, this.configuration, this.speeds, this.ports.metrics()))
 			.build();
 	}
 
@@ -266,7 +271,7 @@
 			.network(this.network)
 			.admission(this.admission)
 			.estimator(new RatioTokenEstimator())
-			.policy(PredictivePolicy.builder(this.scheduler).position(() -> this.position).build())
+			.policy(PredictivePolicy.builder(this.scheduler).position(() -> this.position).speeds(this.speeds).build())
 			.pool(this.pool)
 			.reservations(this.reservations)
 			.client(this.ports.engines())
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/SharedLearners.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/SharedLearners.java
@@ -34,13 +34,14 @@
 
 	private final ConfigurationSource configuration;
 
-	private final SpeedLearner speeds = new SpeedLearner();
+	private final SpeedLearner speeds;
 
 	private final EndpointHealth health;
 
 	private final Map<ServiceName, Judgement> judgements = new HashMap<>();
 
-	SharedLearners(Clock clock, ConfigurationSource configuration, MetricRegistry metrics) {
+	SharedLearners(Clock clock, ConfigurationSource configuration, SpeedLearner speeds, MetricRegistry metrics) {
+		this.speeds = speeds;
 		this.configuration = configuration;
 		this.health = new EndpointHealth(clock, metrics);
 		configuration.onChange(this::forgetOthers);
