Let membership's relays carry configuration too

Cause: configuration and membership chose relays by a key of their own, and only membership's keep connections between data centres, so a change could wait for connections opened for it. Ruled out: a second set of kept connections; it doubles the bytes between data centres. Before: SliceFleetTests.configurationPassesBetweenTheDaemonsThatMembershipConnects fails (run on the parent commit). After: it passes, and mvn verify passes (one run). Conclusion: one set of relays.

--- a/bench/src/test/java/org/bramleyscale/bench/capacity/SliceFleetTests.java
+++ b/bench/src/test/java/org/bramleyscale/bench/capacity/SliceFleetTests.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.truth.Truth;
+import org.bramleyscale.internal.node.NodeSlices;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -28,6 +31,20 @@
 		Truth.assertThat(fleet.change()).isAtMost(Duration.ofSeconds(1));
 	}
 
+	@Test
+	void configurationPassesBetweenTheDaemonsThatMembershipConnects() throws Exception {
+		// Symptom: in a large fleet a change crosses to other data centres late, over
+		// connections opened for it. Sequence: a change is made. Cause: configuration and
+		// membership each choose relays by a key of their own, and only membership's keep
+		// connections between data centres.
+		SliceFleet fleet = SliceFleet.start(FleetSize.inProportion(3, 8), 1, false);
+		ObjectMapper mapper = new ObjectMapper();
+		for (NodeSlices daemon : fleet.daemons()) {
+			JsonNode membership = mapper.valueToTree(daemon.membership().dump());
+			Truth.assertThat(daemon.configuration().dump().relay()).isEqualTo(membership.path("relay").booleanValue());
+		}
+	}
+
 	@Test
 	void theSameSeedGivesTheSameBytesAndPlatformCalls() {
 		SliceFleet first = run(7);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -195,6 +196,31 @@
 			.count();
 	}
 
+	/**
+	 * Whether this daemon is one of the few that keep connections with those of other
+	 * data centres.
+	 * @return true for a relay
+	 */
+	public boolean isRelay() {
+		return this.relays.isRelay();
+	}
+
+	/**
+	 * The relays of this data centre.
+	 * @return their VMs, this daemon's own if it is one
+	 */
+	public List<VmId> relays() {
+		return this.relays.of(this.identity.dataCentre());
+	}
+
+	/**
+	 * The relays of all other data centres.
+	 * @return their VMs
+	 */
+	public Set<VmId> remoteRelays() {
+		return this.relays.remote();
+	}
+
 	public MemberHistory history() {
 		return this.view;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeRelays.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/NodeRelays.java
@@ -2,32 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
-import org.bramleyscale.DataCentre;
 import org.bramleyscale.VmId;
-import org.bramleyscale.internal.address.RendezvousHash;
 import org.bramleyscale.internal.configuration.Relays;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipService;
 
 /**
- * The daemons that carry configuration between data centres, chosen by rendezvous hashing
- * over the members.
+ * The daemons that carry configuration between data centres: membership's relays, since
+ * only these keep connections with other data centres.
  *
  * <p>
- * Invariant: daemons with the same view of the members choose the same relays, so nobody
- * has to be appointed. Confined to the scheduler's thread.
+ * Confined to the scheduler's thread.
  */
 final class NodeRelays implements Relays {
 
-	private static final int RELAYS_PER_DATA_CENTRE = 2;
-
-	private static final String KEY = "configuration-relay";
-
-	private static final RendezvousHash<VmId> HASH = new RendezvousHash<>(VmId::value);
-
 	private final MembershipService membership;
 
 	NodeRelays(MembershipService membership) {
@@ -36,7 +25,7 @@
 
 	@Override
 	public boolean isRelay() {
-		return relays(this.membership.dataCentre()).contains(self());
+		return this.membership.isRelay();
 	}
 
 	@Override
@@ -52,13 +41,9 @@
 
 	@Override
 	public List<VmId> otherRelays() {
-		List<VmId> own = relays(this.membership.dataCentre());
-		List<VmId> all = new ArrayList<>(own);
-		if (own.contains(self())) {
-			dataCentres().keySet()
-				.stream()
-				.filter((dataCentre) -> !dataCentre.equals(this.membership.dataCentre().value()))
-				.forEach((dataCentre) -> all.addAll(relays(new DataCentre(dataCentre))));
+		List<VmId> all = new ArrayList<>(this.membership.relays());
+		if (isRelay()) {
+			all.addAll(this.membership.remoteRelays());
 		}
 		all.remove(self());
 		return all;
@@ -81,17 +66,4 @@
 		return this.membership.self().vm();
 	}
 
-	private List<VmId> relays(DataCentre dataCentre) {
-		List<VmId> candidates = dataCentres().getOrDefault(dataCentre.value(), List.of());
-		return HASH.first(KEY, candidates, RELAYS_PER_DATA_CENTRE);
-	}
-
-	private Map<String, List<VmId>> dataCentres() {
-		Map<String, List<VmId>> byDataCentre = new TreeMap<>();
-		for (Member member : this.membership.eligible()) {
-			byDataCentre.computeIfAbsent(member.dataCentre().value(), (name) -> new ArrayList<>()).add(member.vm());
-		}
-		return byDataCentre;
-	}
-
 }
