--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -29,7 +29,10 @@
  */
 public final class BackendTable {
 
-	/** How long endpoints need to come back to the list after an outage: the platform's word. */
+	/**
+	 * How long endpoints need to come back to the list after an outage: the platform's
+	 * word.
+	 */
 	static final Duration LAPSE = Duration.ofSeconds(2);
 
 	private final Clock clock;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowedKind.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowedKind.java
@@ -21,7 +21,9 @@
  */
 public final class FollowedKind {
 
-	/** Deletions kept at most, some minutes' worth of a fleet that is replaced as a whole. */
+	/**
+	 * Deletions kept at most, some minutes' worth of a fleet that is replaced as a whole.
+	 */
 	private static final int MOST_DELETIONS = 20_000;
 
 	private final Map<String, FollowedObject> copies = new HashMap<>();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/package-info.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Copies of platform objects, kept up to date by watch and, when the platform turns a daemon away, by peers.
+ * Copies of platform objects, kept up to date by watch and, when the platform turns a
+ * daemon away, by peers.
  */
 package org.bramleyscale.internal.gateway.follow;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/AnswerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/AnswerServer.java
@@ -124,8 +124,7 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
 			QueryStringDecoder query = new QueryStringDecoder(request.uri());
-			Reply reply = AnswerServer.this.answers
-				.apply(new Question(request.method().name(), query.path(), query));
+			Reply reply = AnswerServer.this.answers.apply(new Question(request.method().name(), query.path(), query));
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(reply.body()));
 			response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.type());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -185,8 +185,7 @@
 		this.body.reset();
 		time(this.server.bodyTimeout(), this::bodyTooSlow);
 		if (HttpUtil.is100ContinueExpected(request)) {
-			this.channel
-				.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -30,7 +30,9 @@
 
 	private static final int CHUNK = 8_192;
 
-	/** New connections that wait to be accepted: a burst of all callers of a small site. */
+	/**
+	 * New connections that wait to be accepted: a burst of all callers of a small site.
+	 */
 	private static final int BACKLOG = 1_024;
 
 	private final NettyLoop loop;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -115,8 +115,8 @@
 				}
 				else {
 					request.release();
-					result.completeExceptionally(
-							new NotSentException("can't connect to " + this.address + ": " + done.cause().getMessage()));
+					result.completeExceptionally(new NotSentException(
+							"can't connect to " + this.address + ": " + done.cause().getMessage()));
 				}
 			});
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/DemandBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/DemandBoard.java
@@ -18,8 +18,8 @@
  *
  * <p>
  * The reading asked for is averaged over {@link #MEMORY}: long enough to hold several
- * arrivals of long prompts, short enough that a change of the mix is seen within
- * seconds. Confined to the scheduler's thread.
+ * arrivals of long prompts, short enough that a change of the mix is seen within seconds.
+ * Confined to the scheduler's thread.
  */
 public final class DemandBoard {
 
@@ -89,8 +89,8 @@
 		List<LoadTold.Demand> demands = new ArrayList<>();
 		this.own.forEach((service, demand) -> {
 			demand.decay(this.clock.nanos());
-			demands
-				.add(new LoadTold.Demand(service.value(), demand.shortActive, (int) Math.round(demand.longPerSecond())));
+			demands.add(
+					new LoadTold.Demand(service.value(), demand.shortActive, (int) Math.round(demand.longPerSecond())));
 		});
 		return demands;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
@@ -152,11 +152,12 @@
 		}
 
 		/**
-		 * Tells that the prompt has been read; one that only helped has ended with that.
+		 * Tells that the prompt has been read; one that only helped, and keeps nothing in
+		 * memory, has ended with that.
 		 */
 		public void read() {
 			this.read = true;
-			if (!this.active) {
+			if (!this.active && this.tokens == 0) {
 				end();
 			}
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -21,8 +21,8 @@
  * <p>
  * Membership takes seconds to be sure that a daemon is dead, and each caller that is sent
  * to it in the meantime loses one of its two tries. A killed daemon's connections end at
- * once, so a daemon with which the connection was lost isn't named, unless nobody else
- * is left. Invariant: the list is never empty while any daemon is known. Confined to the
+ * once, so a daemon with which the connection was lost isn't named, unless nobody else is
+ * left. Invariant: the list is never empty while any daemon is known. Confined to the
  * scheduler's thread.
  */
 final class EntryList {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -24,6 +24,8 @@
 import org.bramleyscale.internal.gateway.follow.FollowedObject;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
 import org.bramleyscale.internal.gateway.follow.StoreFollower;
+import org.bramleyscale.internal.gateway.hold.EngineOrders;
+import org.bramleyscale.internal.gateway.hold.MemoryHolds;
 import org.bramleyscale.internal.gateway.http.BackendConnections;
 import org.bramleyscale.internal.gateway.http.CallerServer;
 import org.bramleyscale.internal.gateway.http.NettyLoop;
@@ -78,10 +80,14 @@
 	/** The pause between sweeps of what has lapsed or was lost. */
 	private static final Duration SWEEP = Duration.ofMillis(100);
 
-	/** For so long after a failed call of the store, entries off its list count as lapsed. */
+	/**
+	 * For so long after a failed call of the store, entries off its list count as lapsed.
+	 */
 	private static final Duration OUTAGE_MEMORY = Duration.ofSeconds(3);
 
-	/** Peers speak within a private network; the key keeps fleets apart, not enemies out. */
+	/**
+	 * Peers speak within a private network; the key keeps fleets apart, not enemies out.
+	 */
 	private static final byte[] PEER_KEY = "bramleyscale gateway peers".getBytes(StandardCharsets.UTF_8);
 
 	/** A killed daemon is named to callers for no longer than its connections show it. */
@@ -165,9 +171,10 @@
 		PlacementPolicy plain = new PlainPlacement(this.backends, health, loads, this.random);
 		PlacementPolicy engines = new EnginePlacement(this.backends, health, loads, demands, this.random);
 		BackendConnections connections = new BackendConnections(loop, parts.dialect());
+		MemoryHolds holds = new MemoryHolds(loop, parts.orders(), this.self.toString(), log);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
 				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request), health, loads,
-				demands, retries(), this.loadExchange::tell, log, new GatewayMetrics(parts.metrics()));
+				demands, retries(), holds, this.loadExchange::tell, log, new GatewayMetrics(parts.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this.random);
 		this.callers = new CallerServer(loop, this.service, parts.dialect(),
 				() -> this.catalogs.current().map(Catalog::limits).orElse(CallerLimits.DEFAULT));
@@ -288,13 +295,14 @@
 				return;
 			}
 			this.parts.log().belief("store", DaemonRecord.KIND, "registered", false, "cause", failure.getMessage());
-			this.parts.loop().schedule(REGISTER_PAUSE, () -> this.daemons.registered(this.settings.vm())
-				.whenComplete((found, again) -> {
-					if (again == null) {
-						this.registeredVersion = found.map(RegisteredDaemons.Registered::version).orElse(0L);
-					}
-					register();
-				}));
+			this.parts.loop()
+				.schedule(REGISTER_PAUSE,
+						() -> this.daemons.registered(this.settings.vm()).whenComplete((found, again) -> {
+							if (again == null) {
+								this.registeredVersion = found.map(RegisteredDaemons.Registered::version).orElse(0L);
+							}
+							register();
+						}));
 		});
 	}
 
@@ -338,11 +346,7 @@
 	}
 
 	private TcpPeerSettings peerSettings() {
-		return TcpPeerSettings.builder()
-			.identity(identity())
-			.listen(this.settings.peers())
-			.key(PEER_KEY)
-			.build();
+		return TcpPeerSettings.builder().identity(identity()).listen(this.settings.peers()).key(PEER_KEY).build();
 	}
 
 	private List<VmRecord> seeds() {
@@ -394,11 +398,12 @@
 	 * @param store the platform's store
 	 * @param documents reads the platform's documents
 	 * @param dialect reads and writes headers
+	 * @param orders orders to engines
 	 * @param log takes decisions
 	 * @param metrics counts
 	 */
-	public record Parts(NettyLoop loop, ObjectStore store, Documents documents, WireDialect dialect, DecisionLog log,
-			MetricRegistry metrics) {
+	public record Parts(NettyLoop loop, ObjectStore store, Documents documents, WireDialect dialect,
+			EngineOrders orders, DecisionLog log, MetricRegistry metrics) {
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
@@ -13,8 +13,8 @@
  * Out of the address answers at once, then on serving until those who kept an old answer
  * have asked again, then no new connections, and the end with the last request. Callers
  * use open connections until the process is gone, so requests are taken to the last
- * moment. Invariant: the stop ends before the platform would kill the process. Confined to
- * the scheduler's thread.
+ * moment. Invariant: the stop ends before the platform would kill the process. Confined
+ * to the scheduler's thread.
  */
 final class LeaveSequence {
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
@@ -100,8 +100,8 @@
 			}
 			catch (IOException ex) {
 				logger.warnf("The own record can't be read and will be replaced: %s", ex.getMessage());
-				return Optional.of(new Registered(
-						new DaemonRecord(vm.value(), "", "", "", false, 0), object.version()));
+				return Optional
+					.of(new Registered(new DaemonRecord(vm.value(), "", "", "", false, 0), object.version()));
 			}
 		}));
 	}
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
@@ -0,0 +1,70 @@
+package org.bramleyscale.internal.gateway.placement;
+
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.load.EndpointLoad;
+
+/**
+ * An engine that may take a request, with what speaks for and against it.
+ *
+ * <p>
+ * Immutable and safe for use by multiple threads.
+ *
+ * @param backend the engine
+ * @param load what it has to do
+ * @param longLane whether long prompts go there
+ * @param avoided whether it failed lately
+ * @param extra what failures and chance add to its score, ms
+ * @param profile how it works
+ */
+record Candidate(Backend backend, EndpointLoad load, boolean longLane, boolean avoided, double extra,
+		EngineProfile profile) {
+
+	/**
+	 * Part of an engine's memory that is promised. An answer may grow beyond what was
+	 * declared, and an engine without memory stops its newest request.
+	 */
+	static final double USED_MEMORY = 0.92;
+
+	/** What each request under way adds to an engine's score, ms: it takes a slot. */
+	private static final double ACTIVE_MILLIS = 12;
+
+	private static final double AVOIDED_MILLIS = 100_000;
+
+	private static final double OTHER_LANE_MILLIS = 1_000;
+
+	private static final double FULL_MILLIS = 4_000;
+
+	/**
+	 * How late this engine begins to read, and what else speaks against it.
+	 * @return the score, ms; the least is the best
+	 */
+	double readScore() {
+		return this.load.readMillis() + this.extra + (this.avoided ? AVOIDED_MILLIS : 0);
+	}
+
+	/**
+	 * How well this engine suits a request that pauses of other requests would hurt.
+	 * @return the score, ms; the least is the best
+	 */
+	double shortScore() {
+		double score = readScore() + ACTIVE_MILLIS * this.load.active();
+		if (this.longLane) {
+			score += OTHER_LANE_MILLIS;
+		}
+		return full() ? score + FULL_MILLIS : score;
+	}
+
+	boolean full() {
+		return this.load.active() >= this.profile.slots();
+	}
+
+	/**
+	 * How much more its memory may be promised.
+	 * @return the tokens of context, possibly negative
+	 */
+	long freeTokens() {
+		return (long) (USED_MEMORY * this.profile.memoryTokens()) - this.load.tokens();
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -10,13 +10,14 @@
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.hold.MemoryHold;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
-import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 
 /**
- * Sends short prompts to the engine that reads them first, and has long ones read by
- * several engines at once, apart from the short ones.
+ * Sends short prompts to the engine that reads them first, has longer ones read by
+ * several engines at once, and keeps those whose parts would still be long apart from the
+ * others.
  *
  * <p>
  * Invariants: an engine gets no prompt that its memory can't hold beside what it has; a
@@ -25,32 +26,34 @@
  */
 public final class EnginePlacement implements PlacementPolicy {
 
-	/**
-	 * A prompt that takes longer to read is long. The usual short route allows pauses of
-	 * 250 ms; less a pass of 45 ms without reading this is what a pause has room for.
-	 */
-	static final double SHORT_READ_MILLIS = 205;
-
-	/** The protocol's bound on engines that help to read, less none: 16 and the target. */
+	/** The protocol's bound on engines that help to read is 16; the target reads too. */
 	static final int MOST_READERS = 17;
 
-	/** Part of an engine's memory that is promised; answers grow beyond what was declared. */
-	static final double USED_MEMORY = 0.92;
+	/**
+	 * What one engine reads at a time among short answers, ms. Their callers allow pauses
+	 * of 250 ms; a pass takes 45 ms without reading, and two or three parts may meet.
+	 */
+	static final double SHORT_PART_MILLIS = 60;
 
-	/** What each request under way adds to an engine's score, ms: it takes a slot. */
-	private static final double ACTIVE_MILLIS = 12;
+	/** A part that is longer than this goes to the long lane if there is one, ms. */
+	static final double LONGEST_SHORT_PART_MILLIS = 110;
 
 	/** What a recent failure adds to an engine's score, ms. */
 	private static final double FAILURE_MILLIS = 150;
 
-	/** Scores are spread by this, so that daemons don't all choose the same engine, ms. */
+	/**
+	 * Scores are spread by this, so that daemons don't all choose the same engine, ms.
+	 */
 	private static final double JITTER_MILLIS = 8;
 
 	/** Requests that wait at a full engine, as a part of its slots. */
 	private static final double MOST_WAITING = 0.5;
 
+	/** When slots or memory are taken: about a third of a short answer's time. */
 	private static final Duration FULL_PAUSE = Duration.ofMillis(700);
 
+	private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
+
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
 	private final BackendTable backends;
@@ -73,13 +76,13 @@
 	}
 
 	/**
-	 * Whether a prompt counts as long.
+	 * Whether a prompt counts as long: its parts are long however many engines read it.
 	 * @param profile the engine
 	 * @param promptTokens the prompt's length
 	 * @return true if it is kept apart from short ones
 	 */
 	public static boolean isLong(EngineProfile profile, long promptTokens) {
-		return profile.readMillis(promptTokens) > SHORT_READ_MILLIS;
+		return profile.readMillis(promptTokens) > MOST_READERS * LONGEST_SHORT_PART_MILLIS;
 	}
 
 	@Override
@@ -90,85 +93,104 @@
 			boolean none = this.backends.usable(request.service().name()).isEmpty();
 			return Placement.refused(none ? "no endpoint" : "no other endpoint", PlainPlacement.NO_ENDPOINT_PAUSE);
 		}
-		long needed = request.promptTokens() + request.outputTokens();
-		if (needed > USED_MEMORY * profile.memoryTokens()) {
-			return Placement.refused("larger than an engine's memory", FULL_PAUSE);
+		List<Candidate> shortLane = candidates.stream()
+			.filter((candidate) -> !candidate.longLane() && !candidate.avoided())
+			.toList();
+		double read = profile.readMillis(request.promptTokens());
+		double shortPart = read / Math.max(1, Math.min(MOST_READERS, shortLane.size()));
+		boolean large = needed(request) > Candidate.USED_MEMORY * profile.memoryTokens();
+		if (large || shortPart > LONGEST_SHORT_PART_MILLIS) {
+			return checked(request, placeLong(request, candidates, read));
 		}
-		return isLong(profile, request.promptTokens()) ? placeLong(request, profile, candidates)
-				: placeShort(request, profile, candidates);
+		return checked(request, placeShort(request, candidates, shortLane, read));
 	}
 
-	private Placement placeShort(PlacementRequest request, EngineProfile profile, List<Candidate> candidates) {
-		double read = profile.readMillis(request.promptTokens());
-		long needed = request.promptTokens() + request.outputTokens();
-		Candidate best = null;
-		for (Candidate candidate : candidates) {
-			if (candidate.fits(needed, profile) && (best == null || candidate.shortScore() < best.shortScore())) {
-				best = candidate;
-			}
-		}
-		if (best == null) {
+	private Placement placeShort(PlacementRequest request, List<Candidate> candidates, List<Candidate> shortLane,
+			double read) {
+		Candidate target = candidates.stream()
+			.filter((candidate) -> candidate.freeTokens() >= needed(request))
+			.min(Comparator.comparingDouble(Candidate::shortScore))
+			.orElse(null);
+		if (target == null) {
 			return Placement.refused("no memory free", FULL_PAUSE);
 		}
-		double full = best.load().active() - profile.slots();
-		if (full >= MOST_WAITING * profile.slots()) {
+		int over = target.load().active() - target.profile().slots();
+		if (over >= MOST_WAITING * target.profile().slots()) {
 			return Placement.refused("all slots taken", FULL_PAUSE);
 		}
-		double wait = (full >= 0) ? (full + 1) / profile.slots()
-				* profile.writeMillis(Math.max(1, request.outputTokens()), profile.slots()) : 0;
-		double first = wait + best.load().readMillis() + read + profile.passMillis(best.load().active(), 0);
-		return checked(request, profile, Placement.at(best.backend(), List.of(), read, first,
-				best.longLane() ? "short, spilt" : "short"));
+		int readers = (read <= LONGEST_SHORT_PART_MILLIS) ? 1 : (int) Math.ceil(read / SHORT_PART_MILLIS);
+		List<Backend> helpers = shortLane.stream()
+			.filter((candidate) -> candidate != target)
+			.sorted(Comparator.comparingDouble(Candidate::readScore))
+			.limit(Math.min(MOST_READERS, readers) - 1L)
+			.map(Candidate::backend)
+			.toList();
+		double part = read / (helpers.size() + 1);
+		double first = slotWait(request, target) + target.load().readMillis() + part + pass(target);
+		return Placement.at(target.backend(), helpers, part, first, target.longLane() ? "short, spilt" : "short");
 	}
 
-	private Placement placeLong(PlacementRequest request, EngineProfile profile, List<Candidate> candidates) {
-		double read = profile.readMillis(request.promptTokens());
-		long needed = request.promptTokens() + request.outputTokens();
+	private Placement placeLong(PlacementRequest request, List<Candidate> candidates, double read) {
 		List<Candidate> readers = new ArrayList<>(
 				candidates.stream().filter((candidate) -> candidate.longLane() && !candidate.avoided()).toList());
 		if (readers.isEmpty()) {
 			readers.addAll(candidates);
 		}
 		readers.sort(Comparator.comparingDouble(Candidate::readScore));
-		int count = readerCount(readers, read);
-		double part = read / count;
-		double first = readers.get(count - 1).load().readMillis() + part
-				+ profile.passMillis(profile.slots() / 2, request.promptTokens());
-		List<Candidate> group = new ArrayList<>(readers.subList(0, count));
-		Candidate target = group.stream()
-			.filter((candidate) -> candidate.fits(needed, profile) && candidate.load().active() < profile.slots())
-			.min(Comparator.comparingLong((candidate) -> candidate.load().tokens()))
+		Candidate target = readers.stream()
+			.filter((candidate) -> !candidate.full())
+			.max(Comparator.comparingLong(Candidate::freeTokens))
 			.orElse(null);
 		if (target == null) {
-			target = readers.stream()
-				.filter((candidate) -> candidate.fits(needed, profile)
-						&& candidate.load().active() < (1 + MOST_WAITING) * profile.slots())
-				.findFirst()
-				.orElse(null);
-			if (target == null) {
-				return Placement.refused("no memory free", FULL_PAUSE);
+			return Placement.refused("all slots taken", FULL_PAUSE);
+		}
+		readers.remove(target);
+		List<MemoryHold> holds = holds(needed(request) - target.freeTokens(), readers);
+		if (holds == null) {
+			return Placement.refused("no memory free", FULL_PAUSE);
+		}
+		List<Backend> helpers = helpers(target, readers, holds, read);
+		double part = read / (helpers.size() + 1);
+		double busiest = readers.stream()
+			.filter((candidate) -> helpers.contains(candidate.backend()))
+			.mapToDouble((candidate) -> candidate.load().readMillis())
+			.reduce(target.load().readMillis(), Math::max);
+		return Placement.at(target.backend(), helpers, part, busiest + part + pass(target), "long").holding(holds);
+	}
+
+	/**
+	 * The engines that help to read, those that hold memory first.
+	 * @param target the engine that writes the answer
+	 * @param readers the others, those with the least to read first
+	 * @param holds memory held on some of them
+	 * @param read the whole reading, ms
+	 * @return the engines
+	 */
+	private static List<Backend> helpers(Candidate target, List<Candidate> readers, List<MemoryHold> holds,
+			double read) {
+		List<Backend> helpers = new ArrayList<>(holds.stream().map(MemoryHold::engine).toList());
+		int count = Math.max(helpers.size(), readerCount(target, readers, read) - 1);
+		for (Candidate candidate : readers) {
+			if (helpers.size() < count && !helpers.contains(candidate.backend())) {
+				helpers.add(candidate.backend());
 			}
 		}
-		group.remove(target);
-		List<Backend> helpers = group.stream()
-			.limit(count - 1L)
-			.map(Candidate::backend)
-			.toList();
-		return checked(request, profile, Placement.at(target.backend(), helpers, part, first, "long"));
+		return helpers;
 	}
 
 	/**
 	 * The number of engines that brings the first event soonest: one more makes the parts
 	 * smaller, but the prompt is read only when the busiest of them has read its part.
-	 * @param readers the engines, those with the least to read first
+	 * @param target one of the engines
+	 * @param readers the others, those with the least to read first
 	 * @param read the whole reading, ms
 	 * @return the number
 	 */
-	private static int readerCount(List<Candidate> readers, double read) {
+	private static int readerCount(Candidate target, List<Candidate> readers, double read) {
 		int best = 1;
-		double soonest = Double.POSITIVE_INFINITY;
-		for (int count = 1; count <= Math.min(MOST_READERS, readers.size()); count++) {
-			double end = readers.get(count - 1).readScore() + read / count;
+		double soonest = target.readScore() + read;
+		for (int count = 2; count <= Math.min(MOST_READERS, readers.size() + 1); count++) {
+			double end = Math.max(target.readScore(), readers.get(count - 2).readScore()) + read / count;
 			if (end < soonest) {
 				soonest = end;
 				best = count;
@@ -177,74 +199,71 @@
 		return best;
 	}
 
-	private Placement checked(PlacementRequest request, EngineProfile profile, Placement placement) {
+	/**
+	 * The memory to hold on other engines for what the target's own can't take.
+	 * @param tokens what it can't take, possibly nothing
+	 * @param readers the other engines
+	 * @return the holds on as few engines as possible, or null if all of them have too
+	 * little
+	 */
+	private static List<MemoryHold> holds(long tokens, List<Candidate> readers) {
+		List<MemoryHold> holds = new ArrayList<>();
+		long rest = tokens;
+		List<Candidate> byMemory = new ArrayList<>(readers);
+		byMemory.sort(Comparator.comparingLong(Candidate::freeTokens).reversed());
+		for (Candidate candidate : byMemory) {
+			if (rest > 0 && candidate.freeTokens() > 0 && holds.size() < MOST_READERS - 1) {
+				long part = Math.min(rest, candidate.freeTokens());
+				holds.add(new MemoryHold(candidate.backend(), part));
+				rest -= part;
+			}
+		}
+		return (rest > 0) ? null : holds;
+	}
+
+	private static double slotWait(PlacementRequest request, Candidate target) {
+		int over = target.load().active() - target.profile().slots();
+		if (over < 0) {
+			return 0;
+		}
+		int slots = target.profile().slots();
+		return (over + 1.0) / slots * target.profile().writeMillis(Math.max(1, request.outputTokens()), slots);
+	}
+
+	private static double pass(Candidate target) {
+		return target.profile().passMillis(target.load().active(), target.load().tokens());
+	}
+
+	private static long needed(PlacementRequest request) {
+		return request.promptTokens() + request.outputTokens();
+	}
+
+	private static Placement checked(PlacementRequest request, Placement placement) {
 		double left = request.left().toNanos() / NANOS_PER_MILLI;
 		double patience = request.route().patience().toNanos() / NANOS_PER_MILLI;
-		double limit = Math.min(left, patience);
-		if (placement.firstMillis() > limit) {
-			Duration pause = Duration.ofMillis(Math.min(2_000, (long) (placement.firstMillis() - limit) + 100));
-			return Placement.refused("first event predicted in " + Math.round(placement.firstMillis()) + " ms", pause);
+		double late = placement.firstMillis() - Math.min(left, patience);
+		if (placement.target().isEmpty() || late <= 0) {
+			return placement;
 		}
-		return placement;
+		Duration pause = Duration.ofMillis(Math.min(LONGEST_PAUSE.toMillis(), Math.round(late) + 100));
+		return Placement.refused("first event predicted in " + Math.round(placement.firstMillis()) + " ms", pause);
 	}
 
 	private List<Candidate> candidates(PlacementRequest request, EngineProfile profile) {
 		List<Backend> usable = this.backends.usable(request.service().name());
-		LanePlan plan = LanePlan.of(usable.size(), profile.slots(),
-				this.demands.shortActive(request.service().name()),
+		LanePlan plan = LanePlan.of(usable.size(), profile.slots(), this.demands.shortActive(request.service().name()),
 				this.demands.longEngines(request.service().name()));
 		List<Candidate> candidates = new ArrayList<>();
 		for (int i = 0; i < usable.size(); i++) {
 			Backend backend = usable.get(i);
 			if (!request.tried().contains(backend.id())) {
-				EndpointLoad load = this.loads.load(backend.id());
 				double extra = FAILURE_MILLIS * this.health.failures(backend.id())
 						+ JITTER_MILLIS * this.random.nextDouble();
-				candidates.add(new Candidate(backend, load, plan.isLong(i), this.health.avoid(backend.id()), extra,
-						profile.slots()));
+				candidates.add(new Candidate(backend, this.loads.load(backend.id()), plan.isLong(i),
+						this.health.avoid(backend.id()), extra, profile));
 			}
 		}
 		return candidates;
 	}
 
-	/**
-	 * An engine that may take the request.
-	 *
-	 * @param backend the engine
-	 * @param load what it has to do
-	 * @param longLane whether long prompts go there
-	 * @param avoided whether it failed lately
-	 * @param extra what failures and chance add to its score, ms
-	 * @param slots how many requests it runs at once
-	 */
-	private record Candidate(Backend backend, EndpointLoad load, boolean longLane, boolean avoided, double extra,
-			int slots) {
-
-		private static final double AVOIDED_MILLIS = 100_000;
-
-		private static final double OTHER_LANE_MILLIS = 1_000;
-
-		private static final double FULL_MILLIS = 4_000;
-
-		double shortScore() {
-			double score = readScore() + ACTIVE_MILLIS * this.load.active();
-			if (this.longLane) {
-				score += OTHER_LANE_MILLIS;
-			}
-			if (this.load.active() >= this.slots) {
-				score += FULL_MILLIS;
-			}
-			return score;
-		}
-
-		double readScore() {
-			return this.load.readMillis() + this.extra + (this.avoided ? AVOIDED_MILLIS : 0);
-		}
-
-		boolean fits(long tokens, EngineProfile profile) {
-			return this.load.tokens() + tokens <= USED_MEMORY * profile.memoryTokens();
-		}
-
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/LanePlan.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/LanePlan.java
@@ -4,8 +4,8 @@
  * How many of a service's engines take long prompts.
  *
  * <p>
- * Reading a long prompt lengthens the passes of its engine, and every short answer that is
- * written there pauses for longer than its caller allows: 182,000 tokens read on one
+ * Reading a long prompt lengthens the passes of its engine, and every short answer that
+ * is written there pauses for longer than its caller allows: 182,000 tokens read on one
  * engine hold its writers up for 1.6 s at a time. So the two get different engines.
  * Daemons order engines by id and work from the same sums, so they cut alike without
  * asking each other. Immutable and safe for use by multiple threads.
@@ -27,6 +27,12 @@
 	/** Engines kept for long prompts when none have come lately, as a part of all. */
 	static final double LONG_RESERVE = 0.1;
 
+	/**
+	 * Engines kept for short prompts however few are under way, as a part of all. Without
+	 * them a burst of short prompts meets engines that still read long ones.
+	 */
+	static final double SHORT_RESERVE = 0.15;
+
 	/**
 	 * Cuts the engines.
 	 * @param engines how many there are
@@ -36,7 +42,8 @@
 	 * @return the plan; both lanes have an engine wherever there are two
 	 */
 	public static LanePlan of(int engines, int slots, int shortActive, double longDemand) {
-		int forShort = Math.max(1, (int) Math.ceil(shortActive / (SHORT_FULL * slots)));
+		int shortReserve = Math.max(1, (int) Math.round(engines * SHORT_RESERVE));
+		int forShort = Math.max(shortReserve, (int) Math.ceil(shortActive / (SHORT_FULL * slots)));
 		int reserve = Math.max(1, (int) Math.round(engines * LONG_RESERVE));
 		int wanted = Math.max(reserve, (int) Math.ceil(longDemand / LONG_BUSY));
 		int longEngines = Math.max(Math.min(reserve, engines - 1), Math.min(wanted, engines - forShort));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Placement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Placement.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.hold.MemoryHold;
 
 /**
  * Where a request goes, or why it goes nowhere.
@@ -14,18 +15,21 @@
  *
  * @param target the endpoint, or empty if the request is refused
  * @param helpers engines that read parts of its prompt
+ * @param holds memory that must be held on some of the helpers before the request is sent
  * @param readMillis what the target and each helper read, ms
  * @param firstMillis when the first event, or the answer, is predicted, ms from now
  * @param reason why this was decided
  * @param retryAfter when a refused caller should come back
  */
-public record Placement(Optional<Backend> target, List<Backend> helpers, double readMillis, double firstMillis,
-		String reason, Duration retryAfter) {
+public record Placement(Optional<Backend> target, List<Backend> helpers, List<MemoryHold> holds, double readMillis,
+		double firstMillis, String reason, Duration retryAfter) {
 
 	/**
 	 * A request that goes to an endpoint.
 	 * @param target the endpoint
 	 * @param helpers engines that read parts of its prompt
+	 * @param holds memory that must be held on some of the helpers before the request is
+	 * sent
 	 * @param readMillis what each of them reads, ms
 	 * @param firstMillis when the first event is predicted, ms from now
 	 * @param reason why it goes there
@@ -33,7 +37,18 @@
 	 */
 	public static Placement at(Backend target, List<Backend> helpers, double readMillis, double firstMillis,
 			String reason) {
-		return new Placement(Optional.of(target), List.copyOf(helpers), readMillis, firstMillis, reason, Duration.ZERO);
+		return new Placement(Optional.of(target), List.copyOf(helpers), List.of(), readMillis, firstMillis, reason,
+				Duration.ZERO);
+	}
+
+	/**
+	 * The same placement with memory to be held.
+	 * @param wanted the memory, on engines that are among the helpers
+	 * @return the placement
+	 */
+	public Placement holding(List<MemoryHold> wanted) {
+		return new Placement(this.target, this.helpers, List.copyOf(wanted), this.readMillis, this.firstMillis,
+				this.reason, this.retryAfter);
 	}
 
 	/**
@@ -43,7 +58,7 @@
 	 * @return the placement
 	 */
 	public static Placement refused(String reason, Duration retryAfter) {
-		return new Placement(Optional.empty(), List.of(), 0, 0, reason, retryAfter);
+		return new Placement(Optional.empty(), List.of(), List.of(), 0, 0, reason, retryAfter);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -4,10 +4,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
 
 import org.bramleyscale.EndpointId;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.catalog.Route;
+import org.bramleyscale.internal.gateway.hold.MemoryHold;
+import org.bramleyscale.internal.gateway.hold.MemoryHolds;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.placement.Placement;
 import org.bramleyscale.internal.time.Cancellable;
@@ -59,6 +63,8 @@
 
 	private BackendClient.BackendExchange exchange;
 
+	private MemoryHolds.Group group;
+
 	private BackendHead head;
 
 	private boolean over;
@@ -75,17 +81,57 @@
 		this.ports = ports;
 	}
 
-	void send(OutgoingRequest outgoing) {
-		long tokens = this.request.promptTokens() + this.request.outputTokens();
-		this.works.add(this.ports.loads().begin(this.target.id(), this.placement.readMillis(), tokens, true));
+	/**
+	 * Sends the request, after the memory that it needs elsewhere is held.
+	 * @param outgoing makes the request as the endpoint gets it
+	 */
+	void send(Function<List<Helper>, OutgoingRequest> outgoing) {
+		long held = this.placement.holds().stream().mapToLong(MemoryHold::tokens).sum();
+		long tokens = this.request.promptTokens() + this.request.outputTokens() - held;
+		this.works
+			.add(this.ports.loads().begin(this.target.id(), this.placement.readMillis(), Math.max(0, tokens), true));
 		for (Backend helper : this.placement.helpers()) {
-			this.works.add(this.ports.loads().begin(helper.id(), this.placement.readMillis(), 0, false));
+			this.works.add(this.ports.loads().begin(helper.id(), this.placement.readMillis(), heldAt(helper), false));
 		}
+		if (this.placement.holds().isEmpty()) {
+			sendNow(outgoing.apply(helpers(null)));
+			return;
+		}
+		this.group = this.ports.holds().reserve(this.placement.holds(), this.request.id(), (complete) -> {
+			if (this.over) {
+				return;
+			}
+			if (complete) {
+				sendNow(outgoing.apply(helpers(this.group.id())));
+			}
+			else {
+				close();
+				this.request.notHeld(this);
+			}
+		});
+	}
+
+	private void sendNow(OutgoingRequest outgoing) {
 		this.reached = true;
 		this.exchange = this.ports.client().send(this.target, outgoing, this);
 		watchSilence(firstLimit());
 	}
 
+	private List<Helper> helpers(String hold) {
+		return this.placement.helpers()
+			.stream()
+			.map((engine) -> new Helper(engine, Optional.ofNullable((heldAt(engine) > 0) ? hold : null)))
+			.toList();
+	}
+
+	private long heldAt(Backend engine) {
+		return this.placement.holds()
+			.stream()
+			.filter((hold) -> hold.engine().equals(engine))
+			.mapToLong(MemoryHold::tokens)
+			.sum();
+	}
+
 	Backend target() {
 		return this.target;
 	}
@@ -117,7 +163,7 @@
 	}
 
 	void reading(boolean on) {
-		if (!this.over) {
+		if (!this.over && this.exchange != null) {
 			this.exchange.reading(on);
 			if (on) {
 				watchSilence(pauseLimit());
@@ -131,7 +177,9 @@
 	void cancel() {
 		if (!this.over) {
 			close();
-			this.exchange.cancel();
+			if (this.exchange != null) {
+				this.exchange.cancel();
+			}
 		}
 	}
 
@@ -239,6 +287,9 @@
 
 	private void close() {
 		this.over = true;
+		if (this.group != null) {
+			this.group.release();
+		}
 		this.silenceTimer.cancel();
 		this.works.forEach(LoadBoard.Work::end);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -18,8 +18,8 @@
  * Takes callers' requests: finds route, account and service, and starts their lives.
  *
  * <p>
- * Invariant: a daemon that knows no catalog yet refuses with "not run" and never says that
- * a route or key doesn't exist. Confined to the scheduler's thread.
+ * Invariant: a daemon that knows no catalog yet refuses with "not run" and never says
+ * that a route or key doesn't exist. Confined to the scheduler's thread.
  */
 public final class GatewayService {
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/OutgoingRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/OutgoingRequest.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 
 import org.bramleyscale.ClientAccountId;
-import org.bramleyscale.internal.gateway.backend.Backend;
 
 /**
  * A caller's request as it is sent to one endpoint.
@@ -23,5 +22,5 @@
  * @param freshConnection true if it needs a connection that no request has used
  */
 public record OutgoingRequest(CallerRequest original, Optional<ClientAccountId> account, Duration timeLeft,
-		Optional<String> lastEventId, List<Backend> helpers, int priority, boolean freshConnection) {
+		Optional<String> lastEventId, List<Helper> helpers, int priority, boolean freshConnection) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -140,15 +140,15 @@
 			.flatMap((account) -> account.priority().isPresent() ? Optional.of(account.priority().getAsInt())
 					: Optional.empty())
 			.orElse(route.priority());
-		OutgoingRequest outgoing = new OutgoingRequest(this.request, this.allowed.account().map(Account::id), left(),
-				Optional.ofNullable(this.lastEventId), placement.helpers(),
-				Math.min(9, 2 * rank + (this.longPrompt ? 1 : 0)), !route.repeatable());
 		this.ports.log()
 			.request(this.request.id(), "sent", "endpoint", target.id(), "reason", placement.reason(), "helpers",
-					placement.helpers().size(), "predicted_ms", Math.round(placement.firstMillis()), "asked", this.asked,
-					"left_ms", left().toMillis(), "catalog", this.allowed.version(), "after_event", this.lastEventId);
+					placement.helpers().size(), "predicted_ms", Math.round(placement.firstMillis()), "asked",
+					this.asked, "left_ms", left().toMillis(), "catalog", this.allowed.version(), "after_event",
+					this.lastEventId);
 		this.attempt = new Attempt(this, target, placement, this.ports);
-		this.attempt.send(outgoing);
+		this.attempt.send((helpers) -> new OutgoingRequest(this.request, this.allowed.account().map(Account::id),
+				left(), Optional.ofNullable(this.lastEventId), helpers,
+				Math.min(9, 2 * rank + (this.longPrompt ? 1 : 0)), !route.repeatable()));
 		if (this.longPrompt) {
 			this.ports.longSent().run();
 		}
@@ -272,6 +272,19 @@
 		return true;
 	}
 
+	/**
+	 * The memory that an attempt needs on other engines isn't free; nothing was sent.
+	 * @param from the attempt
+	 */
+	void notHeld(Attempt from) {
+		this.ports.metrics().again("memory");
+		retryOr(false, "no memory free for engine " + from.target().id());
+	}
+
+	String id() {
+		return this.request.id();
+	}
+
 	Route route() {
 		return this.allowed.route();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/retry/RetryWindow.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/retry/RetryWindow.java
@@ -16,8 +16,8 @@
  * <p>
  * When endpoints fail for everybody, each request sent again is one more for those that
  * are left, and the outage feeds itself. Over all daemons no window may hold more repeats
- * than a ratio of its requests plus a constant. Every daemon keeps to the ratio of its own
- * requests plus its part of the constant, so the bound holds without a message, also
+ * than a ratio of its requests plus a constant. Every daemon keeps to the ratio of its
+ * own requests plus its part of the constant, so the bound holds without a message, also
  * between daemons that can't hear each other. Confined to the scheduler's thread.
  */
 public final class RetryWindow {
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/BackendHealthTests.java
@@ -0,0 +1,56 @@
+package org.bramleyscale.internal.gateway.backend;
+
+import java.time.Duration;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link BackendHealth}.
+ */
+class BackendHealthTests {
+
+	private static final EndpointId ID = new EndpointId("a");
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final BackendHealth health = new BackendHealth(this.scheduler, DecisionLog.NONE);
+
+	@ParameterizedTest
+	@CsvSource({ "1, 300", "2, 600", "3, 1200", "4, 2400", "9, 2400" })
+	void anUnreachableEndpointRestsLongerEachTime(int times, long restMillis) {
+		for (int i = 0; i < times; i++) {
+			this.health.unreachable(ID, "connect");
+		}
+		this.scheduler.advance(Duration.ofMillis(restMillis - 1));
+		Truth.assertThat(this.health.avoid(ID)).isTrue();
+		this.scheduler.advance(Duration.ofMillis(2));
+		Truth.assertThat(this.health.avoid(ID)).isFalse();
+	}
+
+	@Test
+	void anEndpointThatFailsRequestsIsAvoidedForAWhile() {
+		// Symptom: half of the bookings fail though every health answer is good.
+		// Sequence: one endpoint of three fails what it gets. Cause: it looks least busy.
+		this.health.failed(ID);
+		Truth.assertThat(this.health.avoid(ID)).isFalse();
+		this.health.failed(ID);
+		Truth.assertThat(this.health.avoid(ID)).isTrue();
+		this.scheduler.advance(Duration.ofSeconds(4));
+		Truth.assertThat(this.health.avoid(ID)).isFalse();
+		Truth.assertThat(this.health.failures(ID)).isWithin(0.01).of(1);
+	}
+
+	@Test
+	void servingARequestEndsTheRest() {
+		this.health.unreachable(ID, "connect");
+		this.health.served(ID);
+		Truth.assertThat(this.health.avoid(ID)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/BackendTableTests.java
@@ -0,0 +1,74 @@
+package org.bramleyscale.internal.gateway.backend;
+
+import java.time.Duration;
+import java.util.List;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.truth.Truth;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link BackendTable}.
+ */
+class BackendTableTests {
+
+	private static final ServiceName SERVICE = new ServiceName("quotes");
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final BackendTable table = new BackendTable(this.scheduler, DecisionLog.NONE);
+
+	@ParameterizedTest
+	@CsvSource({ "false, 0, 0", "true, 1900, 1", "true, 2000, 0" })
+	void dropsCountAtOnceUnlessTheStoreWasAway(boolean afterOutage, long millis, int left) {
+		// Symptom: after an outage of the store no endpoint is known for two seconds.
+		// Sequence: the store is silent, entries lapse, the store returns and lists none.
+		// Cause: living endpoints need up to two seconds to write their entries again.
+		this.table.put(backend("a", false));
+		this.table.remove(new EndpointId("a"), afterOutage);
+		this.scheduler.advance(Duration.ofMillis(millis));
+		this.table.expire();
+		Truth.assertThat(this.table.usable(SERVICE)).hasSize(left);
+	}
+
+	@Test
+	void anEndpointThatComesBackInTimeStays() {
+		this.table.put(backend("a", false));
+		this.table.remove(new EndpointId("a"), true);
+		this.scheduler.advance(Duration.ofMillis(1_500));
+		this.table.put(backend("a", false));
+		this.scheduler.advance(Duration.ofSeconds(5));
+		this.table.expire();
+		Truth.assertThat(this.table.usable(SERVICE)).hasSize(1);
+	}
+
+	@Test
+	void aDrainingEndpointGetsNothingAndGoesAtOnce() {
+		this.table.put(backend("a", false));
+		this.table.put(backend("a", true));
+		Truth.assertThat(this.table.usable(SERVICE)).isEmpty();
+		this.table.remove(new EndpointId("a"), true);
+		Truth.assertThat(this.table.all()).isEmpty();
+	}
+
+	@Test
+	void offersEndpointsInTheOrderOfTheirIds() {
+		List.of("c", "a", "b").forEach((id) -> this.table.put(backend(id, false)));
+		Truth.assertThat(this.table.usable(SERVICE).stream().map((each) -> each.id().value()).toList())
+			.containsExactly("a", "b", "c")
+			.inOrder();
+	}
+
+	private static Backend backend(String id, boolean draining) {
+		return new Backend(new EndpointId(id), SERVICE, HostAndPort.fromParts("10.0.0.1", 80), new DataCentre("east"),
+				4, draining);
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/PeerCopiesTests.java
@@ -0,0 +1,126 @@
+package org.bramleyscale.internal.gateway.follow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.peer.PeerListener;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.platform.WatchBatch;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests of {@link PeerCopies} between two daemons.
+ */
+class PeerCopiesTests {
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final Pipe left = new Pipe("left");
+
+	private final Pipe right = new Pipe("right");
+
+	private final List<String> heard = new ArrayList<>();
+
+	private final FollowedKind fresh = new FollowedKind((object) -> {
+	});
+
+	private final FollowedKind cutOff = new FollowedKind(
+			(object) -> this.heard.add((object.deleted() ? "-" : "+") + object.name()));
+
+	PeerCopiesTests() {
+		this.left.other = this.right;
+		this.right.other = this.left;
+		this.fresh.list(batch(10, "a", "b"));
+		PeerCopies first = new PeerCopies(this.scheduler, this.left, Map.of("servers", this.fresh), DecisionLog.NONE);
+		PeerCopies second = new PeerCopies(this.scheduler, this.right, Map.of("servers", this.cutOff),
+				DecisionLog.NONE);
+		first.start();
+		second.start();
+	}
+
+	@Test
+	void aDaemonThatTheStoreTurnsAwayLearnsChangesFromItsPeers() {
+		// Symptom: a key that was taken away is still served by one daemon. Sequence: the
+		// store turns that daemon away, then the operator's document changes. Cause: the
+		// store alone would tell.
+		this.cutOff.list(batch(10, "a", "b"));
+		this.heard.clear();
+		this.fresh.changes(new WatchBatch(12, false, List.of(FakeStore.object("c", 11)), List.of("a")));
+		this.scheduler.advance(PeerCopies.PAUSE.multipliedBy(2));
+		Truth.assertThat(this.heard).containsExactly("+c", "-a");
+		Truth.assertThat(this.cutOff.complete()).isEqualTo(12);
+	}
+
+	@Test
+	void aDaemonThatStartsWithoutTheStoreGetsEverything() {
+		this.scheduler.advance(PeerCopies.PAUSE.multipliedBy(2));
+		Truth.assertThat(this.heard).containsExactly("+a", "+b");
+		Truth.assertThat(this.cutOff.complete()).isEqualTo(10);
+	}
+
+	@Test
+	void nothingIsSentBetweenDaemonsThatKnowTheSame() {
+		this.scheduler.advance(PeerCopies.PAUSE.multipliedBy(2));
+		this.left.sent.clear();
+		this.right.sent.clear();
+		this.scheduler.advance(Duration.ofSeconds(5));
+		Truth.assertThat(this.left.sent.get(CopiesHeld.class)).isAtLeast(12);
+		Truth.assertThat(this.left.sent.get(CopiesTold.class)).isNull();
+		Truth.assertThat(this.right.sent.get(CopiesTold.class)).isNull();
+	}
+
+	private static WatchBatch batch(long revision, String... names) {
+		return new WatchBatch(revision, false,
+				List.of(names).stream().map((name) -> FakeStore.object(name, 5)).toList());
+	}
+
+	/**
+	 * One end of a connection that delivers at once.
+	 */
+	private final class Pipe implements PeerNetwork {
+
+		private final Incarnation self;
+
+		private final Map<Class<?>, PeerListener<?>> listeners = new HashMap<>();
+
+		private final Map<Class<?>, Integer> sent = new HashMap<>();
+
+		private Pipe other;
+
+		private Pipe(String name) {
+			this.self = new Incarnation(new VmId(name), 1);
+		}
+
+		@Override
+		@SuppressWarnings("unchecked")
+		public boolean send(VmId to, PeerMessage message) {
+			this.sent.merge(message.getClass(), 1, Integer::sum);
+			PeerListener<PeerMessage> listener = (PeerListener<PeerMessage>) this.other.listeners
+				.get(message.getClass());
+			PeerCopiesTests.this.scheduler.execute(() -> listener.received(this.self, message));
+			return true;
+		}
+
+		@Override
+		public Set<VmId> connected() {
+			return Set.of(this.other.self.vm());
+		}
+
+		@Override
+		public <M extends PeerMessage> void listen(Class<M> type, PeerListener<M> listener) {
+			this.listeners.put(type, listener);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
@@ -0,0 +1,51 @@
+package org.bramleyscale.internal.gateway.http;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.request.BackendHead;
+import org.bramleyscale.internal.gateway.request.CallerRequest;
+import org.bramleyscale.internal.gateway.request.OutgoingRequest;
+
+/**
+ * A dialect with short names for tests.
+ */
+final class PlainDialect implements WireDialect {
+
+	@Override
+	public CallerRequest request(HttpRequest head, byte[] body) throws BadRequestException {
+		if (head.headers().contains("Bad")) {
+			throw new BadRequestException("Bad must not be given");
+		}
+		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.uri(),
+				head.headers().get(HttpHeaderNames.HOST, ""), PassedHeaders.of(head.headers(), Set.of("key")), body,
+				Optional.empty(), Optional.of(Duration.ofSeconds(5)), 0, 0, Optional.empty());
+	}
+
+	@Override
+	public void write(Backend to, OutgoingRequest request, HttpHeaders headers) {
+		request.original().headers().forEach((header) -> headers.add(header.name(), header.value()));
+		headers.set("Expect-Endpoint", to.id().value());
+	}
+
+	@Override
+	public boolean belongs(HttpResponse answer, CallerRequest request) {
+		String id = answer.headers().get("Id");
+		return id == null || id.equals(request.id());
+	}
+
+	@Override
+	public BackendHead answer(HttpResponse answer) {
+		return new BackendHead(answer.status().code(), PassedHeaders.of(answer.headers(), Set.of()),
+				answer.headers().contains("Not-Run"), answer.headers().contains("Signature"),
+				answer.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream"),
+				Optional.empty());
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
@@ -0,0 +1,162 @@
+package org.bramleyscale.internal.gateway.placement;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.truth.Truth;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendHealth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.catalog.Route;
+import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.hold.MemoryHold;
+import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link EnginePlacement} on 21 engines.
+ */
+class EnginePlacementTests {
+
+	private static final ServiceName NAME = new ServiceName("quotes");
+
+	private static final EngineProfile PROFILE = new EngineProfile(11, 405_000, 34, 2_048, 1.31, 0.00133, 0.00213, 154,
+			0.162);
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final BackendTable backends = new BackendTable(this.scheduler, DecisionLog.NONE);
+
+	private final BackendHealth health = new BackendHealth(this.scheduler, DecisionLog.NONE);
+
+	private final LoadBoard loads = new LoadBoard(this.scheduler);
+
+	private final DemandBoard demands = new DemandBoard(this.scheduler);
+
+	private final EnginePlacement placement = new EnginePlacement(this.backends, this.health, this.loads, this.demands,
+			new Random(1));
+
+	EnginePlacementTests() {
+		for (int i = 0; i < 21; i++) {
+			this.backends.put(new Backend(id(i), NAME, HostAndPort.fromParts("10.0.0." + i, 80), new DataCentre("east"),
+					11, false));
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "5000, 1", "14000, 1", "16000, 3", "23000, 4", "45000, 8", "80000, 17" })
+	void shortAndMediumPromptsAreReadInPartsThatFitAPause(long tokens, int readers) {
+		Placement placed = place(tokens);
+		Truth.assertThat(placed.helpers()).hasSize(readers - 1);
+		Truth.assertThat(placed.readMillis()).isAtMost(EnginePlacement.LONGEST_SHORT_PART_MILLIS);
+	}
+
+	@Test
+	void longPromptsStayInTheirLane() {
+		// Symptom: all short answers pause for half a second. Sequence: a manual arrives
+		// while 155 short answers are written. Cause: its reading is spread over all
+		// engines.
+		for (int i = 0; i < 155; i++) {
+			this.demands.shortBegan(NAME);
+		}
+		Placement placed = place(182_000);
+		Set<EndpointId> used = new HashSet<>();
+		placed.helpers().forEach((helper) -> used.add(helper.id()));
+		used.add(placed.target().orElseThrow().id());
+		Truth.assertThat(used).containsExactly(id(19), id(20));
+	}
+
+	@Test
+	void shortPromptsKeepOutOfTheLongLane() {
+		this.demands.longArrived(NAME, 33_000);
+		for (int i = 0; i < 30; i++) {
+			Placement placed = place(5_000);
+			Backend target = placed.target().orElseThrow();
+			Truth.assertThat(target.id().value()).isLessThan(id(3).value());
+			this.loads.begin(target.id(), placed.readMillis(), 6_000, true);
+		}
+		Truth.assertThat(place(5_000).reason()).isEqualTo("short");
+	}
+
+	@Test
+	void shortPromptsSpillWhenTheirLaneIsFull() {
+		this.demands.longArrived(NAME, 33_000);
+		for (int i = 0; i < 40; i++) {
+			Placement placed = place(5_000);
+			this.loads.begin(placed.target().orElseThrow().id(), 0, 6_000, true);
+		}
+		Truth.assertThat(place(5_000).reason()).isEqualTo("short, spilt");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "300000, 0, 0", "500000, 1, 128600", "900000, 2, 528600" })
+	void promptsOverOneEnginesMemoryHoldTheRestElsewhere(long tokens, int engines, long held) {
+		this.demands.longArrived(NAME, 33_000);
+		Placement placed = place(tokens);
+		Truth.assertThat(placed.holds()).hasSize(engines);
+		Truth.assertThat(placed.holds().stream().mapToLong(MemoryHold::tokens).sum()).isEqualTo(held);
+		List<Backend> first = placed.helpers().subList(0, engines);
+		Truth.assertThat(placed.holds().stream().map(MemoryHold::engine).toList()).isEqualTo(first);
+		Truth.assertThat(placed.helpers()).doesNotContain(placed.target().orElseThrow());
+	}
+
+	@Test
+	void whatCannotBeReadInTimeIsRefusedAtOnce() {
+		for (int i = 0; i < 21; i++) {
+			this.loads.begin(id(i), 4_000, 0, false);
+		}
+		Placement placed = place(5_000);
+		Truth.assertThat(placed.target().isPresent()).isFalse();
+		Truth.assertThat(placed.retryAfter()).isGreaterThan(Duration.ofSeconds(1));
+	}
+
+	@Test
+	void failingEnginesComeLast() {
+		for (int i = 0; i < 20; i++) {
+			this.health.unreachable(id(i), "connect");
+		}
+		Truth.assertThat(place(5_000).target().orElseThrow().id()).isEqualTo(id(20));
+	}
+
+	@Test
+	void anEngineThatWasTriedIsNotAskedAgain() {
+		Set<EndpointId> all = new HashSet<>();
+		for (int i = 0; i < 21; i++) {
+			all.add(id(i));
+		}
+		Truth.assertThat(this.placement.place(request(5_000, all)).reason()).isEqualTo("no other endpoint");
+	}
+
+	private Placement place(long tokens) {
+		return this.placement.place(request(tokens, Set.of()));
+	}
+
+	private static PlacementRequest request(long tokens, Set<EndpointId> tried) {
+		Route route = Route.builder("quick", "hire.example", "/")
+			.service(NAME.value())
+			.streaming(true)
+			.patience(Duration.ofSeconds((tokens > 100_000) ? 12 : 2))
+			.build();
+		return new PlacementRequest(route, new Service(NAME, 364, Optional.of(PROFILE)), tokens, 1_200,
+				Duration.ofSeconds(15), tried, new DataCentre("east"));
+	}
+
+	private static EndpointId id(int index) {
+		return new EndpointId("engine-" + (char) ('a' + index));
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LanePlanTests.java
@@ -0,0 +1,19 @@
+package org.bramleyscale.internal.gateway.placement;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link LanePlan}.
+ */
+class LanePlanTests {
+
+	@ParameterizedTest
+	@CsvSource({ "21, 0, 0, 2", "21, 25, 11.5, 17", "21, 155, 0.4, 2", "21, 300, 11, 2", "21, 25, 4, 8", "1, 5, 3, 0",
+			"2, 50, 0, 1", "3, 0, 9, 2" })
+	void cutsEnginesByDemand(int engines, int shortActive, double longDemand, int longEngines) {
+		Truth.assertThat(LanePlan.of(engines, 11, shortActive, longDemand).longEngines()).isEqualTo(longEngines);
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -0,0 +1,234 @@
+package org.bramleyscale.internal.gateway.request;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.net.HostAndPort;
+import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendHealth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.catalog.Account;
+import org.bramleyscale.internal.gateway.catalog.Catalog;
+import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.catalog.Route;
+import org.bramleyscale.internal.gateway.hold.EngineOrders;
+import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.retry.RetryWindow;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * A gateway with endpoints whose answers a test gives, and a caller that notes what it
+ * gets.
+ */
+final class RelayFixture {
+
+	/** Allows three repeats in ten seconds: six tenths of it. */
+	static final int RETRY_CONSTANT = 5;
+
+	static final ServiceName SERVICE = new ServiceName("yard");
+
+	final ManualScheduler scheduler = new ManualScheduler();
+
+	final List<Sent> sent = new ArrayList<>();
+
+	final LoadBoard loads = new LoadBoard(this.scheduler);
+
+	final CatalogHolder catalogs = new CatalogHolder();
+
+	final GatewayService service;
+
+	RelayFixture() {
+		BackendTable backends = new BackendTable(this.scheduler, DecisionLog.NONE);
+		for (String id : List.of("a", "b", "c")) {
+			backends.put(new Backend(new EndpointId(id), SERVICE, HostAndPort.fromParts("10.0.0.1", 80),
+					new DataCentre("east"), 4, false));
+		}
+		BackendHealth health = new BackendHealth(this.scheduler, DecisionLog.NONE);
+		Random random = new Random(1);
+		GatewayPorts ports = new GatewayPorts(this.scheduler, new DataCentre("east"), this::send,
+				new PlainPlacement(backends, health, this.loads, random), health, this.loads,
+				new DemandBoard(this.scheduler),
+				new RetryWindow(this.scheduler, Duration.ofSeconds(10), 0, RETRY_CONSTANT, () -> 1),
+				new MemoryHolds(this.scheduler, new NoOrders(), "entry-1", DecisionLog.NONE), () -> {
+				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
+		this.service = new GatewayService(ports, this.catalogs, random);
+		this.catalogs.offer(Catalog.builder(1)
+			.account(new Account(new ClientAccountId("hule"), OptionalInt.empty()), List.of("key"))
+			.route(route("stream", "/stream/").streaming(true)
+				.resumable(true)
+				.maxAttempts(2)
+				.longestPause(Duration.ofMillis(250))
+				.patience(Duration.ofSeconds(2))
+				.build())
+			.route(route("book", "/book/").build())
+			.route(route("log", "/log/").idempotent(true).maxAttempts(2).build())
+			.build());
+	}
+
+	Caller call(String path) {
+		return call(path, Duration.ofSeconds(10));
+	}
+
+	Caller call(String path, Duration left) {
+		Caller caller = new Caller();
+		CallerRequest request = new CallerRequest("r1", "POST", path, "hire.example", List.of(), new byte[0],
+				Optional.of("key"), Optional.of(left), 0, 0, Optional.empty());
+		caller.gone = this.service.take(request, caller);
+		return caller;
+	}
+
+	Sent last() {
+		return this.sent.get(this.sent.size() - 1);
+	}
+
+	private Sent send(Backend to, OutgoingRequest request, BackendListener listener) {
+		Sent exchange = new Sent(to, request, listener);
+		this.sent.add(exchange);
+		return exchange;
+	}
+
+	private static Route.Builder route(String name, String prefix) {
+		return Route.builder(name, "hire.example", prefix)
+			.service(SERVICE.value())
+			.timeout(Duration.ofSeconds(10))
+			.targetLatency(Duration.ofMillis(300));
+	}
+
+	static BackendHead head(int status, boolean notRun, boolean genuine, boolean events) {
+		return new BackendHead(status, List.of(new Header("signature", "s" + status)), notRun, genuine, events,
+				Optional.empty());
+	}
+
+	/**
+	 * A request sent to an endpoint.
+	 */
+	static final class Sent implements BackendClient.BackendExchange {
+
+		final Backend to;
+
+		final OutgoingRequest request;
+
+		final BackendListener listener;
+
+		boolean cancelled;
+
+		private boolean headGiven;
+
+		Sent(Backend to, OutgoingRequest request, BackendListener listener) {
+			this.to = to;
+			this.request = request;
+			this.listener = listener;
+		}
+
+		@Override
+		public void cancel() {
+			this.cancelled = true;
+		}
+
+		@Override
+		public void reading(boolean on) {
+			// The endpoints of these tests send what the test says.
+		}
+
+		void answer(int status, boolean notRun, String body) {
+			this.listener.head(head(status, notRun, !notRun, false));
+			this.listener.data(body.getBytes(StandardCharsets.UTF_8));
+			this.listener.complete();
+		}
+
+		void events(int from, int to) {
+			if (!this.headGiven) {
+				this.headGiven = true;
+				this.listener.head(head(200, false, true, true));
+			}
+			for (int id = from; id <= to; id++) {
+				this.listener.data(("id: " + id + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
+			}
+		}
+
+	}
+
+	/**
+	 * A caller that notes what it gets.
+	 */
+	static final class Caller implements CallerReply {
+
+		final StringBuilder got = new StringBuilder();
+
+		Duration retryAfter = Duration.ZERO;
+
+		Runnable gone;
+
+		@Override
+		public void whole(int status, List<Header> headers, byte[] body) {
+			this.got.append(status).append(' ').append(new String(body, StandardCharsets.UTF_8));
+		}
+
+		@Override
+		public void own(int status, String reason, Duration retryAfter) {
+			this.got.append("own ").append(status);
+			this.retryAfter = retryAfter;
+		}
+
+		@Override
+		public void begin(int status, List<Header> headers) {
+			this.got.append("begin").append(headers.isEmpty() ? "" : " " + headers.get(0).value());
+		}
+
+		@Override
+		public boolean write(byte[] data) {
+			String event = new String(data, StandardCharsets.UTF_8);
+			this.got.append(' ').append(event.startsWith("id: ") ? event.substring(4, event.indexOf('\n')) : event);
+			return true;
+		}
+
+		@Override
+		public void onReadsAgain(Runnable task) {
+			// Reads always.
+		}
+
+		@Override
+		public void end() {
+			this.got.append(" end");
+		}
+
+		@Override
+		public void abort() {
+			this.got.append(" abort");
+		}
+
+	}
+
+	/**
+	 * Engines that take no orders.
+	 */
+	private static final class NoOrders implements EngineOrders {
+
+		@Override
+		public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> release(Backend engine, String id) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/retry/RetryWindowTests.java
@@ -0,0 +1,54 @@
+package org.bramleyscale.internal.gateway.retry;
+
+import java.time.Duration;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link RetryWindow}.
+ */
+class RetryWindowTests {
+
+	private static final ServiceName SERVICE = new ServiceName("quotes");
+
+	private static final Duration WINDOW = Duration.ofSeconds(10);
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	@ParameterizedTest
+	@CsvSource({ "0, 7, 8", "100, 7, 28", "100, 1, 81", "0, 1000, 0" })
+	void boundsRepeatsByRequestsAndThePartOfTheConstant(int firsts, int daemons, int allowed) {
+		RetryWindow window = new RetryWindow(this.scheduler, WINDOW, 0.2, 102, () -> daemons);
+		for (int i = 0; i < firsts; i++) {
+			window.first(SERVICE);
+		}
+		int taken = 0;
+		while (taken < 1_000 && window.repeat(SERVICE)) {
+			taken++;
+		}
+		Truth.assertThat(taken).isEqualTo(allowed);
+	}
+
+	@Test
+	void noWindowHoldsMoreThanItsBudgetWhileEverythingFails() {
+		// Symptom: endpoints that are left get three times their load. Sequence: half of
+		// the endpoints fail, each request is sent again. Cause: nothing bounds repeats.
+		RetryWindow window = new RetryWindow(this.scheduler, WINDOW, 0.2, 102, () -> 7);
+		int repeats = 0;
+		for (int i = 0; i < 1_000; i++) {
+			window.first(SERVICE);
+			repeats += window.repeat(SERVICE) ? 1 : 0;
+			repeats += window.repeat(SERVICE) ? 1 : 0;
+			this.scheduler.advance(Duration.ofMillis(100));
+		}
+		// 1,000 requests in 100 s: a fifth of them, and 8.7 in each of ten windows.
+		Truth.assertThat(repeats).isAtMost(200 + 88);
+		Truth.assertThat(repeats).isAtLeast(200);
+	}
+
+}
