--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/DemandBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/DemandBoard.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 
 import org.bramleyscale.ServiceName;
-import org.bramleyscale.VmId;
 import org.bramleyscale.internal.time.Clock;
 
 /**
@@ -32,7 +31,7 @@
 
 	private final Map<ServiceName, Own> own = new HashMap<>();
 
-	private final Map<VmId, Told> peers = new HashMap<>();
+	private final Map<String, Told> others = new HashMap<>();
 
 	public DemandBoard(Clock clock) {
 		this.clock = clock;
@@ -95,21 +94,27 @@
 		return demands;
 	}
 
-	public void told(VmId peer, List<LoadTold.Demand> demands) {
-		this.peers.put(peer, new Told(this.clock.nanos(), demands));
+	/**
+	 * Takes what was told of others' demand; it replaces what the same source told
+	 * before.
+	 * @param source a peer, or a group of them
+	 * @param demands the demand by service
+	 */
+	public void told(String source, List<LoadTold.Demand> demands) {
+		this.others.put(source, new Told(this.clock.nanos(), demands));
 	}
 
 	private List<LoadTold.Demand> told(ServiceName service) {
 		List<LoadTold.Demand> result = new ArrayList<>();
-		Set<VmId> silent = new HashSet<>();
-		this.peers.forEach((peer, told) -> {
+		Set<String> silent = new HashSet<>();
+		this.others.forEach((source, told) -> {
 			if (this.clock.nanos() - told.at() > LoadBoard.PEER_KEPT.toNanos()) {
-				silent.add(peer);
+				silent.add(source);
 				return;
 			}
 			told.demands().stream().filter((demand) -> demand.service().equals(service.value())).forEach(result::add);
 		});
-		this.peers.keySet().removeAll(silent);
+		this.others.keySet().removeAll(silent);
 		return result;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 
 import org.bramleyscale.EndpointId;
-import org.bramleyscale.VmId;
 import org.bramleyscale.internal.time.Clock;
 
 /**
@@ -38,7 +37,7 @@
 
 	private final Map<EndpointId, Set<Work>> own = new HashMap<>();
 
-	private final Map<VmId, Told> peers = new HashMap<>();
+	private final Map<String, Told> others = new HashMap<>();
 
 	public LoadBoard(Clock clock) {
 		this.clock = clock;
@@ -66,7 +65,7 @@
 	public EndpointLoad load(EndpointId endpoint) {
 		EndpointLoad load = ownLoad(endpoint);
 		long now = this.clock.nanos();
-		for (Told told : this.peers.values()) {
+		for (Told told : this.others.values()) {
 			EndpointLoad theirs = told.loads().get(endpoint);
 			if (theirs != null && now - told.at() < PEER_KEPT.toNanos()) {
 				double since = (now - told.at()) / NANOS_PER_MILLI;
@@ -92,17 +91,17 @@
 	}
 
 	/**
-	 * Takes what a peer told; it replaces what the peer told before.
-	 * @param peer the peer
-	 * @param shares its work at endpoints
+	 * Takes what was told of others' work; it replaces what the same source told before.
+	 * @param source a peer, or a group of them
+	 * @param shares the work at endpoints
 	 */
-	public void told(VmId peer, List<LoadTold.Share> shares) {
+	public void told(String source, List<LoadTold.Share> shares) {
 		Map<EndpointId, EndpointLoad> loads = new HashMap<>();
 		for (LoadTold.Share share : shares) {
 			loads.put(new EndpointId(share.endpoint()),
 					new EndpointLoad(share.active(), share.readMillis(), share.tokens()));
 		}
-		this.peers.put(peer, new Told(this.clock.nanos(), loads));
+		this.others.put(source, new Told(this.clock.nanos(), loads));
 	}
 
 	private EndpointLoad ownLoad(EndpointId endpoint) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
@@ -1,9 +1,12 @@
 package org.bramleyscale.internal.gateway.load;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
 import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.time.Scheduler;
@@ -12,6 +15,10 @@
  * Tells peers what this daemon has under way, and takes what they tell.
  *
  * <p>
+ * In a small fleet all tell all. In a large one that would be thousands of messages a
+ * second; there each daemon tells the relays of its data centre, relays exchange the sums
+ * of their data centres, and tell each daemon of their own what all others do. A daemon
+ * that isn't a relay then sends and gets two messages a round, however large the fleet.
  * Confined to the scheduler's thread.
  */
 public final class LoadExchange {
@@ -23,25 +30,51 @@
 	 */
 	static final Duration PAUSE = Duration.ofMillis(100);
 
+	/**
+	 * Sums travel over two more hops, and go to a whole data centre; every other round.
+	 */
+	private static final int SUM_ROUNDS = 2;
+
 	/** An idle daemon tells every so many pauses that it is. */
 	private static final int IDLE_ROUNDS = 5;
 
+	private static final String FLEET = "fleet";
+
 	private final Scheduler scheduler;
 
 	private final PeerNetwork network;
 
+	private final LoadRoutes routes;
+
 	private final LoadBoard loads;
 
 	private final DemandBoard demands;
 
+	private final Map<VmId, Heard<LoadTold>> near = new HashMap<>();
+
+	private final Map<String, Heard<LoadSummed>> far = new HashMap<>();
+
+	private int rounds;
+
 	private int idleRounds;
 
-	public LoadExchange(Scheduler scheduler, PeerNetwork network, LoadBoard loads, DemandBoard demands) {
+	/**
+	 * Makes the exchange.
+	 * @param scheduler the daemon's scheduler
+	 * @param network to the peers
+	 * @param routes who tells whom
+	 * @param loads what is under way by endpoint
+	 * @param demands what is asked for by service
+	 */
+	public LoadExchange(Scheduler scheduler, PeerNetwork network, LoadRoutes routes, LoadBoard loads,
+			DemandBoard demands) {
 		this.scheduler = scheduler;
 		this.network = network;
+		this.routes = routes;
 		this.loads = loads;
 		this.demands = demands;
 		network.listen(LoadTold.class, this::told);
+		network.listen(LoadSummed.class, this::summed);
 	}
 
 	/**
@@ -49,7 +82,7 @@
 	 * @param builder the catalog
 	 */
 	public static void register(MessageCatalog.Builder builder) {
-		builder.add(103, LoadTold.class);
+		builder.add(103, LoadTold.class).add(104, LoadSummed.class);
 	}
 
 	public void start() {
@@ -61,20 +94,80 @@
 	 */
 	public void tell() {
 		LoadTold message = new LoadTold(this.loads.shares(), this.demands.demands());
-		this.network.connected().forEach((peer) -> this.network.send(peer, message));
+		if (this.routes.flat()) {
+			this.network.connected().forEach((peer) -> this.network.send(peer, message));
+		}
+		else {
+			this.routes.relays().forEach((relay) -> this.network.send(relay, message));
+		}
 	}
 
 	private void round() {
+		this.rounds++;
 		boolean idle = this.loads.shares().isEmpty();
 		this.idleRounds = idle ? this.idleRounds + 1 : 0;
 		if (!idle || this.idleRounds % IDLE_ROUNDS == 1) {
 			tell();
 		}
+		if (!this.routes.flat() && this.routes.isRelay() && this.rounds % SUM_ROUNDS == 0) {
+			relay();
+		}
+	}
+
+	private void relay() {
+		long oldest = this.scheduler.nanos() - LoadBoard.PEER_KEPT.toNanos();
+		this.near.values().removeIf((heard) -> heard.at() < oldest);
+		this.far.values().removeIf((heard) -> heard.at() < oldest);
+		LoadSum sum = new LoadSum().add(this.loads.shares(), this.demands.demands(), 1);
+		this.near.values().forEach((heard) -> sum.add(heard.message().shares(), heard.message().demands(), 1));
+		LoadSummed ownDataCentre = sum.message(false);
+		this.routes.remoteRelays().forEach((relay) -> this.network.send(relay, ownDataCentre));
+		this.far.values().forEach((heard) -> sum.add(heard.message().shares(), heard.message().demands(), 1));
+		for (VmId vm : this.routes.near()) {
+			this.network.send(vm, without(sum, vm).message(true));
+		}
+	}
+
+	private LoadSum without(LoadSum sum, VmId vm) {
+		Heard<LoadTold> own = this.near.get(vm);
+		return (own != null) ? sum.copy().add(own.message().shares(), own.message().demands(), -1) : sum;
 	}
 
 	private void told(Incarnation from, LoadTold message) {
-		this.loads.told(from.vm(), (message.shares() != null) ? message.shares() : List.of());
-		this.demands.told(from.vm(), (message.demands() != null) ? message.demands() : List.of());
+		LoadTold whole = new LoadTold(orEmpty(message.shares()), orEmpty(message.demands()));
+		this.near.put(from.vm(), new Heard<>(whole, this.scheduler.nanos()));
+		if (this.routes.flat() || this.routes.isRelay()) {
+			this.loads.told(from.vm().value(), whole.shares());
+			this.demands.told(from.vm().value(), whole.demands());
+		}
+	}
+
+	private void summed(Incarnation from, LoadSummed message) {
+		if (this.routes.flat() || message.fleet() == this.routes.isRelay()) {
+			// A relay adds up for itself; and what it adds up isn't for other daemons.
+			return;
+		}
+		LoadSummed whole = new LoadSummed(message.fleet(), orEmpty(message.shares()), orEmpty(message.demands()));
+		String source = message.fleet() ? FLEET : this.routes.dataCentre(from.vm());
+		if (!message.fleet()) {
+			this.far.put(source, new Heard<>(whole, this.scheduler.nanos()));
+		}
+		this.loads.told(source, whole.shares());
+		this.demands.told(source, whole.demands());
+	}
+
+	private static <T> List<T> orEmpty(List<T> list) {
+		return (list != null) ? list : List.of();
+	}
+
+	/**
+	 * What somebody told.
+	 *
+	 * @param <M> the type of message
+	 * @param message the message
+	 * @param at when it arrived
+	 */
+	private record Heard<M>(M message, long at) {
 	}
 
 }
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
@@ -0,0 +1,56 @@
+package org.bramleyscale.internal.gateway.load;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Adds up what daemons tell. Not safe for use by multiple threads.
+ */
+final class LoadSum {
+
+	private final Map<String, LoadTold.Share> shares = new TreeMap<>();
+
+	private final Map<String, LoadTold.Demand> demands = new TreeMap<>();
+
+	/**
+	 * Adds or takes away.
+	 * @param toldShares work by endpoint
+	 * @param toldDemands demand by service
+	 * @param sign 1 to add, -1 to take away
+	 * @return this sum
+	 */
+	LoadSum add(List<LoadTold.Share> toldShares, List<LoadTold.Demand> toldDemands, int sign) {
+		for (LoadTold.Share told : toldShares) {
+			LoadTold.Share held = this.shares.getOrDefault(told.endpoint(),
+					new LoadTold.Share(told.endpoint(), 0, 0, 0));
+			this.shares.put(told.endpoint(), new LoadTold.Share(told.endpoint(), held.active() + sign * told.active(),
+					held.readMillis() + sign * told.readMillis(), held.tokens() + sign * told.tokens()));
+		}
+		for (LoadTold.Demand told : toldDemands) {
+			LoadTold.Demand held = this.demands.getOrDefault(told.service(), new LoadTold.Demand(told.service(), 0, 0));
+			this.demands.put(told.service(), new LoadTold.Demand(told.service(),
+					held.shortActive() + sign * told.shortActive(), held.longMillis() + sign * told.longMillis()));
+		}
+		return this;
+	}
+
+	LoadSum copy() {
+		return new LoadSum().add(List.copyOf(this.shares.values()), List.copyOf(this.demands.values()), 1);
+	}
+
+	/**
+	 * The sum as a message.
+	 * @param fleet what {@link LoadSummed} says of it
+	 * @return the message, without endpoints that have nothing to do
+	 */
+	LoadSummed message(boolean fleet) {
+		return new LoadSummed(fleet,
+				this.shares.values()
+					.stream()
+					.filter((share) -> share.active() > 0 || share.readMillis() > 0 || share.tokens() > 0)
+					.toList(),
+				List.copyOf(this.demands.values()));
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
@@ -1,10 +1,15 @@
 package org.bramleyscale.internal.gateway.node;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.load.LoadRoutes;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipService;
 import org.bramleyscale.internal.peer.PeerDirectory;
@@ -14,10 +19,11 @@
  *
  * <p>
  * In a small fleet with every daemon, since all of them send to the same endpoints and
- * have to know each other's work there; in a large one with those that membership wants.
- * Confined to the scheduler's thread.
+ * have to know each other's work there; in a large one with those that membership wants
+ * and between the relays and the other daemons of a data centre. Confined to the
+ * scheduler's thread.
  */
-final class FleetDirectory implements PeerDirectory {
+final class FleetDirectory implements PeerDirectory, LoadRoutes {
 
 	/**
 	 * Up to so many daemons all connect with all. At this size each sends 230 tellings a
@@ -35,16 +41,58 @@
 	public Set<VmId> wanted() {
 		Set<VmId> wanted = new TreeSet<>((left, right) -> left.value().compareTo(right.value()));
 		wanted.addAll(this.membership.directory().wanted());
-		if (this.membership.members().size() <= LARGEST_MESH) {
-			this.membership.members()
-				.stream()
-				.filter((member) -> member.state() != Member.State.DEAD)
-				.forEach((member) -> wanted.add(member.vm()));
+		if (flat()) {
+			present().forEach((member) -> wanted.add(member.vm()));
+		}
+		else {
+			wanted.addAll(this.membership.relays());
+			if (isRelay()) {
+				wanted.addAll(near());
+			}
 		}
 		wanted.remove(this.membership.self().vm());
 		return wanted;
 	}
 
+	@Override
+	public boolean flat() {
+		return this.membership.members().size() <= LARGEST_MESH;
+	}
+
+	@Override
+	public boolean isRelay() {
+		return this.membership.isRelay();
+	}
+
+	@Override
+	public Collection<VmId> relays() {
+		List<VmId> others = new ArrayList<>(this.membership.relays());
+		others.remove(this.membership.self().vm());
+		return others;
+	}
+
+	@Override
+	public Collection<VmId> near() {
+		return present().filter((member) -> member.dataCentre().equals(this.membership.dataCentre()))
+			.map(Member::vm)
+			.filter((vm) -> !vm.equals(this.membership.self().vm()))
+			.toList();
+	}
+
+	@Override
+	public Collection<VmId> remoteRelays() {
+		return this.membership.remoteRelays();
+	}
+
+	@Override
+	public String dataCentre(VmId vm) {
+		return this.membership.member(vm).map((member) -> member.dataCentre().value()).orElse("");
+	}
+
+	private Stream<Member> present() {
+		return this.membership.members().stream().filter((member) -> member.state() != Member.State.DEAD);
+	}
+
 	@Override
 	public Optional<String> address(VmId vm) {
 		return this.membership.directory().address(vm);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -15,11 +16,14 @@
 import org.bramleyscale.EndpointId;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.ServingException;
+import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.follow.FollowedKind;
 import org.bramleyscale.internal.gateway.follow.FollowedObject;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
@@ -31,6 +35,7 @@
 import org.bramleyscale.internal.gateway.http.NettyLoop;
 import org.bramleyscale.internal.gateway.http.WireDialect;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -41,6 +46,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
 import org.bramleyscale.internal.gateway.retry.RetryWindow;
+import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipMessages;
 import org.bramleyscale.internal.membership.MembershipService;
 import org.bramleyscale.internal.membership.MembershipSettings;
@@ -53,6 +59,9 @@
 import org.bramleyscale.internal.peer.TcpPeerSettings;
 import org.bramleyscale.internal.platform.ObjectStore;
 import org.bramleyscale.internal.platform.VmRecord;
+import org.bramleyscale.internal.status.DaemonStatus;
+import org.bramleyscale.internal.status.EndpointStatus;
+import org.bramleyscale.internal.status.StatusSummary;
 import org.jboss.logging.Logger;
 
 /**
@@ -108,6 +117,10 @@
 
 	private final BackendTable backends;
 
+	private final BackendHealth health;
+
+	private final LoadBoard loads;
+
 	private final Map<String, FollowedKind> kinds = new LinkedHashMap<>();
 
 	private final StoreFollower catalogFollower;
@@ -120,6 +133,8 @@
 
 	private final MembershipService membership;
 
+	private final FleetDirectory directory;
+
 	private final EntryList entries;
 
 	private final GatewayService service;
@@ -162,19 +177,21 @@
 			.random(this.random)
 			.metrics(parts.metrics())
 			.build();
+		this.directory = new FleetDirectory(this.membership);
 		this.entries = new EntryList(loop, this.membership, this.network);
 		this.copies = new PeerCopies(loop, this.network, this.kinds, log);
-		BackendHealth health = new BackendHealth(loop, log);
-		LoadBoard loads = new LoadBoard(loop);
+		this.health = new BackendHealth(loop, log);
+		this.loads = new LoadBoard(loop);
 		DemandBoard demands = new DemandBoard(loop);
-		this.loadExchange = new LoadExchange(loop, this.network, loads, demands);
-		PlacementPolicy plain = new PlainPlacement(this.backends, health, loads, this.random);
-		PlacementPolicy engines = new EnginePlacement(this.backends, health, loads, demands, this.random);
+		this.loadExchange = new LoadExchange(loop, this.network, this.directory, this.loads, demands);
+		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
+		PlacementPolicy engines = new EnginePlacement(this.backends, this.health, this.loads, demands, this.random);
 		BackendConnections connections = new BackendConnections(loop, parts.dialect());
 		MemoryHolds holds = new MemoryHolds(loop, parts.orders(), this.self.toString(), log);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
-				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request), health, loads,
-				demands, retries(), holds, this.loadExchange::tell, log, new GatewayMetrics(parts.metrics()));
+				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request), this.health,
+				this.loads, demands, retries(), holds, this.loadExchange::tell, log,
+				new GatewayMetrics(parts.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this.random);
 		this.callers = new CallerServer(loop, this.service, parts.dialect(),
 				() -> this.catalogs.current().map(Catalog::limits).orElse(CallerLimits.DEFAULT));
@@ -271,10 +288,44 @@
 		return state;
 	}
 
+	/**
+	 * What this daemon knows of the fleet, for operators; on the loop's thread only.
+	 * @return the summary
+	 */
+	public StatusSummary status() {
+		return new StatusSummary(this.self, this.parts.loop().wallTime(), ready(),
+				this.catalogs.current().map(Catalog::version).orElse(0L), this.backendFollower.silence().toMillis(),
+				this.membership.members().stream().map(this::status).toList(),
+				this.backends.all().stream().map(this::status).toList(), List.of(), List.of());
+	}
+
+	private DaemonStatus status(Member member) {
+		return new DaemonStatus(member.vm(), member.dataCentre(), member.httpAddress(), member.state(),
+				this.membership.history().silence(member.vm()).toMillis(), 0, Optional.empty());
+	}
+
+	private EndpointStatus status(Backend backend) {
+		EndpointLoad load = this.loads.load(backend.id());
+		EndpointStatus.State state = EndpointStatus.State.USABLE;
+		if (backend.draining()) {
+			state = EndpointStatus.State.LEAVING;
+		}
+		else if (this.health.avoid(backend.id())) {
+			state = EndpointStatus.State.EJECTED;
+		}
+		long capacity = this.catalogs.current()
+			.flatMap((catalog) -> catalog.service(backend.service()))
+			.flatMap(Service::engine)
+			.map(EngineProfile::memoryTokens)
+			.orElse(0L);
+		return new EndpointStatus(backend.id(), backend.service(), backend.dataCentre(), state, load.active(), 0,
+				load.tokens(), capacity, 0);
+	}
+
 	private void startSlices() throws ServingException {
 		this.catalogFollower.start();
 		this.backendFollower.start();
-		this.network.start(new FleetDirectory(this.membership));
+		this.network.start(this.directory);
 		this.membership.start();
 		this.copies.start();
 		this.loadExchange.start();
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/OperatorAnswers.java
@@ -0,0 +1,83 @@
+package org.bramleyscale.internal.gateway.node;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Function;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bramleyscale.internal.gateway.http.AnswerServer;
+import org.bramleyscale.internal.status.MetricsExport;
+import org.bramleyscale.internal.status.OperatorJson;
+import org.bramleyscale.internal.status.ProblemFinder;
+import org.bramleyscale.internal.status.ProblemThresholds;
+import org.bramleyscale.internal.status.StatusProblem;
+import org.bramleyscale.internal.status.StatusReport;
+import org.bramleyscale.internal.status.StatusSummary;
+
+/**
+ * Answers operators as the product's own daemon does: status, dump and metrics under the
+ * same paths, so that the command line works with both. {@code /} says in plain sentences
+ * what is wrong, for a phone.
+ *
+ * <p>
+ * Confined to the loop's thread.
+ */
+public final class OperatorAnswers implements Function<AnswerServer.Question, AnswerServer.Reply> {
+
+	private static final int OK = 200;
+
+	private static final int FAILED = 500;
+
+	private static final String JSON = "application/json";
+
+	private static final String TEXT = "text/plain; charset=utf-8";
+
+	private final GatewayNode node;
+
+	private final MetricsExport metrics;
+
+	private final ProblemFinder problems = new ProblemFinder(ProblemThresholds.DEFAULT);
+
+	public OperatorAnswers(GatewayNode node, MetricRegistry metrics) {
+		this.node = node;
+		this.metrics = new MetricsExport(metrics);
+	}
+
+	@Override
+	public AnswerServer.Reply apply(AnswerServer.Question question) {
+		try {
+			return switch (question.path()) {
+				case "/" -> reply(TEXT, sentences());
+				case "/v1/operator/status" -> reply(JSON, OperatorJson.write(report()));
+				case "/v1/operator/dump" -> reply(JSON, OperatorJson.write(this.node.dump()));
+				case "/v1/operator/metrics", "/metrics" -> reply(MetricsExport.TEXT_TYPE, this.metrics.text());
+				default -> AnswerServer.Reply.NOT_FOUND;
+			};
+		}
+		catch (IOException ex) {
+			return new AnswerServer.Reply(FAILED, TEXT, ex.toString().getBytes(StandardCharsets.UTF_8));
+		}
+	}
+
+	private StatusReport report() {
+		StatusSummary summary = this.node.status();
+		return new StatusReport(this.problems.find(summary), summary);
+	}
+
+	private String sentences() {
+		List<StatusProblem> found = report().problems();
+		if (found.isEmpty()) {
+			return "Nothing is wrong as far as this daemon knows.\n";
+		}
+		StringBuilder text = new StringBuilder();
+		found.forEach(
+				(problem) -> text.append(problem.severity()).append(": ").append(problem.sentence()).append(".\n"));
+		return text.toString();
+	}
+
+	private static AnswerServer.Reply reply(String type, String body) {
+		return new AnswerServer.Reply(OK, type, body.getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadBoardTests.java
@@ -0,0 +1,76 @@
+package org.bramleyscale.internal.gateway.load;
+
+import java.time.Duration;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link LoadBoard} and {@link DemandBoard}.
+ */
+class LoadBoardTests {
+
+	private static final EndpointId ENGINE = new EndpointId("e1");
+
+	private static final ServiceName SERVICE = new ServiceName("quotes");
+
+	private static final String PEER = "entry-2";
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final LoadBoard loads = new LoadBoard(this.scheduler);
+
+	@ParameterizedTest
+	@CsvSource({ "0, 400", "100, 300", "390, 60", "5000, 60" })
+	void whatIsReadCountsLessAsTimePassesButNeverNothing(long millis, double left) {
+		this.loads.begin(ENGINE, 400, 10, true);
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(this.loads.load(ENGINE).readMillis()).isWithin(0.01).of(left);
+	}
+
+	@Test
+	void workLeavesTheBoardAsItIsDone() {
+		LoadBoard.Work target = this.loads.begin(ENGINE, 400, 10, true);
+		LoadBoard.Work helper = this.loads.begin(ENGINE, 400, 0, false);
+		LoadBoard.Work holder = this.loads.begin(ENGINE, 400, 30, false);
+		List.of(target, helper, holder).forEach(LoadBoard.Work::read);
+		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(new EndpointLoad(1, 0, 40));
+		List.of(target, helper, holder).forEach(LoadBoard.Work::end);
+		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(EndpointLoad.IDLE);
+		Truth.assertThat(this.loads.shares()).isEmpty();
+	}
+
+	@Test
+	void aPeersWorkCountsUntilThePeerFallsSilent() {
+		// Symptom: an idle engine gets no work. Sequence: a daemon with work there is
+		// killed.
+		// Cause: its last word would count for ever.
+		this.loads.told(PEER, List.of(new LoadTold.Share("e1", 3, 500, 70)));
+		this.scheduler.advance(Duration.ofMillis(200));
+		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(new EndpointLoad(3, 300, 70));
+		this.scheduler.advance(LoadBoard.PEER_KEPT);
+		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(EndpointLoad.IDLE);
+	}
+
+	@Test
+	void demandIsAveragedAndSummedOverDaemons() {
+		DemandBoard demands = new DemandBoard(this.scheduler);
+		for (int i = 0; i < 40; i++) {
+			demands.longArrived(SERVICE, 2_000);
+			this.scheduler.advance(Duration.ofMillis(500));
+		}
+		demands.shortBegan(SERVICE);
+		demands.told(PEER, List.of(new LoadTold.Demand("quotes", 4, 1_000)));
+		Truth.assertThat(demands.longEngines(SERVICE)).isWithin(0.5).of(4 + 1);
+		Truth.assertThat(demands.shortActive(SERVICE)).isEqualTo(5);
+		this.scheduler.advance(LoadBoard.PEER_KEPT.plusMillis(1));
+		Truth.assertThat(demands.shortActive(SERVICE)).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadExchangeTests.java
@@ -0,0 +1,194 @@
+package org.bramleyscale.internal.gateway.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.EndpointId;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.peer.PeerListener;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests of {@link LoadExchange} in a small fleet and in one of three data centres with
+ * two relays each.
+ */
+class LoadExchangeTests {
+
+	private static final EndpointId ENGINE = new EndpointId("e1");
+
+	private static final ServiceName SERVICE = new ServiceName("quotes");
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final Map<VmId, Daemon> fleet = new TreeMap<>((left, right) -> left.value().compareTo(right.value()));
+
+	private boolean flat;
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void everyDaemonKnowsTheWorkOfAllOthersOnce(boolean flat) {
+		start(flat, 4);
+		this.fleet.values().forEach((daemon) -> daemon.loads.begin(ENGINE, 0, 100, true));
+		this.fleet.values().forEach((daemon) -> daemon.demands.shortBegan(SERVICE));
+		this.scheduler.advance(Duration.ofMillis(900));
+		for (Daemon daemon : this.fleet.values()) {
+			Truth.assertWithMessage(daemon.vm.value())
+				.that(daemon.loads.load(ENGINE))
+				.isEqualTo(new EndpointLoad(12, 0, 1_200));
+			Truth.assertThat(daemon.demands.shortActive(SERVICE)).isEqualTo(12);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void theWorkOfADeadDaemonIsForgotten(boolean flat) {
+		// Symptom: engines look busy for ever. Sequence: a daemon with work is killed.
+		// Cause:
+		// relays would go on adding its last word to their sums.
+		start(flat, 4);
+		Daemon dead = this.fleet.get(new VmId("dc1-3"));
+		dead.loads.begin(ENGINE, 0, 100, true);
+		this.scheduler.advance(Duration.ofMillis(900));
+		dead.alive = false;
+		this.scheduler.advance(Duration.ofMillis(2_600));
+		this.fleet.values()
+			.stream()
+			.filter((daemon) -> daemon.alive)
+			.forEach((daemon) -> Truth.assertThat(daemon.loads.load(ENGINE)).isEqualTo(EndpointLoad.IDLE));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "4, 45", "20, 45" })
+	void aDaemonThatIsNoRelaySendsAsMuchInALargeFleetAsInASmallOne(int each, int most) {
+		start(false, each);
+		Daemon member = this.fleet.get(new VmId("dc2-3"));
+		member.loads.begin(ENGINE, 0, 100, true);
+		this.scheduler.advance(Duration.ofSeconds(2));
+		Truth.assertThat(member.sent).isAtMost(most);
+	}
+
+	private void start(boolean small, int each) {
+		this.flat = small;
+		for (int dataCentre = 1; dataCentre <= 3; dataCentre++) {
+			for (int i = 1; i <= each; i++) {
+				Daemon daemon = new Daemon(new VmId("dc" + dataCentre + "-" + i), "dc" + dataCentre, i <= 2);
+				this.fleet.put(daemon.vm, daemon);
+			}
+		}
+		this.fleet.values().forEach((daemon) -> daemon.exchange.start());
+	}
+
+	/**
+	 * One daemon with its boards.
+	 */
+	private final class Daemon implements PeerNetwork, LoadRoutes {
+
+		private final VmId vm;
+
+		private final String dataCentre;
+
+		private final boolean relay;
+
+		private final Map<Class<?>, PeerListener<?>> listeners = new HashMap<>();
+
+		private final LoadBoard loads = new LoadBoard(LoadExchangeTests.this.scheduler);
+
+		private final DemandBoard demands = new DemandBoard(LoadExchangeTests.this.scheduler);
+
+		private final LoadExchange exchange;
+
+		private boolean alive = true;
+
+		private int sent;
+
+		private Daemon(VmId vm, String dataCentre, boolean relay) {
+			this.vm = vm;
+			this.dataCentre = dataCentre;
+			this.relay = relay;
+			this.exchange = new LoadExchange(LoadExchangeTests.this.scheduler, this, this, this.loads, this.demands);
+		}
+
+		@Override
+		@SuppressWarnings("unchecked")
+		public boolean send(VmId to, PeerMessage message) {
+			this.sent++;
+			Daemon other = LoadExchangeTests.this.fleet.get(to);
+			if (this.alive && other.alive) {
+				PeerListener<PeerMessage> listener = (PeerListener<PeerMessage>) other.listeners
+					.get(message.getClass());
+				LoadExchangeTests.this.scheduler.execute(() -> listener.received(new Incarnation(this.vm, 1), message));
+			}
+			return true;
+		}
+
+		@Override
+		public Set<VmId> connected() {
+			Set<VmId> all = new HashSet<>(LoadExchangeTests.this.fleet.keySet());
+			all.remove(this.vm);
+			return all;
+		}
+
+		@Override
+		public <M extends PeerMessage> void listen(Class<M> type, PeerListener<M> listener) {
+			this.listeners.put(type, listener);
+		}
+
+		@Override
+		public boolean flat() {
+			return LoadExchangeTests.this.flat;
+		}
+
+		@Override
+		public boolean isRelay() {
+			return this.relay;
+		}
+
+		@Override
+		public Collection<VmId> relays() {
+			return others(true, true);
+		}
+
+		@Override
+		public Collection<VmId> near() {
+			return others(true, false);
+		}
+
+		@Override
+		public Collection<VmId> remoteRelays() {
+			return others(false, true);
+		}
+
+		@Override
+		public String dataCentre(VmId other) {
+			return LoadExchangeTests.this.fleet.get(other).dataCentre;
+		}
+
+		private Collection<VmId> others(boolean own, boolean relaysOnly) {
+			List<VmId> result = new ArrayList<>();
+			for (Daemon daemon : LoadExchangeTests.this.fleet.values()) {
+				boolean here = daemon.dataCentre.equals(this.dataCentre);
+				if (daemon != this && here == own && (daemon.relay || !relaysOnly)) {
+					result.add(daemon.vm);
+				}
+			}
+			return result;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
@@ -0,0 +1,137 @@
+package org.bramleyscale.internal.gateway.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.membership.Member;
+import org.bramleyscale.internal.membership.MembershipView;
+import org.bramleyscale.internal.peer.PeerListener;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests of {@link EntryList}.
+ */
+class EntryListTests {
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final Fleet fleet = new Fleet();
+
+	private final EntryList entries = new EntryList(this.scheduler, this.fleet, this.fleet);
+
+	@Test
+	void aDaemonWhoseConnectionWasLostIsNotNamed() {
+		// Symptom: callers lose one of their two tries. Sequence: a daemon is killed,
+		// callers
+		// ask another one for addresses. Cause: membership is sure of its death only
+		// after
+		// seconds.
+		this.fleet.connected.addAll(List.of(vm("b"), vm("c")));
+		this.entries.observe();
+		Truth.assertThat(this.entries.addresses(false)).containsExactly("a:80", "b:80", "c:80");
+		this.fleet.connected.remove(vm("b"));
+		this.scheduler.advance(Duration.ofMillis(500));
+		this.entries.observe();
+		Truth.assertThat(this.entries.addresses(false)).containsExactly("a:80", "c:80");
+	}
+
+	@Test
+	void aDaemonThatLeavesNamesTheOthers() {
+		Truth.assertThat(this.entries.addresses(true)).containsExactly("b:80", "c:80");
+	}
+
+	@Test
+	void theLastDaemonNamesItselfThoughItLeaves() {
+		this.fleet.members.removeIf((member) -> !member.vm().equals(vm("a")));
+		Truth.assertThat(this.entries.addresses(true)).containsExactly("a:80");
+	}
+
+	@Test
+	void namesLostDaemonsOnlyIfNobodyElseIsLeft() {
+		this.fleet.connected.addAll(List.of(vm("b"), vm("c")));
+		this.entries.observe();
+		this.fleet.connected.clear();
+		this.scheduler.advance(Duration.ofSeconds(1));
+		Truth.assertThat(this.entries.addresses(true)).containsExactly("b:80", "c:80");
+	}
+
+	private static VmId vm(String name) {
+		return new VmId(name);
+	}
+
+	/**
+	 * Three daemons, of which the first is this one.
+	 */
+	private static final class Fleet implements MembershipView, PeerNetwork {
+
+		private final List<Member> members = new ArrayList<>();
+
+		private final Set<VmId> connected = new HashSet<>();
+
+		private Fleet() {
+			for (String name : List.of("a", "b", "c")) {
+				this.members.add(new Member(new Incarnation(vm(name), 1), new DataCentre("east"), name + ":90",
+						name + ":80", Member.State.ALIVE));
+			}
+		}
+
+		@Override
+		public Incarnation self() {
+			return this.members.get(0).incarnation();
+		}
+
+		@Override
+		public DataCentre dataCentre() {
+			return new DataCentre("east");
+		}
+
+		@Override
+		public Collection<Member> members() {
+			return this.members;
+		}
+
+		@Override
+		public Optional<Member> member(VmId vm) {
+			return this.members.stream().filter((member) -> member.vm().equals(vm)).findFirst();
+		}
+
+		@Override
+		public List<Member> eligible() {
+			return this.members;
+		}
+
+		@Override
+		public void onChange(Runnable listener) {
+			// Nothing changes but by the test.
+		}
+
+		@Override
+		public boolean send(VmId to, PeerMessage message) {
+			return false;
+		}
+
+		@Override
+		public Set<VmId> connected() {
+			return this.connected;
+		}
+
+		@Override
+		public <M extends PeerMessage> void listen(Class<M> type, PeerListener<M> listener) {
+			// Nothing is said.
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/LeaveSequenceTests.java
@@ -0,0 +1,73 @@
+package org.bramleyscale.internal.gateway.node;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link LeaveSequence} with addresses kept for one second and eight of grace.
+ */
+class LeaveSequenceTests implements LeaveSequence.Actions {
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private int unfinished;
+
+	private int announced;
+
+	private int ended;
+
+	private final LeaveSequence leave = new LeaveSequence(this.scheduler,
+			new GatewaySettings(new VmId("a"), new DataCentre("east"), new InetSocketAddress("127.0.0.1", 1),
+					new InetSocketAddress("127.0.0.1", 2), List.of(), Duration.ofSeconds(1), Duration.ofSeconds(8),
+					Duration.ofSeconds(10), 0.2, 100),
+			this, DecisionLog.NONE);
+
+	@ParameterizedTest
+	@CsvSource({ "0, 3000, 0", "0, 3300, 1", "1, 7200, 0", "1, 7500, 1" })
+	void endsWhenNobodyNeedsItAndBeforeItWouldBeKilled(int unfinished, long millis, int ended) {
+		this.unfinished = unfinished;
+		this.leave.begin();
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(this.ended).isEqualTo(ended);
+	}
+
+	@Test
+	void saysSoOnceAndEndsOnce() {
+		this.leave.begin();
+		this.leave.begin();
+		this.scheduler.advance(Duration.ofSeconds(30));
+		Truth.assertThat(this.announced).isEqualTo(1);
+		Truth.assertThat(this.ended).isEqualTo(1);
+	}
+
+	@Override
+	public void announce() {
+		this.announced++;
+	}
+
+	@Override
+	public int unfinished() {
+		return this.unfinished;
+	}
+
+	@Override
+	public int connections() {
+		return 0;
+	}
+
+	@Override
+	public void end() {
+		this.ended++;
+	}
+
+}
