Let the long lane grow with the reading not yet done

Cause: when a burst of manuals began, the averaged demand gave them two or three engines for the first seconds, and one prompt of 182,000 tokens keeps an engine busy for 3.9 s.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -12,6 +12,7 @@
 import org.bramleyscale.internal.gateway.catalog.EngineProfile;
 import org.bramleyscale.internal.gateway.hold.MemoryHold;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 
 /**
@@ -88,7 +89,8 @@
 	@Override
 	public Placement place(PlacementRequest request) {
 		EngineProfile profile = request.service().engine().orElseThrow();
-		List<Candidate> candidates = candidates(request, profile);
+		double read = profile.readMillis(request.promptTokens());
+		List<Candidate> candidates = candidates(request, profile, read);
 		if (candidates.isEmpty()) {
 			boolean none = this.backends.usable(request.service().name()).isEmpty();
 			return Placement.refused(none ? "no endpoint" : "no other endpoint", PlainPlacement.NO_ENDPOINT_PAUSE);
@@ -96,7 +98,6 @@
 		List<Candidate> shortLane = candidates.stream()
 			.filter((candidate) -> !candidate.longLane() && !candidate.avoided())
 			.toList();
-		double read = profile.readMillis(request.promptTokens());
 		double shortPart = read / Math.max(1, Math.min(MOST_READERS, shortLane.size()));
 		boolean large = needed(request) > Candidate.USED_MEMORY * profile.memoryTokens();
 		if (large || shortPart > LONGEST_SHORT_PART_MILLIS) {
@@ -249,18 +250,20 @@
 		return Placement.refused("first event predicted in " + Math.round(placement.firstMillis()) + " ms", pause);
 	}
 
-	private List<Candidate> candidates(PlacementRequest request, EngineProfile profile) {
+	private List<Candidate> candidates(PlacementRequest request, EngineProfile profile, double read) {
 		List<Backend> usable = this.backends.usable(request.service().name());
+		List<EndpointLoad> known = usable.stream().map((backend) -> this.loads.load(backend.id())).toList();
+		double backlog = known.stream().mapToDouble(EndpointLoad::readMillis).sum() + read;
 		LanePlan plan = LanePlan.of(usable.size(), profile.slots(), this.demands.shortActive(request.service().name()),
-				this.demands.longEngines(request.service().name()));
+				this.demands.longEngines(request.service().name()), backlog);
 		List<Candidate> candidates = new ArrayList<>();
 		for (int i = 0; i < usable.size(); i++) {
 			Backend backend = usable.get(i);
 			if (!request.tried().contains(backend.id())) {
 				double extra = FAILURE_MILLIS * this.health.failures(backend.id())
 						+ JITTER_MILLIS * this.random.nextDouble();
-				candidates.add(new Candidate(backend, this.loads.load(backend.id()), plan.isLong(i),
-						this.health.avoid(backend.id()), extra, profile));
+				candidates.add(new Candidate(backend, known.get(i), plan.isLong(i), this.health.avoid(backend.id()),
+						extra, profile));
 			}
 		}
 		return candidates;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/LanePlan.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/LanePlan.java
@@ -21,6 +21,13 @@
 	 */
 	static final double LONG_BUSY = 0.55;
 
+	/**
+	 * Reading that each engine of the long lane may have before it, ms: half of the time
+	 * in which the first event of a long prompt is wanted. The average demand follows a
+	 * burst of long prompts only after seconds.
+	 */
+	static final double BACKLOG_MILLIS = 1_500;
+
 	/** Part of the short lane's slots that may be taken before it grows. */
 	static final double SHORT_FULL = 0.75;
 
@@ -39,13 +46,15 @@
 	 * @param slots the slots of each
 	 * @param shortActive short requests under way
 	 * @param longDemand engines kept busy by the reading that long prompts ask for
+	 * @param backlogMillis reading not yet done, ms
 	 * @return the plan; both lanes have an engine wherever there are two
 	 */
-	public static LanePlan of(int engines, int slots, int shortActive, double longDemand) {
+	public static LanePlan of(int engines, int slots, int shortActive, double longDemand, double backlogMillis) {
 		int shortReserve = Math.max(1, (int) Math.round(engines * SHORT_RESERVE));
 		int forShort = Math.max(shortReserve, (int) Math.ceil(shortActive / (SHORT_FULL * slots)));
 		int reserve = Math.max(1, (int) Math.round(engines * LONG_RESERVE));
-		int wanted = Math.max(reserve, (int) Math.ceil(longDemand / LONG_BUSY));
+		double needed = Math.max(longDemand / LONG_BUSY, backlogMillis / BACKLOG_MILLIS);
+		int wanted = Math.max(reserve, (int) Math.ceil(needed));
 		int longEngines = Math.max(Math.min(reserve, engines - 1), Math.min(wanted, engines - forShort));
 		return new LanePlan(engines, Math.max(0, longEngines));
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LanePlanTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LanePlanTests.java
@@ -10,10 +10,12 @@
 class LanePlanTests {
 
 	@ParameterizedTest
-	@CsvSource({ "21, 0, 0, 2", "21, 25, 11.5, 17", "21, 155, 0.4, 2", "21, 300, 11, 2", "21, 25, 4, 8", "1, 5, 3, 0",
-			"2, 50, 0, 1", "3, 0, 9, 2" })
-	void cutsEnginesByDemand(int engines, int shortActive, double longDemand, int longEngines) {
-		Truth.assertThat(LanePlan.of(engines, 11, shortActive, longDemand).longEngines()).isEqualTo(longEngines);
+	@CsvSource({ "21, 0, 0, 0, 2", "21, 25, 11.5, 0, 17", "21, 155, 0.4, 0, 2", "21, 300, 11, 0, 2", "21, 25, 4, 0, 8",
+			"21, 25, 4, 18000, 12", "21, 25, 0, 4900, 4", "21, 0, 0, 99000, 18", "1, 5, 3, 0, 0", "2, 50, 0, 0, 1",
+			"3, 0, 9, 0, 2" })
+	void cutsEnginesByDemand(int engines, int shortActive, double longDemand, double backlog, int longEngines) {
+		Truth.assertThat(LanePlan.of(engines, 11, shortActive, longDemand, backlog).longEngines())
+			.isEqualTo(longEngines);
 	}
 
 }
