--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
@@ -31,13 +31,7 @@
 
 	private static final double AVOIDED_MILLIS = 100_000;
 
-	/**
-	 * What speaks against an engine of the long lane for a short prompt, ms: about as
-	 * much as a full engine's requests. When many short prompts come at once, the short
-	 * lane still has the size of the seconds before; an idle engine of the other one is
-	 * better than one where ten others are read and written.
-	 */
-	private static final double OTHER_LANE_MILLIS = 150;
+	private static final double OTHER_LANE_MILLIS = 1_000;
 
 	private static final double FULL_MILLIS = 4_000;
 
