--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -8,7 +8,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 
 import org.bramleyscale.EndpointId;
@@ -45,8 +44,6 @@
 
 	private final Map<ServiceName, List<Backend>> usable = new HashMap<>();
 
-	private final List<Runnable> listeners = new ArrayList<>();
-
 	public BackendTable(Clock clock, DecisionLog log) {
 		this.clock = clock;
 		this.log = log;
@@ -106,18 +103,10 @@
 		return this.usable.getOrDefault(service, List.of());
 	}
 
-	public Optional<Backend> get(EndpointId id) {
-		return Optional.ofNullable(this.backends.get(id));
-	}
-
 	public Collection<Backend> all() {
 		return Collections.unmodifiableCollection(this.backends.values());
 	}
 
-	public void onChange(Runnable listener) {
-		this.listeners.add(listener);
-	}
-
 	private void forget(EndpointId id, String reason) {
 		this.lapsedUntil.remove(id);
 		this.backends.remove(id);
@@ -136,7 +125,6 @@
 				.add(backend));
 		this.usable.clear();
 		byService.forEach((service, list) -> this.usable.put(service, List.copyOf(list)));
-		this.listeners.forEach(Runnable::run);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/CatalogHolder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/CatalogHolder.java
@@ -1,9 +1,6 @@
 package org.bramleyscale.internal.gateway.catalog;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 /**
  * The catalog in force on this daemon.
@@ -15,8 +12,6 @@
  */
 public final class CatalogHolder {
 
-	private final List<Consumer<Catalog>> listeners = new ArrayList<>();
-
 	private Catalog current;
 
 	/**
@@ -37,12 +32,7 @@
 			return false;
 		}
 		this.current = catalog;
-		this.listeners.forEach((listener) -> listener.accept(catalog));
 		return true;
 	}
 
-	public void onChange(Consumer<Catalog> listener) {
-		this.listeners.add(listener);
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnections.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnections.java
@@ -109,10 +109,6 @@
 		return this.reused;
 	}
 
-	NettyLoop loop() {
-		return this.loop;
-	}
-
 	void keep(HostAndPort address, BackendChannel channel) {
 		this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addFirst(channel);
 		this.loop.schedule(KEPT_IDLE, channel::closeIfIdle);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/NettyLoop.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/NettyLoop.java
@@ -1,12 +1,8 @@
 package org.bramleyscale.internal.gateway.http;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
@@ -17,59 +13,34 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import org.bramleyscale.internal.time.Cancellable;
-import org.bramleyscale.internal.time.Scheduler;
-import org.jboss.logging.Logger;
+import org.bramleyscale.internal.time.ExecutorScheduler;
 
 /**
  * One thread for all of a daemon's relaying: its sockets and its decisions.
  *
  * <p>
  * On a small VM a second thread gains nothing, and each hand-over costs two wake-ups a
- * request. Invariant: an exception in one task is logged and never ends the thread. Safe
- * for use by multiple threads.
+ * request. Safe for use by multiple threads.
  */
-public final class NettyLoop implements Scheduler, AutoCloseable {
-
-	private static final Logger logger = Logger.getLogger(NettyLoop.class);
-
-	private final boolean epoll = Epoll.isAvailable();
+public final class NettyLoop extends ExecutorScheduler {
 
 	private final EventLoopGroup group;
 
-	private final EventLoop loop;
+	private final boolean epoll;
 
 	public NettyLoop(String name) {
-		DefaultThreadFactory threads = new DefaultThreadFactory(name, true);
-		this.group = this.epoll ? new EpollEventLoopGroup(1, threads) : new NioEventLoopGroup(1, threads);
-		this.loop = this.group.next();
+		this(group(name));
 	}
 
-	@Override
-	public long nanos() {
-		return System.nanoTime();
+	private NettyLoop(EventLoopGroup group) {
+		super(group.next());
+		this.group = group;
+		this.epoll = group instanceof EpollEventLoopGroup;
 	}
 
 	@Override
-	public Instant wallTime() {
-		return Instant.now();
-	}
-
-	@Override
-	public void execute(Runnable task) {
-		if (!this.loop.isShuttingDown()) {
-			this.loop.execute(guarded(task));
-		}
-	}
-
-	@Override
-	public Cancellable schedule(Duration delay, Runnable task) {
-		if (this.loop.isShuttingDown()) {
-			return () -> {
-			};
-		}
-		Future<?> future = this.loop.schedule(guarded(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
-		return () -> future.cancel(false);
+	protected boolean closed() {
+		return this.group.isShuttingDown();
 	}
 
 	@Override
@@ -93,15 +64,9 @@
 		return this.epoll ? EpollSocketChannel.class : NioSocketChannel.class;
 	}
 
-	private static Runnable guarded(Runnable task) {
-		return () -> {
-			try {
-				task.run();
-			}
-			catch (RuntimeException ex) {
-				logger.error("A task of the event loop failed", ex);
-			}
-		};
+	private static EventLoopGroup group(String name) {
+		DefaultThreadFactory threads = new DefaultThreadFactory(name, true);
+		return Epoll.isAvailable() ? new EpollEventLoopGroup(1, threads) : new NioEventLoopGroup(1, threads);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
@@ -77,13 +77,10 @@
 	 */
 	public EndpointLoad load(EndpointId endpoint) {
 		long now = this.clock.nanos();
-		Reading reading = ownReading(endpoint);
-		int active = 0;
-		long tokens = 0;
-		for (Work work : this.own.getOrDefault(endpoint, Set.of())) {
-			active += work.active ? 1 : 0;
-			tokens += work.tokens;
-		}
+		OwnWork mine = ownWork(endpoint);
+		Reading reading = mine.reading();
+		int active = mine.active();
+		long tokens = mine.tokens();
 		for (Told told : this.others.values()) {
 			LoadTold.Share theirs = told.shares().get(endpoint);
 			if (theirs != null && now - told.at() < PEER_KEPT.toNanos()) {
@@ -102,16 +99,11 @@
 	public List<LoadTold.Share> shares() {
 		long now = this.clock.nanos();
 		List<LoadTold.Share> shares = new ArrayList<>();
-		for (Map.Entry<EndpointId, Set<Work>> entry : this.own.entrySet()) {
-			int active = 0;
-			long tokens = 0;
-			for (Work work : entry.getValue()) {
-				active += work.active ? 1 : 0;
-				tokens += work.tokens;
-			}
-			Reading reading = ownReading(entry.getKey());
-			shares.add(new LoadTold.Share(entry.getKey().value(), active, (int) Math.ceil(reading.millis()), tokens,
-					(reading.millis() > 0) ? millisSince(reading.oldest(), now) : 0,
+		for (EndpointId endpoint : this.own.keySet()) {
+			OwnWork mine = ownWork(endpoint);
+			Reading reading = mine.reading();
+			shares.add(new LoadTold.Share(endpoint.value(), mine.active(), (int) Math.ceil(reading.millis()),
+					mine.tokens(), (reading.millis() > 0) ? millisSince(reading.oldest(), now) : 0,
 					(reading.done() != Reading.NEVER) ? millisSince(reading.done(), now) : LoadTold.Share.NEVER));
 		}
 		return shares;
@@ -128,14 +120,18 @@
 		this.others.put(source, new Told(this.clock.nanos(), byEndpoint));
 	}
 
-	private Reading ownReading(EndpointId endpoint) {
+	private OwnWork ownWork(EndpointId endpoint) {
+		int active = 0;
+		long tokens = 0;
 		Reading reading = new Reading(0, Long.MAX_VALUE, this.lastRead.getOrDefault(endpoint, Reading.NEVER));
 		for (Work work : this.own.getOrDefault(endpoint, Set.of())) {
+			active += work.active ? 1 : 0;
+			tokens += work.tokens;
 			if (!work.read) {
 				reading = reading.plus(new Reading(work.readMillis, work.begun, Reading.NEVER));
 			}
 		}
-		return reading;
+		return new OwnWork(active, tokens, reading);
 	}
 
 	private static int millisSince(long then, long now) {
@@ -160,6 +156,16 @@
 
 	}
 
+	/**
+	 * This daemon's work at an endpoint.
+	 *
+	 * @param active requests that haven't ended
+	 * @param tokens context in memory
+	 * @param reading what is to be read
+	 */
+	private record OwnWork(int active, long tokens, Reading reading) {
+	}
+
 	/**
 	 * What an endpoint has to read.
 	 *
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetStatus.java
@@ -0,0 +1,77 @@
+package org.bramleyscale.internal.gateway.node;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendHealth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.load.EndpointLoad;
+import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.membership.Member;
+import org.bramleyscale.internal.membership.MembershipService;
+import org.bramleyscale.internal.status.DaemonStatus;
+import org.bramleyscale.internal.status.EndpointStatus;
+
+/**
+ * Puts what the slices believe of daemons and endpoints into the words of the status.
+ *
+ * <p>
+ * Confined to the loop's thread.
+ */
+final class FleetStatus {
+
+	private final MembershipService membership;
+
+	private final BackendTable backends;
+
+	private final BackendHealth health;
+
+	private final LoadBoard loads;
+
+	private final CatalogHolder catalogs;
+
+	FleetStatus(MembershipService membership, BackendTable backends, BackendHealth health, LoadBoard loads,
+			CatalogHolder catalogs) {
+		this.membership = membership;
+		this.backends = backends;
+		this.health = health;
+		this.loads = loads;
+		this.catalogs = catalogs;
+	}
+
+	List<DaemonStatus> daemons() {
+		return this.membership.members().stream().map(this::daemon).toList();
+	}
+
+	List<EndpointStatus> endpoints() {
+		return this.backends.all().stream().map(this::endpoint).toList();
+	}
+
+	private DaemonStatus daemon(Member member) {
+		return new DaemonStatus(member.vm(), member.dataCentre(), member.httpAddress(), member.state(),
+				this.membership.history().silence(member.vm()).toMillis(), 0, Optional.empty());
+	}
+
+	private EndpointStatus endpoint(Backend backend) {
+		EndpointLoad load = this.loads.load(backend.id());
+		long capacity = this.catalogs.current()
+			.flatMap((catalog) -> catalog.service(backend.service()))
+			.flatMap(Service::engine)
+			.map(EngineProfile::memoryTokens)
+			.orElse(0L);
+		return new EndpointStatus(backend.id(), backend.service(), backend.dataCentre(), state(backend), load.active(),
+				0, load.tokens(), capacity, 0);
+	}
+
+	private EndpointStatus.State state(Backend backend) {
+		if (backend.draining()) {
+			return EndpointStatus.State.LEAVING;
+		}
+		return this.health.avoid(backend.id()) ? EndpointStatus.State.EJECTED : EndpointStatus.State.USABLE;
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -5,25 +5,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.EndpointId;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.ServingException;
-import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
-import org.bramleyscale.internal.gateway.catalog.EngineProfile;
-import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.follow.FollowedKind;
 import org.bramleyscale.internal.gateway.follow.FollowedObject;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
@@ -35,7 +28,6 @@
 import org.bramleyscale.internal.gateway.http.NettyLoop;
 import org.bramleyscale.internal.gateway.http.WireDialect;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
-import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -46,7 +38,6 @@
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
 import org.bramleyscale.internal.gateway.retry.RetryWindow;
-import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipMessages;
 import org.bramleyscale.internal.membership.MembershipService;
 import org.bramleyscale.internal.membership.MembershipSettings;
@@ -59,8 +50,6 @@
 import org.bramleyscale.internal.peer.TcpPeerSettings;
 import org.bramleyscale.internal.platform.ObjectStore;
 import org.bramleyscale.internal.platform.VmRecord;
-import org.bramleyscale.internal.status.DaemonStatus;
-import org.bramleyscale.internal.status.EndpointStatus;
 import org.bramleyscale.internal.status.StatusSummary;
 import org.jboss.logging.Logger;
 
@@ -78,14 +67,6 @@
 
 	private static final Logger logger = Logger.getLogger(GatewayNode.class);
 
-	/**
-	 * How long the start waits to read the own record. Without it the daemon starts with
-	 * the time of day as its number, which is right unless the clock has stepped back.
-	 */
-	private static final Duration RECORD_WAIT = Duration.ofMillis(700);
-
-	private static final Duration REGISTER_PAUSE = Duration.ofSeconds(1);
-
 	/** The pause between sweeps of what has lapsed or was lost. */
 	private static final Duration SWEEP = Duration.ofMillis(100);
 
@@ -114,8 +95,6 @@
 
 	private final SplittableRandom random = new SplittableRandom();
 
-	private final RegisteredDaemons daemons;
-
 	private final CatalogHolder catalogs = new CatalogHolder();
 
 	private final BackendTable backends;
@@ -124,8 +103,6 @@
 
 	private final LoadBoard loads;
 
-	private final Map<String, FollowedKind> kinds = new LinkedHashMap<>();
-
 	private final StoreFollower catalogFollower;
 
 	private final StoreFollower backendFollower;
@@ -150,22 +127,21 @@
 
 	private final LeaveSequence leave;
 
-	private long registeredVersion;
+	private final FleetStatus status;
+
+	private final Registration registration;
 
-	private GatewayNode(GatewaySettings settings, Parts parts, RegisteredDaemons daemons, long start,
-			long registeredVersion, Runnable ended) {
+	private GatewayNode(GatewaySettings settings, Parts parts, RegisteredDaemons daemons, Registration registration,
+			Runnable ended) {
 		this.settings = settings;
 		this.parts = parts;
-		this.daemons = daemons;
-		this.registeredVersion = registeredVersion;
+		this.registration = registration;
 		NettyLoop loop = parts.loop();
 		DecisionLog log = parts.log();
-		this.self = new Incarnation(settings.vm(), start);
+		this.self = new Incarnation(settings.vm(), registration.start());
 		this.backends = new BackendTable(loop, log);
 		FollowedKind catalogKind = new FollowedKind(this::catalogChanged);
 		FollowedKind backendKind = new FollowedKind(this::backendChanged);
-		this.kinds.put(parts.documents().catalogKind(), catalogKind);
-		this.kinds.put(parts.documents().backendKind(), backendKind);
 		this.catalogFollower = new StoreFollower(parts.documents().catalogKind(), loop, this.random, daemons,
 				catalogKind, log);
 		this.backendFollower = new StoreFollower(parts.documents().backendKind(), loop, this.random, daemons,
@@ -182,7 +158,9 @@
 			.build();
 		this.directory = new FleetDirectory(this.membership);
 		this.entries = new EntryList(loop, this.membership, this.network);
-		this.copies = new PeerCopies(loop, this.network, this.kinds, log);
+		this.copies = new PeerCopies(loop, this.network,
+				Map.of(parts.documents().catalogKind(), catalogKind, parts.documents().backendKind(), backendKind),
+				log);
 		this.health = new BackendHealth(loop, log);
 		this.loads = new LoadBoard(loop);
 		DemandBoard demands = new DemandBoard(loop);
@@ -198,6 +176,7 @@
 		this.service = new GatewayService(ports, this.catalogs, this.random);
 		this.callers = new CallerServer(loop, this.service, parts.dialect(),
 				() -> this.catalogs.current().map(Catalog::limits).orElse(CallerLimits.DEFAULT));
+		this.status = new FleetStatus(this.membership, this.backends, this.health, this.loads, this.catalogs);
 		this.leave = new LeaveSequence(loop, settings, new Leaving(ended), log);
 		parts.metrics().gauge("gateway.connections.callers", () -> this.callers::connections);
 		parts.metrics().gauge("gateway.connections.opened", () -> connections::opened);
@@ -214,14 +193,11 @@
 	 */
 	public static GatewayNode create(GatewaySettings settings, Parts parts, Runnable ended) {
 		RegisteredDaemons daemons = new RegisteredDaemons(parts.store());
-		long now = parts.loop().wallTime().toEpochMilli();
+		Registration registration = Registration.after(settings, parts, daemons);
 		CompletableFuture<GatewayNode> made = new CompletableFuture<>();
-		RegisteredDaemons.Registered before = recordBefore(settings, parts, daemons);
-		long start = (before != null) ? before.record().startAfter(now) : now;
-		long version = (before != null) ? before.version() : 0;
 		parts.loop().execute(() -> {
 			try {
-				made.complete(new GatewayNode(settings, parts, daemons, start, version, ended));
+				made.complete(new GatewayNode(settings, parts, daemons, registration, ended));
 			}
 			catch (RuntimeException ex) {
 				made.completeExceptionally(ex);
@@ -298,31 +274,7 @@
 	public StatusSummary status() {
 		return new StatusSummary(this.self, this.parts.loop().wallTime(), ready(),
 				this.catalogs.current().map(Catalog::version).orElse(0L), this.backendFollower.silence().toMillis(),
-				this.membership.members().stream().map(this::status).toList(),
-				this.backends.all().stream().map(this::status).toList(), List.of(), List.of());
-	}
-
-	private DaemonStatus status(Member member) {
-		return new DaemonStatus(member.vm(), member.dataCentre(), member.httpAddress(), member.state(),
-				this.membership.history().silence(member.vm()).toMillis(), 0, Optional.empty());
-	}
-
-	private EndpointStatus status(Backend backend) {
-		EndpointLoad load = this.loads.load(backend.id());
-		EndpointStatus.State state = EndpointStatus.State.USABLE;
-		if (backend.draining()) {
-			state = EndpointStatus.State.LEAVING;
-		}
-		else if (this.health.avoid(backend.id())) {
-			state = EndpointStatus.State.EJECTED;
-		}
-		long capacity = this.catalogs.current()
-			.flatMap((catalog) -> catalog.service(backend.service()))
-			.flatMap(Service::engine)
-			.map(EngineProfile::memoryTokens)
-			.orElse(0L);
-		return new EndpointStatus(backend.id(), backend.service(), backend.dataCentre(), state, load.active(), 0,
-				load.tokens(), capacity, 0);
+				this.status.daemons(), this.status.endpoints(), List.of(), List.of());
 	}
 
 	private void startSlices() throws ServingException {
@@ -336,28 +288,7 @@
 			this.backends.expire();
 			this.entries.observe();
 		});
-		register();
-	}
-
-	private void register() {
-		DaemonRecord record = new DaemonRecord(this.settings.vm().value(), this.settings.dataCentre().value(),
-				GatewaySettings.text(this.settings.peers()), GatewaySettings.text(this.settings.callers()), false,
-				this.self.start());
-		this.daemons.register(record, this.registeredVersion).whenComplete((version, failure) -> {
-			if (failure == null) {
-				this.registeredVersion = version;
-				return;
-			}
-			this.parts.log().belief("store", DaemonRecord.KIND, "registered", false, "cause", failure.getMessage());
-			this.parts.loop()
-				.schedule(REGISTER_PAUSE,
-						() -> this.daemons.registered(this.settings.vm()).whenComplete((found, again) -> {
-							if (again == null) {
-								this.registeredVersion = found.map(RegisteredDaemons.Registered::version).orElse(0L);
-							}
-							register();
-						}));
-		});
+		this.registration.register();
 	}
 
 	private void catalogChanged(FollowedObject object) {
@@ -424,30 +355,6 @@
 		return builder.build();
 	}
 
-	private static RegisteredDaemons.Registered recordBefore(GatewaySettings settings, Parts parts,
-			RegisteredDaemons daemons) {
-		CompletableFuture<RegisteredDaemons.Registered> found = new CompletableFuture<>();
-		parts.loop().execute(() -> daemons.registered(settings.vm()).whenComplete((registered, failure) -> {
-			if (failure == null) {
-				found.complete(registered.orElse(null));
-			}
-			else {
-				found.completeExceptionally(failure);
-			}
-		}));
-		try {
-			return found.get(RECORD_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			parts.log().belief("store", DaemonRecord.KIND, "record_before", "unknown", "cause", ex.toString());
-			return null;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return null;
-		}
-	}
-
 	/**
 	 * What a daemon uses of the world outside.
 	 *
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
@@ -90,7 +90,8 @@
 	/**
 	 * Reads a daemon's record.
 	 * @param vm its VM
-	 * @return the record with its version, or empty if there is none that can be read
+	 * @return the record with its version, or empty if there is none; one that can't be
+	 * read counts as a start with number 0
 	 */
 	CompletableFuture<Optional<Registered>> registered(VmId vm) {
 		return read(new ObjectKey(DaemonRecord.KIND, vm.value())).thenApply((found) -> found.flatMap((object) -> {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlainPlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlainPlacement.java
@@ -25,6 +25,12 @@
 
 	private static final double FAILURE = 2;
 
+	/** As much as a twentieth of the slots taken: the way is 2 ms longer at most. */
+	private static final double FAR = 0.05;
+
+	/** Spreads equal scores, so that daemons don't all choose the same endpoint. */
+	private static final double JITTER = 0.02;
+
 	private final BackendTable backends;
 
 	private final BackendHealth health;
@@ -61,8 +67,8 @@
 	private double score(Backend backend, PlacementRequest request) {
 		double busy = (double) this.loads.load(backend.id()).active() / Math.max(1, backend.slots());
 		double avoided = this.health.avoid(backend.id()) ? AVOIDED : 0;
-		double near = backend.dataCentre().equals(request.near()) ? 0 : 0.05;
-		return avoided + FAILURE * this.health.failures(backend.id()) + busy + near + 0.02 * this.random.nextDouble();
+		double near = backend.dataCentre().equals(request.near()) ? 0 : FAR;
+		return avoided + FAILURE * this.health.failures(backend.id()) + busy + near + JITTER * this.random.nextDouble();
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -4,9 +4,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.bramleyscale.EndpointId;
 import org.bramleyscale.internal.gateway.backend.Backend;
@@ -36,6 +38,8 @@
 	 */
 	private static final int MOST_ASKED = 4;
 
+	private static final int LAST_PRIORITY = 9;
+
 	private static final int UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -138,10 +142,6 @@
 		Backend target = placement.target().get();
 		this.asked++;
 		this.tried.add(target.id());
-		int rank = this.allowed.account()
-			.flatMap((account) -> account.priority().isPresent() ? Optional.of(account.priority().getAsInt())
-					: Optional.empty())
-			.orElse(route.priority());
 		this.ports.log()
 			.request(this.request.id(), "sent", "endpoint", target.id(), "reason", placement.reason(), "helpers",
 					names(placement.helpers()), "predicted_ms", Math.round(placement.firstMillis()), "asked",
@@ -149,8 +149,7 @@
 					this.lastEventId);
 		this.attempt = new Attempt(this, target, placement, this.ports);
 		this.attempt.send((helpers) -> new OutgoingRequest(this.request, this.allowed.account().map(Account::id),
-				left(), Optional.ofNullable(this.lastEventId), helpers,
-				Math.min(9, 2 * rank + (this.longPrompt ? 1 : 0)), !route.repeatable()));
+				left(), Optional.ofNullable(this.lastEventId), helpers, priority(), !route.repeatable()));
 		if (this.longPrompt) {
 			this.ports.longSent().run();
 		}
@@ -256,11 +255,10 @@
 	/**
 	 * An attempt has been silent for longer than its caller would bear.
 	 * @param from the attempt
-	 * @return true if the request was taken elsewhere
 	 */
-	boolean silent(Attempt from) {
+	void silent(Attempt from) {
 		if (!mayRunAgain(this.mayHaveRun + 1) || !takeFromBudget()) {
-			return false;
+			return;
 		}
 		this.mayHaveRun++;
 		this.ports.health().unreachable(from.target().id(), "silent");
@@ -271,7 +269,6 @@
 					"after_event", this.lastEventId);
 		from.cancel();
 		send();
-		return true;
 	}
 
 	/**
@@ -291,14 +288,6 @@
 		return this.allowed.route();
 	}
 
-	Service service() {
-		return this.allowed.service();
-	}
-
-	boolean begun() {
-		return this.begun;
-	}
-
 	long promptTokens() {
 		return this.request.promptTokens();
 	}
@@ -311,6 +300,19 @@
 		return Duration.ofNanos(this.endsAt - this.ports.scheduler().nanos());
 	}
 
+	/**
+	 * The priority towards endpoints: the account's rank, or else the route's, and long
+	 * prompts after short ones of the same rank.
+	 * @return 0 for the most urgent to 9
+	 */
+	private int priority() {
+		int rank = this.allowed.account()
+			.map(Account::priority)
+			.orElse(OptionalInt.empty())
+			.orElse(this.allowed.route().priority());
+		return Math.min(LAST_PRIORITY, 2 * rank + (this.longPrompt ? 1 : 0));
+	}
+
 	private static String names(List<Backend> engines) {
 		return engines.stream().map((engine) -> engine.id().value()).collect(Collectors.joining(" "));
 	}
@@ -413,14 +415,10 @@
 			this.ports.demands().shortEnded(this.allowed.service().name());
 		}
 		this.ports.metrics().ended(outcome);
-		Object[] all = new Object[fields.length + 6];
-		System.arraycopy(fields, 0, all, 0, fields.length);
-		all[fields.length] = "route";
-		all[fields.length + 1] = this.allowed.route();
-		all[fields.length + 2] = "after_ms";
-		all[fields.length + 3] = (this.ports.scheduler().nanos() - this.arrived) / 1_000_000;
-		all[fields.length + 4] = "prompt_tokens";
-		all[fields.length + 5] = this.request.promptTokens();
+		Object[] ending = { "route", this.allowed.route(), "after_ms",
+				(this.ports.scheduler().nanos() - this.arrived) / 1_000_000, "prompt_tokens",
+				this.request.promptTokens() };
+		Object[] all = Stream.concat(Stream.of(fields), Stream.of(ending)).toArray();
 		this.ports.log().request(this.request.id(), decision, all);
 		this.ended.accept(this);
 	}
