Count how many requests each engine helps; leave out those at their bound

Cause: an engine refuses to help more requests than it has slots, and its refusal ends the whole request. Ruled out: full slots or memory (none of the refusals named the target); stale lists (the engines were ready).

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/EndpointLoad.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/EndpointLoad.java
@@ -9,15 +9,11 @@
  * @param active requests sent there that haven't ended
  * @param readMillis prompts and parts of prompts not yet read, in ms of reading
  * @param tokens context that its memory holds or will hold
+ * @param helping requests of other endpoints whose prompts it helps to read
  */
-public record EndpointLoad(int active, double readMillis, long tokens) {
+public record EndpointLoad(int active, double readMillis, long tokens, int helping) {
 
 	/** An endpoint with nothing to do. */
-	public static final EndpointLoad IDLE = new EndpointLoad(0, 0, 0);
-
-	EndpointLoad plus(EndpointLoad other) {
-		return new EndpointLoad(this.active + other.active, this.readMillis + other.readMillis,
-				this.tokens + other.tokens);
-	}
+	public static final EndpointLoad IDLE = new EndpointLoad(0, 0, 0, 0);
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
@@ -81,15 +81,17 @@
 		Reading reading = mine.reading();
 		int active = mine.active();
 		long tokens = mine.tokens();
+		int helping = mine.helping();
 		for (Told told : this.others.values()) {
 			LoadTold.Share theirs = told.shares().get(endpoint);
 			if (theirs != null && now - told.at() < PEER_KEPT.toNanos()) {
 				active += theirs.active();
 				tokens += theirs.tokens();
+				helping += theirs.helping();
 				reading = reading.plus(told.reading(theirs));
 			}
 		}
-		return new EndpointLoad(active, reading.unread(now), tokens);
+		return new EndpointLoad(active, reading.unread(now), tokens, helping);
 	}
 
 	/**
@@ -104,7 +106,8 @@
 			Reading reading = mine.reading();
 			shares.add(new LoadTold.Share(endpoint.value(), mine.active(), (int) Math.ceil(reading.millis()),
 					mine.tokens(), (reading.millis() > 0) ? millisSince(reading.oldest(), now) : 0,
-					(reading.done() != Reading.NEVER) ? millisSince(reading.done(), now) : LoadTold.Share.NEVER));
+					(reading.done() != Reading.NEVER) ? millisSince(reading.done(), now) : LoadTold.Share.NEVER,
+					mine.helping()));
 		}
 		return shares;
 	}
@@ -123,15 +126,17 @@
 	private OwnWork ownWork(EndpointId endpoint) {
 		int active = 0;
 		long tokens = 0;
+		int helping = 0;
 		Reading reading = new Reading(0, Long.MAX_VALUE, this.lastRead.getOrDefault(endpoint, Reading.NEVER));
 		for (Work work : this.own.getOrDefault(endpoint, Set.of())) {
 			active += work.active ? 1 : 0;
 			tokens += work.tokens;
 			if (!work.read) {
+				helping += work.active ? 0 : 1;
 				reading = reading.plus(new Reading(work.readMillis, work.begun, Reading.NEVER));
 			}
 		}
-		return new OwnWork(active, tokens, reading);
+		return new OwnWork(active, tokens, reading, helping);
 	}
 
 	private static int millisSince(long then, long now) {
@@ -162,8 +167,9 @@
 	 * @param active requests that haven't ended
 	 * @param tokens context in memory
 	 * @param reading what is to be read
+	 * @param helping parts that it reads for other endpoints
 	 */
-	private record OwnWork(int active, long tokens, Reading reading) {
+	private record OwnWork(int active, long tokens, Reading reading, int helping) {
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
@@ -23,11 +23,12 @@
 	LoadSum add(List<LoadTold.Share> toldShares, List<LoadTold.Demand> toldDemands, int sign) {
 		for (LoadTold.Share told : toldShares) {
 			LoadTold.Share held = this.shares.getOrDefault(told.endpoint(),
-					new LoadTold.Share(told.endpoint(), 0, 0, 0, 0, LoadTold.Share.NEVER));
+					new LoadTold.Share(told.endpoint(), 0, 0, 0, 0, LoadTold.Share.NEVER, 0));
 			this.shares.put(told.endpoint(),
 					new LoadTold.Share(told.endpoint(), held.active() + sign * told.active(),
 							held.readMillis() + sign * told.readMillis(), held.tokens() + sign * told.tokens(),
-							Math.max(held.oldestMillis(), told.oldestMillis()), latest(held, told)));
+							Math.max(held.oldestMillis(), told.oldestMillis()), latest(held, told),
+							held.helping() + sign * told.helping()));
 		}
 		for (LoadTold.Demand told : toldDemands) {
 			LoadTold.Demand held = this.demands.getOrDefault(told.service(), new LoadTold.Demand(told.service(), 0, 0));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadTold.java
@@ -21,8 +21,10 @@
 	 * @param tokens context in memory
 	 * @param oldestMillis for how long the oldest unread prompt has been there
 	 * @param doneMillis how long ago a prompt was last read to its end, or -1 if none was
+	 * @param helping requests of other endpoints whose prompts it helps to read
 	 */
-	public record Share(String endpoint, int active, int readMillis, long tokens, int oldestMillis, int doneMillis) {
+	public record Share(String endpoint, int active, int readMillis, long tokens, int oldestMillis, int doneMillis,
+			int helping) {
 
 		/** Nothing was read to its end lately. */
 		public static final int NEVER = -1;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
@@ -29,6 +29,13 @@
 	/** What each request under way adds to an engine's score, ms: it takes a slot. */
 	private static final double ACTIVE_MILLIS = 12;
 
+	/**
+	 * Requests that daemons may have an engine help with at the same moment, before they
+	 * learn of each other's. An engine refuses to help more requests than it has slots,
+	 * and with that the target refuses the whole request.
+	 */
+	private static final int HELP_UNTOLD = 2;
+
 	private static final double AVOIDED_MILLIS = 100_000;
 
 	private static final double OTHER_LANE_MILLIS = 1_000;
@@ -59,6 +66,14 @@
 		return this.load.active() >= this.profile.slots();
 	}
 
+	/**
+	 * Whether it would help to read another prompt.
+	 * @return false if it helps almost as many as it may
+	 */
+	boolean mayHelp() {
+		return this.load.helping() + HELP_UNTOLD < this.profile.slots();
+	}
+
 	/**
 	 * How much more its memory may be promised.
 	 * @return the tokens of context, possibly negative
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -121,7 +121,7 @@
 		}
 		int readers = (read <= LONGEST_SHORT_PART_MILLIS) ? 1 : (int) Math.ceil(read / SHORT_PART_MILLIS);
 		List<Backend> helpers = shortLane.stream()
-			.filter((candidate) -> candidate != target)
+			.filter((candidate) -> candidate != target && candidate.mayHelp())
 			.sorted(Comparator.comparingDouble(Candidate::readScore))
 			.limit(Math.min(MOST_READERS, readers) - 1L)
 			.map(Candidate::backend)
@@ -145,7 +145,7 @@
 		if (target == null) {
 			return Placement.refused("all slots taken", FULL_PAUSE);
 		}
-		readers.remove(target);
+		readers.removeIf((candidate) -> candidate == target || !candidate.mayHelp());
 		List<MemoryHold> holds = holds(needed(request) - target.freeTokens(), readers);
 		if (holds == null) {
 			return Placement.refused("no memory free", FULL_PAUSE);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadBoardTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadBoardTests.java
@@ -46,7 +46,7 @@
 		this.loads.begin(ENGINE, 400, 10, true);
 		this.scheduler.advance(Duration.ofMillis(millis));
 		this.loads.told(PEER,
-				List.of(new LoadTold.Share("e1", 2, 800, 20, (int) Math.min(millis, 5_000), LoadTold.Share.NEVER)));
+				List.of(new LoadTold.Share("e1", 2, 800, 20, (int) Math.min(millis, 5_000), LoadTold.Share.NEVER, 0)));
 		Truth.assertThat(this.loads.load(ENGINE).readMillis()).isWithin(0.01).of(left);
 	}
 
@@ -66,8 +66,9 @@
 		LoadBoard.Work target = this.loads.begin(ENGINE, 400, 10, true);
 		LoadBoard.Work helper = this.loads.begin(ENGINE, 400, 0, false);
 		LoadBoard.Work holder = this.loads.begin(ENGINE, 400, 30, false);
+		Truth.assertThat(this.loads.load(ENGINE).helping()).isEqualTo(2);
 		List.of(target, helper, holder).forEach(LoadBoard.Work::read);
-		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(new EndpointLoad(1, 0, 40));
+		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(new EndpointLoad(1, 0, 40, 0));
 		List.of(target, helper, holder).forEach(LoadBoard.Work::end);
 		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(EndpointLoad.IDLE);
 		Truth.assertThat(this.loads.shares()).isEmpty();
@@ -78,9 +79,9 @@
 		// Symptom: an idle engine gets no work. Sequence: a daemon with work there is
 		// killed.
 		// Cause: its last word would count for ever.
-		this.loads.told(PEER, List.of(new LoadTold.Share("e1", 3, 500, 70, 0, LoadTold.Share.NEVER)));
+		this.loads.told(PEER, List.of(new LoadTold.Share("e1", 3, 500, 70, 0, LoadTold.Share.NEVER, 2)));
 		this.scheduler.advance(Duration.ofMillis(200));
-		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(new EndpointLoad(3, 300, 70));
+		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(new EndpointLoad(3, 300, 70, 2));
 		this.scheduler.advance(LoadBoard.PEER_KEPT);
 		Truth.assertThat(this.loads.load(ENGINE)).isEqualTo(EndpointLoad.IDLE);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadExchangeTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadExchangeTests.java
@@ -44,12 +44,13 @@
 	void everyDaemonKnowsTheWorkOfAllOthersOnce(boolean flat) {
 		start(flat, 4);
 		this.fleet.values().forEach((daemon) -> daemon.loads.begin(ENGINE, 0, 100, true));
+		this.fleet.values().forEach((daemon) -> daemon.loads.begin(ENGINE, 0, 0, false));
 		this.fleet.values().forEach((daemon) -> daemon.demands.shortBegan(SERVICE));
 		this.scheduler.advance(Duration.ofMillis(900));
 		for (Daemon daemon : this.fleet.values()) {
 			Truth.assertWithMessage(daemon.vm.value())
 				.that(daemon.loads.load(ENGINE))
-				.isEqualTo(new EndpointLoad(12, 0, 1_200));
+				.isEqualTo(new EndpointLoad(12, 0, 1_200, 12));
 			Truth.assertThat(daemon.demands.shortActive(SERVICE)).isEqualTo(12);
 		}
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
@@ -114,6 +114,24 @@
 		Truth.assertThat(placed.helpers()).doesNotContain(placed.target().orElseThrow());
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "45000", "182000" })
+	void enginesThatHelpAsManyAsTheyMayAreLeftAlone(long tokens) {
+		// Symptom: long prompts are refused by engines that have slots and memory, each
+		// time in the name of a helper. Sequence: twenty long prompts in hand, all of the
+		// long lane reads each. Cause: an engine helps with as many requests at a time as
+		// it has slots, and nobody counted them.
+		this.demands.longArrived(NAME, 33_000);
+		List<EndpointId> helping = List.of(id(1), id(2), id(18), id(19));
+		for (int i = 0; i < 11; i++) {
+			helping.forEach((engine) -> this.loads.begin(engine, 1, 0, false));
+		}
+		Placement placed = place(tokens);
+		Truth.assertThat(placed.target().isPresent()).isTrue();
+		Truth.assertThat(placed.helpers()).isNotEmpty();
+		Truth.assertThat(placed.helpers().stream().map(Backend::id).toList()).containsNoneIn(helping);
+	}
+
 	@Test
 	void whatCannotBeReadInTimeIsRefusedAtOnce() {
 		for (int i = 0; i < 21; i++) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LoadPlay.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LoadPlay.java
@@ -59,6 +59,8 @@
 
 	private PlacementPolicy policy;
 
+	private int refusals;
+
 	LoadPlay(long seed) {
 		this.random = new Random(seed);
 		for (int i = 0; i < ENGINES; i++) {
@@ -135,6 +137,14 @@
 		return (double) outcomes.stream().filter((good) -> good).count() / Math.max(1, outcomes.size());
 	}
 
+	/**
+	 * Requests that an engine refused because a helper helps as many as it may.
+	 * @return the number
+	 */
+	int refusals() {
+		return this.refusals;
+	}
+
 	private void arrive(Kind kind, double rate, long until) {
 		double seconds = -Math.log(1 - this.random.nextDouble()) / rate;
 		this.scheduler.schedule(Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)), () -> {
@@ -158,6 +168,11 @@
 			this.onTime.get(kind).add(false);
 			return;
 		}
+		if (!placed.helpers().stream().allMatch((helper) -> this.engines.get(helper.id()).helps())) {
+			this.refusals++;
+			this.onTime.get(kind).add(false);
+			return;
+		}
 		if (!longPrompt) {
 			this.demands.shortBegan(NAME);
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/PassEngine.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/PassEngine.java
@@ -33,6 +33,8 @@
 
 	private boolean busy;
 
+	private int helping;
+
 	PassEngine(Scheduler scheduler, EngineProfile profile) {
 		this.scheduler = scheduler;
 		this.profile = profile;
@@ -46,8 +48,12 @@
 	 * @param done called when it has been read
 	 */
 	void read(double tokens, double millis, boolean helping, Runnable done) {
-		Part part = new Part(tokens, millis / tokens, done);
+		Part part = new Part(tokens, millis / tokens, helping ? () -> {
+			this.helping--;
+			done.run();
+		} : done);
 		if (helping) {
+			this.helping++;
 			this.unread.addFirst(part);
 		}
 		else {
@@ -56,6 +62,14 @@
 		pass();
 	}
 
+	/**
+	 * Whether it agrees to help one more.
+	 * @return false if it helps as many as it has slots
+	 */
+	boolean helps() {
+		return this.helping < this.profile.slots();
+	}
+
 	/**
 	 * Writes an answer.
 	 * @param events its events
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/PlacementLoadTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/PlacementLoadTests.java
@@ -35,6 +35,7 @@
 		LoadPlay alone = play(seed, MANY_MANUALS, LoadPlay::leastInFlight);
 		LoadPlay split = play(seed, MANY_MANUALS, LoadPlay::alwaysSplit);
 		print("many manuals", seed, product, alone, split);
+		Truth.assertThat(product.refusals()).isEqualTo(0);
 		Truth.assertThat(product.onTime(LoadPlay.Kind.QUOTE)).isGreaterThan(0.7);
 		Truth.assertThat(product.onTime(LoadPlay.Kind.MANUAL)).isGreaterThan(0.5);
 		Truth.assertThat(alone.onTime(LoadPlay.Kind.QUOTE)).isLessThan(product.onTime(LoadPlay.Kind.QUOTE));
@@ -64,9 +65,9 @@
 	private static void print(String load, long seed, LoadPlay... plays) {
 		String[] names = { "product", "least in flight", "always split" };
 		for (int i = 0; i < plays.length; i++) {
-			System.out.printf("%s, seed %d, %s: quotes %.3f, reviews %.3f, manuals %.3f in time%n", load, seed,
-					names[i], plays[i].onTime(LoadPlay.Kind.QUOTE), plays[i].onTime(LoadPlay.Kind.REVIEW),
-					plays[i].onTime(LoadPlay.Kind.MANUAL));
+			System.out.printf("%s, seed %d, %s: quotes %.3f, reviews %.3f, manuals %.3f in time, %d refused%n", load,
+					seed, names[i], plays[i].onTime(LoadPlay.Kind.QUOTE), plays[i].onTime(LoadPlay.Kind.REVIEW),
+					plays[i].onTime(LoadPlay.Kind.MANUAL), plays[i].refusals());
 		}
 	}
 
