Let only relays follow the store closely in a large fleet

Cause: each change answers the watches of all daemons at once and all ask anew; at 76 daemons and 72 endpoints that register one by one that is some 5,500 calls, beside 0.8 calls a second and daemon for the watches' ends. Ruled out: membership's list (read by relays only), writes (one a start). Fleets of up to 24 follow as before. A daemon that follows loosely can't tell whether the store was away, so it keeps vanished endpoints for 2 s. Not tried: a store that lapses entries under a large fleet.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.internal.gateway.follow;
 
 import java.time.Duration;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -19,13 +20,6 @@
  */
 public final class StoreFollower {
 
-	/**
-	 * How long the store may hold a watch. A connection that has gone silent is noticed
-	 * only at the end of this time, and a change must be in force within two seconds of
-	 * it, so it is not much longer; each halving doubles the calls.
-	 */
-	static final Duration WATCH_WAIT = Duration.ofMillis(2_500);
-
 	/** The first pause after a failure; a hiccup shall cost less than a heartbeat. */
 	static final Duration SHORTEST_PAUSE = Duration.ofMillis(50);
 
@@ -42,6 +36,8 @@
 
 	private final FollowedKind copies;
 
+	private final Supplier<FollowPace> pace;
+
 	private final DecisionLog log;
 
 	private long failures;
@@ -61,15 +57,17 @@
 	 * @param random for the jitter of pauses
 	 * @param store the store
 	 * @param copies takes what is read
+	 * @param pace how closely to follow, asked before each watch
 	 * @param log takes a line when the store is lost and when it is back
 	 */
 	public StoreFollower(String kind, Scheduler scheduler, RandomGenerator random, ObjectStore store,
-			FollowedKind copies, DecisionLog log) {
+			FollowedKind copies, Supplier<FollowPace> pace, DecisionLog log) {
 		this.kind = kind;
 		this.scheduler = scheduler;
 		this.random = random;
 		this.store = store;
 		this.copies = copies;
+		this.pace = pace;
 		this.log = log;
 		this.failedAt = scheduler.nanos() - Duration.ofDays(1).toNanos();
 		this.answeredAt = scheduler.nanos();
@@ -125,7 +123,7 @@
 	}
 
 	private void watch() {
-		this.store.watch(this.kind, this.copies.complete(), WATCH_WAIT).whenComplete((batch, failure) -> {
+		this.store.watch(this.kind, this.copies.complete(), this.pace.get().watch()).whenComplete((batch, failure) -> {
 			if (this.stopped) {
 				return;
 			}
@@ -145,7 +143,16 @@
 			return;
 		}
 		this.copies.changes(batch);
-		watch();
+		Duration pause = this.pace.get().pause();
+		if (pause.isZero() || (batch.changed().isEmpty() && batch.deleted().isEmpty())) {
+			watch();
+			return;
+		}
+		this.scheduler.schedule(pause, () -> {
+			if (!this.stopped) {
+				watch();
+			}
+		});
 	}
 
 	private void failed(Throwable failure, Runnable again) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -17,6 +17,7 @@
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.follow.FollowPace;
 import org.bramleyscale.internal.gateway.follow.FollowedKind;
 import org.bramleyscale.internal.gateway.follow.FollowedObject;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
@@ -143,9 +144,9 @@
 		FollowedKind catalogKind = new FollowedKind(this::catalogChanged);
 		FollowedKind backendKind = new FollowedKind(this::backendChanged);
 		this.catalogFollower = new StoreFollower(parts.documents().catalogKind(), loop, this.random, daemons,
-				catalogKind, log);
+				catalogKind, this::pace, log);
 		this.backendFollower = new StoreFollower(parts.documents().backendKind(), loop, this.random, daemons,
-				backendKind, log);
+				backendKind, this::pace, log);
 		this.network = new TcpPeerNetwork(peerSettings(), loop, new MessageCodec(messages()), this.random,
 				parts.metrics());
 		this.membership = MembershipService.builder()
@@ -310,7 +311,11 @@
 	private void backendChanged(FollowedObject object) {
 		if (object.deleted()) {
 			EndpointId id = new EndpointId(object.name());
-			this.backends.remove(id, this.backendFollower.failedWithin(OUTAGE_MEMORY));
+			// A daemon that follows loosely can't tell whether the store was away: its
+			// entry
+			// may have lapsed meanwhile, and will be back if the endpoint lives.
+			this.backends.remove(id,
+					this.backendFollower.failedWithin(OUTAGE_MEMORY) || pace().equals(FollowPace.LOOSE));
 			this.loads.forget(id);
 			this.health.forget(id);
 			return;
@@ -323,6 +328,10 @@
 		}
 	}
 
+	private FollowPace pace() {
+		return (this.directory.flat() || this.directory.isRelay()) ? FollowPace.CLOSE : FollowPace.LOOSE;
+	}
+
 	private RetryWindow retries() {
 		return new RetryWindow(this.parts.loop(), this.settings.retryWindow(), this.settings.retryRatio(),
 				this.settings.retryConstant(), () -> Math.max(1, this.membership.expected()));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -27,8 +27,10 @@
 	private final FollowedKind copies = new FollowedKind(
 			(object) -> this.heard.add((object.deleted() ? "-" : "+") + object.name() + object.revision()));
 
+	private FollowPace pace = FollowPace.CLOSE;
+
 	private final StoreFollower follower = new StoreFollower("servers", this.scheduler, new Random(1), this.store,
-			this.copies, DecisionLog.NONE);
+			this.copies, () -> this.pace, DecisionLog.NONE);
 
 	@BeforeEach
 	void start() {
@@ -46,6 +48,30 @@
 		Truth.assertThat(this.store.watchedFrom).isEqualTo(12);
 	}
 
+	@Test
+	void aLooseFollowerPausesAfterChangesOnly() {
+		// Symptom: ten times the calls that the watches' length explains. Sequence: 72
+		// endpoints register one after the other, 76 daemons watch. Cause: each change
+		// answers all watches at once, and all ask anew at once.
+		this.pace = FollowPace.LOOSE;
+		this.store.watches.poll().complete(new WatchBatch(12, false, List.of(FakeStore.object("c", 11))));
+		this.scheduler.advance(FollowPace.LOOSE.pause().minusMillis(1));
+		Truth.assertThat(this.store.watches).isEmpty();
+		this.scheduler.advance(Duration.ofMillis(1));
+		Truth.assertThat(this.store.watches).hasSize(1);
+		this.store.watches.poll().complete(new WatchBatch(12, false, List.of()));
+		Truth.assertThat(this.store.watches).hasSize(1);
+	}
+
+	@Test
+	void aStoppedFollowerBeginsNoOtherWatch() {
+		this.pace = FollowPace.LOOSE;
+		this.store.watches.poll().complete(new WatchBatch(12, false, List.of(FakeStore.object("c", 11))));
+		this.follower.stop();
+		this.scheduler.advance(FollowPace.LOOSE.watch());
+		Truth.assertThat(this.store.watches).isEmpty();
+	}
+
 	@Test
 	void listsAnewWhenHistoryIsLostAndNoticesWhatWasDeletedMeanwhile() {
 		// Symptom: an endpoint that left long ago still gets requests. Sequence: the
