Let long prompts wait for memory and slots; split the kept request off

Ruled out: holding memory on engines of the short lane (who holds must read, and a giant's part there stops short answers for a second or more). Conclusion: stays for what the test shows: while there is time, the caller is served rather than sent away.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -69,7 +69,7 @@
 	/** Requests that wait at a full engine, as a part of its slots. */
 	private static final double MOST_WAITING = 0.5;
 
-	/** When slots or memory are taken: about a third of a short answer's time. */
+	/** When slots or memory are taken: about a third of an answer's time. */
 	private static final Duration FULL_PAUSE = Duration.ofMillis(700);
 
 	private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
@@ -191,6 +191,15 @@
 		return few;
 	}
 
+	/**
+	 * Places a long prompt. While its lane lacks a slot or memory it waits here, as long
+	 * as it can still be read before its caller leaves: callers come back only once, and
+	 * memory is free again when one answer has been written.
+	 * @param request the request
+	 * @param candidates all engines
+	 * @param read its reading, ms
+	 * @return the placement
+	 */
 	private Placement placeLong(PlacementRequest request, List<Candidate> candidates, double read) {
 		List<Candidate> readers = new ArrayList<>(
 				candidates.stream().filter((candidate) -> candidate.longLane() && !candidate.avoided()).toList());
@@ -206,13 +215,14 @@
 			.filter((candidate) -> !candidate.full())
 			.max(Comparator.comparingLong(Candidate::freeTokens))
 			.orElse(null);
+		double least = FULL_PAUSE.toMillis() + read / Math.min(MOST_READERS, readers.size());
 		if (target == null) {
-			return Placement.refused("all slots taken", FULL_PAUSE);
+			return Placement.later(least, "long, all slots taken");
 		}
 		readers.removeIf((candidate) -> candidate == target || !candidate.mayHelp());
 		List<MemoryHold> holds = holds(needed(request) - target.freeTokens(), readers);
 		if (holds == null) {
-			return Placement.refused("no memory free", FULL_PAUSE);
+			return Placement.later(least, "long, no memory free");
 		}
 		List<Backend> helpers = helpers(readers, holds);
 		double part = read / (helpers.size() + 1);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -67,7 +67,7 @@
 		}
 		Service service = service(catalog, route.get());
 		RelayedRequest relayed = new RelayedRequest(this.ports, request, reply,
-				new RelayedRequest.Allowed(route.get(), service, account, catalog.version()), this.running::remove);
+				new Allowed(route.get(), service, account, catalog.version()), this.running::remove);
 		this.running.add(relayed);
 		relayed.start();
 		return relayed::callerGone;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -52,12 +52,6 @@
 	/** A request isn't sent when less time than this is left for it. */
 	private static final Duration LEAST_LEFT = Duration.ofMillis(15);
 
-	/**
-	 * A request that is kept is placed anew after this: a tenth of the time in which the
-	 * long lane reads what it may have before it.
-	 */
-	private static final Duration PLACED_AGAIN = Duration.ofMillis(25);
-
 	private final GatewayPorts ports;
 
 	private final CallerRequest request;
@@ -88,14 +82,11 @@
 
 	private Attempt attempt;
 
-	private boolean waiting;
+	private final KeptPrompt kept;
 
 	private Cancellable endTimer = () -> {
 	};
 
-	private Cancellable againTimer = () -> {
-	};
-
 	RelayedRequest(GatewayPorts ports, CallerRequest request, CallerReply reply, Allowed allowed,
 			Consumer<RelayedRequest> ended) {
 		this.ports = ports;
@@ -112,6 +103,7 @@
 			.filter((engine) -> EnginePlacement.isLong(engine, request.promptTokens()))
 			.isPresent();
 		this.lastEventId = request.lastEventId().orElse(null);
+		this.kept = new KeptPrompt(ports, request.id(), allowed.service().name(), readMillis());
 	}
 
 	void start() {
@@ -147,10 +139,10 @@
 					this.request.outputTokens(), callerStays(), waited(), Set.copyOf(this.tried),
 					this.ports.dataCentre()));
 		if (placement.waits()) {
-			keep(placement);
+			this.kept.keep(placement, left(), this::send);
 			return;
 		}
-		stopWaiting();
+		this.kept.end();
 		if (placement.target().isEmpty()) {
 			giveUp(UNAVAILABLE, placement.reason(), placement.retryAfter());
 			return;
@@ -171,25 +163,6 @@
 		}
 	}
 
-	private void keep(Placement placement) {
-		if (!this.waiting) {
-			this.waiting = true;
-			this.ports.demands().waitBegan(this.allowed.service().name(), readMillis());
-			this.ports.log()
-				.request(this.request.id(), "kept", "reason", placement.reason(), "predicted_ms",
-						Math.round(placement.firstMillis()), "left_ms", left().toMillis());
-		}
-		this.againTimer = this.ports.scheduler().schedule(PLACED_AGAIN, this::send);
-	}
-
-	private void stopWaiting() {
-		if (this.waiting) {
-			this.waiting = false;
-			this.ports.metrics().kept(this.ports.scheduler().nanos() - this.arrived);
-			this.ports.demands().waitEnded(this.allowed.service().name(), readMillis());
-		}
-	}
-
 	private double readMillis() {
 		long tokens = this.request.promptTokens();
 		return this.allowed.service().engine().map((engine) -> engine.readMillis(tokens)).orElse(0.0);
@@ -466,8 +439,7 @@
 	private void finish(String decision, String outcome, Object... fields) {
 		this.over = true;
 		this.endTimer.cancel();
-		this.againTimer.cancel();
-		stopWaiting();
+		this.kept.end();
 		if (this.attempt != null) {
 			this.attempt.cancel();
 		}
@@ -483,15 +455,4 @@
 		this.ended.accept(this);
 	}
 
-	/**
-	 * What the catalog allows a request.
-	 *
-	 * @param route its route
-	 * @param service the service chosen for it
-	 * @param account its account, if it has a known key
-	 * @param version the catalog's version
-	 */
-	record Allowed(Route route, Service service, Optional<Account> account, long version) {
-	}
-
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
@@ -146,6 +146,24 @@
 		Truth.assertThat(placed.target().isPresent()).isEqualTo(!waits);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "372000, 1, 200000, 'long, no memory free'", "0, 11, 200000, 'long, all slots taken'",
+			"372000, 1, 1600000, 'first event predicted in'" })
+	void longPromptsWaitForMemoryAndSlotsWhileThereIsTime(long taken, int active, long tokens, String reason) {
+		// Symptom: giants are refused and never come back. Sequence: the engines of the
+		// lane are full of others' contexts for a second. Cause: they are refused at
+		// once,
+		// and callers come back only once.
+		for (int i = 0; i < 21; i++) {
+			for (int j = 0; j < active; j++) {
+				this.loads.begin(id(i), 0, taken, true);
+			}
+		}
+		Placement placed = place(tokens);
+		Truth.assertThat(placed.reason()).startsWith(reason);
+		Truth.assertThat(placed.waits()).isEqualTo(reason.startsWith("long"));
+	}
+
 	@Test
 	void whatWouldWaitForTooLongIsRefusedAtOnce() {
 		this.demands.longArrived(NAME, 33_000);
