Take late in a planned stop only what ends before the daemon

Cause: a daemon that leaves took requests to its last moment, since callers use open connections. Ruled out: endpoints (the engine was at work), early end (unfinished was not 0), a late address answer (the caller's connection was open before). Once callers must have asked for addresses anew, a request with more time than the daemon has left gets 503, which is true: it wasn't run, and another daemon can be asked at once.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -174,7 +174,7 @@
 				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request), this.health,
 				this.loads, demands, retries(), holds, this.loadExchange::tell, log,
 				new GatewayMetrics(parts.metrics()));
-		this.service = new GatewayService(ports, this.catalogs, this.random);
+		this.service = new GatewayService(ports, this.catalogs, this::takes, this.random);
 		this.callers = new CallerServer(loop, this.service, parts.dialect(),
 				() -> this.catalogs.current().map(Catalog::limits).orElse(CallerLimits.DEFAULT));
 		this.status = new FleetStatus(this.membership, this.backends, this.health, this.loads, this.catalogs);
@@ -328,6 +328,10 @@
 		}
 	}
 
+	private boolean takes(Duration timeLeft) {
+		return this.leave.takes(timeLeft);
+	}
+
 	private FollowPace pace() {
 		return (this.directory.flat() || this.directory.isRelay()) ? FollowPace.CLOSE : FollowPace.LOOSE;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
@@ -12,9 +12,9 @@
  * <p>
  * Out of the address answers at once, then on serving until those who kept an old answer
  * have asked again, then no new connections, and the end with the last request. Callers
- * use open connections until the process is gone, so requests are taken to the last
- * moment. Invariant: the stop ends before the platform would kill the process. Confined
- * to the scheduler's thread.
+ * use open connections until the process is gone; what they send late is taken only if it
+ * ends before the process. Invariant: the stop ends before the platform would kill the
+ * process. Confined to the scheduler's thread.
  */
 final class LeaveSequence {
 
@@ -66,10 +66,30 @@
 		return this.begun;
 	}
 
+	/**
+	 * Whether a request is still taken: while callers may not have asked for addresses
+	 * again, and later if it ends before this daemon. One that was taken after that would
+	 * be cut in the middle of its answer, while a refusal sends its caller elsewhere at
+	 * once.
+	 * @param timeLeft the request's time
+	 * @return true if it is
+	 */
+	boolean takes(Duration timeLeft) {
+		return !this.begun || since().compareTo(kept()) < 0
+				|| since().plus(timeLeft).compareTo(this.settings.grace().minus(MARGIN)) <= 0;
+	}
+
+	private Duration since() {
+		return Duration.ofNanos(this.scheduler.nanos() - this.begunAt);
+	}
+
+	private Duration kept() {
+		return this.settings.addressKeepFor().multipliedBy(KEPT_TIMES);
+	}
+
 	private void check() {
-		Duration since = Duration.ofNanos(this.scheduler.nanos() - this.begunAt);
-		Duration kept = this.settings.addressKeepFor().multipliedBy(KEPT_TIMES).plus(CHECK);
-		boolean unused = since.compareTo(kept) > 0 && this.actions.unfinished() == 0;
+		Duration since = since();
+		boolean unused = since.compareTo(kept().plus(CHECK)) > 0 && this.actions.unfinished() == 0;
 		boolean last = since.compareTo(this.settings.grace().minus(MARGIN)) > 0;
 		if (last || unused) {
 			this.checks.cancel();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.bramleyscale.internal.gateway.catalog.Account;
@@ -24,6 +25,9 @@
 public final class GatewayService {
 
 	/** A daemon that starts knows the catalog within a second. */
+	/** Another daemon can be asked at once; zero would mean that nothing is said. */
+	private static final Duration LEAVING_PAUSE = Duration.ofMillis(10);
+
 	private static final Duration NO_CATALOG_PAUSE = Duration.ofMillis(500);
 
 	private static final int UNAUTHORIZED = 401;
@@ -38,11 +42,23 @@
 
 	private final RandomGenerator random;
 
+	private final Predicate<Duration> takes;
+
 	private final Set<RelayedRequest> running = new HashSet<>();
 
-	public GatewayService(GatewayPorts ports, CatalogHolder catalogs, RandomGenerator random) {
+	/**
+	 * Makes the service.
+	 * @param ports what requests use
+	 * @param catalogs the catalog in force
+	 * @param takes whether a request with so much time is taken; false for some while the
+	 * daemon leaves
+	 * @param random chooses among a route's services
+	 */
+	public GatewayService(GatewayPorts ports, CatalogHolder catalogs, Predicate<Duration> takes,
+			RandomGenerator random) {
 		this.ports = ports;
 		this.catalogs = catalogs;
+		this.takes = takes;
 		this.random = random;
 	}
 
@@ -65,6 +81,11 @@
 		if (account.isEmpty() && catalog.keysNeeded() && !route.get().keyless()) {
 			return refuse(request, reply, UNAUTHORIZED, "unknown key", Duration.ZERO, catalog.version());
 		}
+		Duration timeout = route.get().timeout();
+		Duration left = request.timeLeft().filter((time) -> time.compareTo(timeout) < 0).orElse(timeout);
+		if (!this.takes.test(left)) {
+			return refuse(request, reply, UNAVAILABLE, "daemon leaves", LEAVING_PAUSE, catalog.version());
+		}
 		Service service = service(catalog, route.get());
 		RelayedRequest relayed = new RelayedRequest(this.ports, request, reply,
 				new Allowed(route.get(), service, account, catalog.version()), this.running::remove);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
@@ -76,8 +76,9 @@
 				new RetryWindow(this.loop, Duration.ofSeconds(10), 0.2, 100, () -> 1),
 				new MemoryHolds(this.loop, null, "test", DecisionLog.NONE), () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
-		this.server = new CallerServer(this.loop, new GatewayService(ports, catalogs, new Random(1)),
-				new PlainDialect(), () -> LIMITS);
+		this.server = new CallerServer(this.loop,
+				new GatewayService(ports, catalogs, (timeLeft) -> true, new Random(1)), new PlainDialect(),
+				() -> LIMITS);
 		try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			this.port = free.getLocalPort();
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/LeaveSequenceTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/LeaveSequenceTests.java
@@ -41,6 +41,20 @@
 		Truth.assertThat(this.ended).isEqualTo(ended);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "2900, 10000, true", "3100, 10000, false", "3100, 4100, true", "6000, 1000, true",
+			"6000, 1400, false" })
+	void takesLateOnlyWhatEndsBeforeItself(long millis, long timeLeft, boolean taken) {
+		// Symptom: an answer is cut in the middle. Sequence: a caller with an open
+		// connection sends a stream six seconds after the stop began; the process ends
+		// 1.4 s later. Cause: requests were taken to the last moment.
+		Truth.assertThat(this.leave.takes(Duration.ofMillis(timeLeft))).isTrue();
+		this.unfinished = 1;
+		this.leave.begin();
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(this.leave.takes(Duration.ofMillis(timeLeft))).isEqualTo(taken);
+	}
+
 	@Test
 	void saysSoOnceAndEndsOnce() {
 		this.leave.begin();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -62,6 +62,8 @@
 
 	PlacementRequest placed;
 
+	Duration longestTaken = Duration.ofDays(1);
+
 	final CatalogHolder catalogs = new CatalogHolder();
 
 	final GatewayService service;
@@ -78,7 +80,8 @@
 				this.demands, new RetryWindow(this.scheduler, Duration.ofSeconds(10), 0, RETRY_CONSTANT, () -> 1),
 				new MemoryHolds(this.scheduler, new NoOrders(), "entry-1", DecisionLog.NONE), () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
-		this.service = new GatewayService(ports, this.catalogs, random);
+		this.service = new GatewayService(ports, this.catalogs,
+				(timeLeft) -> timeLeft.compareTo(this.longestTaken) <= 0, random);
 		this.catalogs.offer(Catalog.builder(1)
 			.account(new Account(new ClientAccountId("hule"), OptionalInt.empty()), List.of("key"))
 			.route(route("stream", "/stream/").streaming(true)
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -233,6 +233,15 @@
 		Truth.assertThat(this.fixture.sent).isEmpty();
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "900, 1, ''", "1100, 0, own 503" })
+	void aLeavingDaemonRefusesWhatWouldOutliveIt(long left, int sent, String got) {
+		this.fixture.longestTaken = Duration.ofSeconds(1);
+		RelayFixture.Caller caller = this.fixture.call("/book/1", Duration.ofMillis(left));
+		Truth.assertThat(this.fixture.sent).hasSize(sent);
+		Truth.assertThat(caller.got.toString()).isEqualTo(got);
+	}
+
 	@Test
 	void endpointsShareTheLoad() {
 		for (int i = 0; i < 3; i++) {
