--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -55,7 +55,7 @@
 	/**
 	 * Scores are spread by this, so that daemons don't all choose the same engine, ms.
 	 */
-	private static final double JITTER_MILLIS = Double.parseDouble(System.getProperty("j", "8"));
+	private static final double JITTER_MILLIS = 8;
 
 	/**
 	 * Reading that each engine of the long lane may have before it, ms, when another long
