Share what the last changes wrote twice; name what acts as an action

Cause: found on re-reading the whole change. Ruled out, read and left: the look-alike fields of LeaveSequence and KeptPrompt, of PassEngine and ManualScheduler, of EnginePlacement and FencedOrders (declarations of unlike things); the least busy endpoint in PlainPlacement (same herding in principle, but three to five endpoints). Before and after: the same decisions; the fake engines' figures are the same to the last digit.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -311,9 +311,8 @@
 	private void backendChanged(FollowedObject object) {
 		if (object.deleted()) {
 			EndpointId id = new EndpointId(object.name());
-			// A daemon that follows loosely can't tell whether the store was away: its
-			// entry
-			// may have lapsed meanwhile, and will be back if the endpoint lives.
+			// A daemon that follows loosely can't tell whether the store was away. The
+			// entry may have lapsed meanwhile, and is back soon if the endpoint lives.
 			this.backends.remove(id,
 					this.backendFollower.failedWithin(OUTAGE_MEMORY) || pace().equals(FollowPace.LOOSE));
 			this.loads.forget(id);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
@@ -75,8 +75,7 @@
 	 * @return true if it is
 	 */
 	boolean takes(Duration timeLeft) {
-		return !this.begun || since().compareTo(kept()) < 0
-				|| since().plus(timeLeft).compareTo(this.settings.grace().minus(MARGIN)) <= 0;
+		return !this.begun || since().compareTo(kept()) < 0 || since().plus(timeLeft).compareTo(longest()) <= 0;
 	}
 
 	private Duration since() {
@@ -87,10 +86,14 @@
 		return this.settings.addressKeepFor().multipliedBy(KEPT_TIMES);
 	}
 
+	private Duration longest() {
+		return this.settings.grace().minus(MARGIN);
+	}
+
 	private void check() {
 		Duration since = since();
 		boolean unused = since.compareTo(kept().plus(CHECK)) > 0 && this.actions.unfinished() == 0;
-		boolean last = since.compareTo(this.settings.grace().minus(MARGIN)) > 0;
+		boolean last = since.compareTo(longest()) > 0;
 		if (last || unused) {
 			this.checks.cancel();
 			this.log.daemon("end", "unfinished", this.actions.unfinished(), "after_ms", since.toMillis());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -156,16 +156,17 @@
 	 * shorter ones go first, and none waits for ever.
 	 * @param request the request
 	 * @param lane the engines that would read it
+	 * @param read its reading, ms
 	 * @param part what each of them would read, ms
 	 * @return the placement to wait, or null to go on
 	 */
-	private Placement waiting(PlacementRequest request, List<Candidate> lane, double part) {
+	private Placement waiting(PlacementRequest request, List<Candidate> lane, double read, double part) {
 		double unread = lane.stream().mapToDouble((candidate) -> candidate.load().readMillis()).average().orElse(0);
 		double waited = request.waited().toNanos() / NANOS_PER_MILLI;
 		if (unread <= MOST_UNREAD_MILLIS * (1 + waited / part)) {
 			return null;
 		}
-		double ahead = this.demands.waitingAhead(request.service().name(), part * Math.min(MOST_READERS, lane.size()));
+		double ahead = this.demands.waitingAhead(request.service().name(), read);
 		return Placement.later(unread + ahead / lane.size() + part, "long, waits");
 	}
 
@@ -206,7 +207,8 @@
 		if (readers.isEmpty()) {
 			readers.addAll(candidates);
 		}
-		Placement waiting = waiting(request, readers, read / Math.min(MOST_READERS, readers.size()));
+		double smallest = read / Math.min(MOST_READERS, readers.size());
+		Placement waiting = waiting(request, readers, read, smallest);
 		if (waiting != null) {
 			return waiting;
 		}
@@ -215,7 +217,7 @@
 			.filter((candidate) -> !candidate.full())
 			.max(Comparator.comparingLong(Candidate::freeTokens))
 			.orElse(null);
-		double least = FULL_PAUSE.toMillis() + read / Math.min(MOST_READERS, readers.size());
+		double least = FULL_PAUSE.toMillis() + smallest;
 		if (target == null) {
 			return Placement.later(least, "long, all slots taken");
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Placement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Placement.java
@@ -52,6 +52,23 @@
 				this.reason, this.retryAfter, this.waits);
 	}
 
+	/**
+	 * The memory to be held on all helpers.
+	 * @return the tokens of context
+	 */
+	public long held() {
+		return this.holds.stream().mapToLong(MemoryHold::tokens).sum();
+	}
+
+	/**
+	 * The memory to be held on one engine.
+	 * @param engine the engine
+	 * @return the tokens of context, 0 if none is held there
+	 */
+	public long heldAt(Backend engine) {
+		return this.holds.stream().filter((hold) -> hold.engine().equals(engine)).mapToLong(MemoryHold::tokens).sum();
+	}
+
 	/**
 	 * A request that can't be served now.
 	 * @param reason why
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -10,7 +10,6 @@
 import org.bramleyscale.EndpointId;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.catalog.Route;
-import org.bramleyscale.internal.gateway.hold.MemoryHold;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.placement.Placement;
@@ -46,10 +45,10 @@
 	private static final double TIME_USED = 0.5;
 
 	/**
-	 * An endpoint that has this much to read for others, ms, is taken for busy and not
-	 * for failed. Whoever takes a long prompt elsewhere then has it read a second time,
-	 * by engines that are as busy: in one overload of 12 s, 20 of 46 long prompts were
-	 * begun anew and none of these came in time.
+	 * An endpoint that has this much to read, ms, is taken for busy and not for failed.
+	 * Whoever takes a long prompt elsewhere then has it read a second time, by engines
+	 * that are as busy: in one overload of 12 s, 20 of 46 long prompts were begun anew
+	 * and none of these came in time.
 	 */
 	private static final double BUSY_MILLIS = 200;
 
@@ -99,12 +98,12 @@
 	 * @param outgoing makes the request as the endpoint gets it
 	 */
 	void send(Function<List<Helper>, OutgoingRequest> outgoing) {
-		long held = this.placement.holds().stream().mapToLong(MemoryHold::tokens).sum();
-		long tokens = this.request.promptTokens() + this.request.outputTokens() - held;
+		long tokens = this.request.promptTokens() + this.request.outputTokens() - this.placement.held();
 		this.works
 			.add(this.ports.loads().begin(this.target.id(), this.placement.readMillis(), Math.max(0, tokens), true));
 		for (Backend helper : this.placement.helpers()) {
-			this.works.add(this.ports.loads().begin(helper.id(), this.placement.readMillis(), heldAt(helper), false));
+			this.works.add(this.ports.loads()
+				.begin(helper.id(), this.placement.readMillis(), this.placement.heldAt(helper), false));
 		}
 		if (this.placement.holds().isEmpty()) {
 			sendNow(outgoing.apply(helpers(null)));
@@ -133,18 +132,10 @@
 	private List<Helper> helpers(String hold) {
 		return this.placement.helpers()
 			.stream()
-			.map((engine) -> new Helper(engine, Optional.ofNullable((heldAt(engine) > 0) ? hold : null)))
+			.map((engine) -> new Helper(engine, Optional.ofNullable((this.placement.heldAt(engine) > 0) ? hold : null)))
 			.toList();
 	}
 
-	private long heldAt(Backend engine) {
-		return this.placement.holds()
-			.stream()
-			.filter((hold) -> hold.engine().equals(engine))
-			.mapToLong(MemoryHold::tokens)
-			.sum();
-	}
-
 	Backend target() {
 		return this.target;
 	}
@@ -296,27 +287,27 @@
 		this.silenceTimer.cancel();
 		if (!this.over && this.request.route().repeatable()) {
 			this.silenceTimer = this.ports.scheduler().schedule(limit, () -> {
-				if (!this.over && !isBusy(limit)) {
-					this.request.silent(this);
+				if (!this.over) {
+					silentFor(limit);
 				}
 			});
 		}
 	}
 
 	/**
-	 * Whether the target is only busy. A prompt that one engine reads costs little when
-	 * it is read again, and an engine that makes it wait is the wrong one for it.
+	 * Takes the target for failed, or gives it more time if it is only busy. A prompt
+	 * that one engine reads costs little when it is read again, and an engine that makes
+	 * it wait is the wrong one for it.
 	 * @param limit how long it was silent
-	 * @return true if it gets more time
 	 */
-	private boolean isBusy(Duration limit) {
+	private void silentFor(Duration limit) {
 		double unread = this.ports.loads().load(this.target.id()).readMillis();
 		if (this.placement.helpers().isEmpty() || unread < BUSY_MILLIS || this.longer == MOST_LONGER) {
-			return false;
+			this.request.silent(this);
+			return;
 		}
 		this.longer++;
 		watch(Duration.ofMillis(Math.round(Math.min(2 * unread, limit.toMillis()))));
-		return true;
 	}
 
 	private void close() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
@@ -35,4 +35,13 @@
 		return (query >= 0) ? this.target.substring(0, query) : this.target;
 	}
 
+	/**
+	 * The time that this request has on a route.
+	 * @param timeout the route's timeout
+	 * @return what its caller gives it, at most the timeout
+	 */
+	Duration timeWithin(Duration timeout) {
+		return this.timeLeft.filter((time) -> time.compareTo(timeout) < 0).orElse(timeout);
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -24,10 +24,10 @@
  */
 public final class GatewayService {
 
-	/** A daemon that starts knows the catalog within a second. */
 	/** Another daemon can be asked at once; zero would mean that nothing is said. */
 	private static final Duration LEAVING_PAUSE = Duration.ofMillis(10);
 
+	/** A daemon that starts knows the catalog within a second. */
 	private static final Duration NO_CATALOG_PAUSE = Duration.ofMillis(500);
 
 	private static final int UNAUTHORIZED = 401;
@@ -81,9 +81,7 @@
 		if (account.isEmpty() && catalog.keysNeeded() && !route.get().keyless()) {
 			return refuse(request, reply, UNAUTHORIZED, "unknown key", Duration.ZERO, catalog.version());
 		}
-		Duration timeout = route.get().timeout();
-		Duration left = request.timeLeft().filter((time) -> time.compareTo(timeout) < 0).orElse(timeout);
-		if (!this.takes.test(left)) {
+		if (!this.takes.test(request.timeWithin(route.get().timeout()))) {
 			return refuse(request, reply, UNAVAILABLE, "daemon leaves", LEAVING_PAUSE, catalog.version());
 		}
 		Service service = service(catalog, route.get());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -68,6 +68,8 @@
 
 	private final boolean longPrompt;
 
+	private final KeptPrompt kept;
+
 	private final Set<EndpointId> tried = new HashSet<>();
 
 	private int asked;
@@ -82,8 +84,6 @@
 
 	private Attempt attempt;
 
-	private final KeptPrompt kept;
-
 	private Cancellable endTimer = () -> {
 	};
 
@@ -95,9 +95,7 @@
 		this.allowed = allowed;
 		this.ended = ended;
 		this.arrived = ports.scheduler().nanos();
-		Duration left = request.timeLeft().orElse(allowed.route().timeout());
-		Duration timeout = allowed.route().timeout();
-		this.endsAt = this.arrived + Math.min(left.toNanos(), timeout.toNanos());
+		this.endsAt = this.arrived + request.timeWithin(allowed.route().timeout()).toNanos();
 		this.longPrompt = allowed.service()
 			.engine()
 			.filter((engine) -> EnginePlacement.isLong(engine, request.promptTokens()))
@@ -190,7 +188,7 @@
 			this.mayHaveRun++;
 			noteOutcome(from, head);
 			this.reply.whole(head.status(), head.headers(), body);
-			this.ports.metrics().answered(this.ports.scheduler().nanos() - this.arrived);
+			this.ports.metrics().answered(waited().toNanos());
 			finish("completed", head.success() ? "completed" : "failed", "status", head.status(), "endpoint",
 					from.target().id());
 		}
@@ -208,11 +206,11 @@
 		}
 		if (!this.begun) {
 			this.begun = true;
-			long nanos = this.ports.scheduler().nanos() - this.arrived;
-			this.ports.metrics().firstEvent(this.longPrompt, nanos);
+			Duration waited = waited();
+			this.ports.metrics().firstEvent(this.longPrompt, waited.toNanos());
 			this.ports.log()
 				.request(this.request.id(), "first event", "endpoint", from.target().id(), "after_ms",
-						nanos / 1_000_000, "predicted_ms", Math.round(from.predictedMillis()));
+						waited.toMillis(), "predicted_ms", Math.round(from.predictedMillis()));
 			this.reply.onReadsAgain(this::callerReads);
 			this.reply.begin(head.status(), head.headers());
 		}
@@ -447,8 +445,7 @@
 			this.ports.demands().shortEnded(this.allowed.service().name());
 		}
 		this.ports.metrics().ended(outcome);
-		Object[] ending = { "route", this.allowed.route(), "after_ms",
-				(this.ports.scheduler().nanos() - this.arrived) / 1_000_000, "prompt_tokens",
+		Object[] ending = { "route", this.allowed.route(), "after_ms", waited().toMillis(), "prompt_tokens",
 				this.request.promptTokens() };
 		Object[] all = Stream.concat(Stream.of(fields), Stream.of(ending)).toArray();
 		this.ports.log().request(this.request.id(), decision, all);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LoadPlay.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/LoadPlay.java
@@ -21,7 +21,6 @@
 import org.bramleyscale.internal.gateway.catalog.EngineProfile;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
-import org.bramleyscale.internal.gateway.hold.MemoryHold;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.load.LoadTold;
@@ -29,7 +28,7 @@
 import org.bramleyscale.internal.time.ManualScheduler;
 
 /**
- * Plays a mix of prompts on 21 fake engines and notes what callers get.
+ * Plays a mix of prompts on fake engines and notes what callers get.
  *
  * <p>
  * Requests come to daemons by chance; each knows its own work at once and that of the
@@ -371,25 +370,17 @@
 			Backend target = placed.target().orElseThrow();
 			int parts = placed.helpers().size() + 1;
 			this.unread = parts;
-			this.works.add(this.daemon.loads.begin(target.id(), placed.readMillis(),
-					this.tokens - placed.holds().stream().mapToLong(MemoryHold::tokens).sum(), true));
+			this.works
+				.add(this.daemon.loads.begin(target.id(), placed.readMillis(), this.tokens - placed.held(), true));
 			PassEngine writer = LoadPlay.this.engines.get(target.id());
 			double part = (double) this.tokens / parts;
 			writer.read(part, placed.readMillis(), false, () -> read(writer));
 			for (Backend helper : placed.helpers()) {
-				this.works.add(this.daemon.loads.begin(helper.id(), placed.readMillis(), held(placed, helper), false));
+				this.works.add(this.daemon.loads.begin(helper.id(), placed.readMillis(), placed.heldAt(helper), false));
 				LoadPlay.this.engines.get(helper.id()).read(part, placed.readMillis(), true, () -> read(writer));
 			}
 		}
 
-		private static long held(Placement placed, Backend engine) {
-			return placed.holds()
-				.stream()
-				.filter((hold) -> hold.engine().equals(engine))
-				.mapToLong(MemoryHold::tokens)
-				.sum();
-		}
-
 		private void read(PassEngine writer) {
 			this.unread--;
 			if (this.unread == 0) {
@@ -406,8 +397,6 @@
 			this.written++;
 			if (this.written == 1) {
 				this.gone = since > this.kind.route().patience().toNanos();
-			}
-			if (this.written == 1) {
 				this.works.forEach(LoadBoard.Work::read);
 			}
 			if (this.written == this.events) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.EndpointId;
@@ -252,8 +253,8 @@
 	}
 
 	private static CallerRequest request(String path, String key) {
-		return new CallerRequest("r1", "GET", path, "hire.example", List.of(), new byte[0], java.util.Optional.of(key),
-				java.util.Optional.empty(), 0, 0, java.util.Optional.empty());
+		return new CallerRequest("r1", "GET", path, "hire.example", List.of(), new byte[0], Optional.of(key),
+				Optional.empty(), 0, 0, Optional.empty());
 	}
 
 	private static void fail(RelayFixture.Sent sent, String failure) {
