An experiment tool: policies of placement on modelled engines, in seconds

Files are YAML, checked as a whole. The product's reader of checked YAML is public within the library for it.

--- /dev/null
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/PassEngine.java
@@ -0,0 +1,209 @@
+package org.bramleyscale.bench.experiment;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.time.Scheduler;
+
+/**
+ * A modelled engine that works in passes as operators describe their engines: in a pass
+ * each writer gets one event, and waiting prompts are read up to a bound, helpers' parts
+ * first.
+ *
+ * <p>
+ * Not safe for use by multiple threads.
+ */
+final class PassEngine {
+
+	private static final double NANOS_PER_MILLI = 1_000_000;
+
+	private final Scheduler scheduler;
+
+	private final EngineProfile profile;
+
+	private final Deque<Part> unread = new ArrayDeque<>();
+
+	private final Deque<Writer> queued = new ArrayDeque<>();
+
+	private final List<Writer> writers = new ArrayList<>();
+
+	private boolean busy;
+
+	private int helping;
+
+	PassEngine(Scheduler scheduler, EngineProfile profile) {
+		this.scheduler = scheduler;
+		this.profile = profile;
+	}
+
+	/**
+	 * Reads a part of a prompt.
+	 * @param kind what it is a part of, for the account of long passes
+	 * @param tokens the part's length
+	 * @param millis the time it takes by itself
+	 * @param helps true if another engine writes the answer
+	 * @param done called when it has been read
+	 */
+	void read(String kind, double tokens, double millis, boolean helps, Runnable done) {
+		if (helps) {
+			this.helping++;
+			this.unread.addFirst(new Part(kind, tokens, millis / tokens, () -> {
+				this.helping--;
+				done.run();
+			}));
+		}
+		else {
+			this.unread.addLast(new Part(kind, tokens, millis / tokens, done));
+		}
+		pass();
+	}
+
+	/**
+	 * Whether it agrees to help one more.
+	 * @return false if it helps as many as it has slots
+	 */
+	boolean helps() {
+		return this.helping < this.profile.slots();
+	}
+
+	/**
+	 * Writes an answer.
+	 * @param events its events
+	 * @param context tokens in memory
+	 * @param listener told of each event
+	 */
+	void write(int events, long context, EventListener listener) {
+		this.queued.addLast(new Writer(events, context, listener));
+		pass();
+	}
+
+	private void pass() {
+		if (this.busy) {
+			return;
+		}
+		while (this.writers.size() < this.profile.slots() && !this.queued.isEmpty()) {
+			this.writers.add(this.queued.pollFirst());
+		}
+		if (this.writers.isEmpty() && this.unread.isEmpty()) {
+			return;
+		}
+		this.busy = true;
+		Reading reading = new Reading();
+		double budget = (double) this.profile.stride() * this.profile.chunk();
+		while (budget > 0 && !this.unread.isEmpty()) {
+			Part part = this.unread.peekFirst();
+			double tokens = Math.min(budget, part.tokens);
+			budget -= tokens;
+			part.tokens -= tokens;
+			reading.add(part.kind, tokens * part.millisPerToken);
+			if (part.tokens <= 0) {
+				reading.done.add(part.done);
+				this.unread.pollFirst();
+			}
+		}
+		List<Writer> writing = List.copyOf(this.writers);
+		double millis = reading.millis;
+		if (!writing.isEmpty()) {
+			long context = writing.stream().mapToLong((writer) -> writer.context).sum();
+			millis += this.profile.passMillis(writing.size(), context);
+		}
+		this.scheduler.schedule(Duration.ofNanos((long) (millis * NANOS_PER_MILLI)), () -> end(reading, writing));
+	}
+
+	private void end(Reading reading, List<Writer> writing) {
+		this.busy = false;
+		reading.done.forEach(Runnable::run);
+		for (Writer writer : writing) {
+			writer.left--;
+			if (writer.left == 0) {
+				this.writers.remove(writer);
+			}
+			writer.listener.event(reading.mostly);
+		}
+		pass();
+	}
+
+	/**
+	 * Told of the events of one answer.
+	 */
+	@FunctionalInterface
+	interface EventListener {
+
+		/**
+		 * An event was written.
+		 * @param mostRead the kind of which most was read in the pass before it, or null
+		 * if nothing was
+		 */
+		void event(String mostRead);
+
+	}
+
+	/**
+	 * What is read in one pass.
+	 */
+	private static final class Reading {
+
+		private final List<Runnable> done = new ArrayList<>();
+
+		private double millis;
+
+		private double most;
+
+		private String mostly;
+
+		private void add(String kind, double partMillis) {
+			this.millis += partMillis;
+			if (partMillis > this.most) {
+				this.most = partMillis;
+				this.mostly = kind;
+			}
+		}
+
+	}
+
+	/**
+	 * A part of a prompt.
+	 */
+	private static final class Part {
+
+		private final String kind;
+
+		private final double millisPerToken;
+
+		private final Runnable done;
+
+		private double tokens;
+
+		private Part(String kind, double tokens, double millisPerToken, Runnable done) {
+			this.kind = kind;
+			this.tokens = tokens;
+			this.millisPerToken = millisPerToken;
+			this.done = done;
+		}
+
+	}
+
+	/**
+	 * An answer being written.
+	 */
+	private static final class Writer {
+
+		private final long context;
+
+		private final EventListener listener;
+
+		private int left;
+
+		private Writer(int events, long context, EventListener listener) {
+			this.left = events;
+			this.context = context;
+			this.listener = listener;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
@@ -0,0 +1,277 @@
+package org.bramleyscale.bench.experiment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.common.net.HostAndPort;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.load.LoadTold;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.placement.Placement;
+import org.bramleyscale.internal.gateway.placement.PlacementRequest;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * One play of an experiment with one policy and one seed.
+ *
+ * <p>
+ * Requests come to daemons by chance; each knows its own work at once and that of the
+ * others after a delay. What arrives when depends on the seed and not on the policy, so
+ * that two policies meet the same requests. Not safe for use by multiple threads.
+ */
+final class Play {
+
+	static final ServiceName SERVICE = new ServiceName("engines");
+
+	private static final DataCentre DATA_CENTRE = new DataCentre("east");
+
+	/** How often daemons tell each other of their work, as the gateway does. */
+	private static final Duration TELLING = Duration.ofMillis(100);
+
+	/** After this a request that waits is placed anew, as the gateway does. */
+	private static final Duration PLACED_AGAIN = Duration.ofMillis(25);
+
+	/** After the last arrival, so that the last answers end. */
+	private static final Duration LAST_ANSWERS = Duration.ofSeconds(30);
+
+	private static final double NANOS_PER_SECOND = 1_000_000_000;
+
+	private static final int CONNECTIONS = 300;
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final Experiment experiment;
+
+	private final BackendTable backends = new BackendTable(this.scheduler, DecisionLog.NONE);
+
+	private final List<PlayedDaemon> daemons = new ArrayList<>();
+
+	private final Map<EndpointStart, PassEngine> engines = new HashMap<>();
+
+	private final RandomGenerator arrivals;
+
+	private final Map<String, KindOutcome> outcomes = new LinkedHashMap<>();
+
+	/**
+	 * Makes a play.
+	 * @param experiment what is played
+	 * @param policy the name of the policy
+	 * @param seed of all chance
+	 */
+	Play(Experiment experiment, String policy, long seed) {
+		this.experiment = experiment;
+		RandomGeneratorFactory<RandomGenerator> generators = RandomGeneratorFactory.of("Xoroshiro128PlusPlus");
+		this.arrivals = generators.create(seed);
+		RandomGenerator choices = generators.create(~seed);
+		for (int i = 0; i < experiment.daemons(); i++) {
+			this.daemons
+				.add(new PlayedDaemon("daemon-" + i, this.scheduler, this.backends, Policies.named(policy), choices));
+		}
+		for (int i = 0; i < experiment.engines(); i++) {
+			Backend engine = new Backend(EndpointStart.untold(String.format("engine-%04d", i)), SERVICE,
+					HostAndPort.fromParts("10.0." + i / 256 + "." + i % 256, 80), DATA_CENTRE,
+					experiment.profile().slots(), false);
+			this.backends.put(engine);
+			this.engines.put(engine.start(), new PassEngine(this.scheduler, experiment.profile()));
+		}
+		experiment.kinds().forEach((kind) -> this.outcomes.put(kind.name(), new KindOutcome()));
+	}
+
+	/**
+	 * Plays to the end.
+	 * @return what callers got by kind
+	 */
+	Map<String, KindOutcome> run() {
+		if (this.daemons.size() > 1) {
+			this.scheduler.repeat(TELLING, this::tell);
+		}
+		this.experiment.kinds().forEach(this::arrive);
+		this.scheduler.advance(this.experiment.length().plus(LAST_ANSWERS));
+		return this.outcomes;
+	}
+
+	private void tell() {
+		for (PlayedDaemon from : this.daemons) {
+			List<LoadTold.Share> shares = from.loads().shares();
+			List<LoadTold.Demand> demands = from.demands().demands();
+			this.scheduler.schedule(this.experiment.hearingDelay(),
+					() -> this.daemons.stream().filter((to) -> to != from).forEach((to) -> {
+						to.loads().told(from.name(), shares);
+						to.demands().told(from.name(), demands);
+					}));
+		}
+	}
+
+	/**
+	 * Lets the next request of a kind arrive: candidates at the highest rate, of which as
+	 * many are left out as the rate at the moment asks.
+	 * @param kind the kind
+	 */
+	private void arrive(RequestKind kind) {
+		double highest = this.experiment.highestRate(kind);
+		if (highest <= 0) {
+			return;
+		}
+		double seconds = -Math.log(1 - this.arrivals.nextDouble()) / highest;
+		this.scheduler.schedule(Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)), () -> {
+			if (this.scheduler.nanos() >= this.experiment.length().toNanos()) {
+				return;
+			}
+			double now = this.scheduler.nanos() / NANOS_PER_SECOND;
+			if (this.arrivals.nextDouble() * highest < this.experiment.rate(kind, now)) {
+				PlayedDaemon daemon = this.daemons.get(this.arrivals.nextInt(this.daemons.size()));
+				new PlayedRequest(daemon, kind, kind.drawPrompt(this.arrivals), kind.drawEvents(this.arrivals))
+					.arrive();
+			}
+			arrive(kind);
+		});
+	}
+
+	/**
+	 * One request on the modelled engines.
+	 */
+	private final class PlayedRequest implements PassEngine.EventListener {
+
+		private final PlayedDaemon daemon;
+
+		private final RequestKind kind;
+
+		private final long tokens;
+
+		private final int events;
+
+		private final long arrived;
+
+		private final KindOutcome outcome;
+
+		private PlayedWork work;
+
+		private int unread;
+
+		private int written;
+
+		private long lastEvent;
+
+		private boolean lateFirst;
+
+		private boolean gone;
+
+		private String latePause;
+
+		private PlayedRequest(PlayedDaemon daemon, RequestKind kind, long tokens, int events) {
+			this.daemon = daemon;
+			this.kind = kind;
+			this.tokens = tokens;
+			this.events = events;
+			this.arrived = Play.this.scheduler.nanos();
+			this.outcome = Play.this.outcomes.get(kind.name());
+		}
+
+		private void arrive() {
+			this.outcome.asked++;
+			this.outcome.owed += worth(this.kind.worth());
+			this.work = this.daemon.arrived(Play.this.experiment.profile(), this.tokens);
+			place();
+		}
+
+		private void place() {
+			Duration waited = Duration.ofNanos(Play.this.scheduler.nanos() - this.arrived);
+			var route = this.kind.route(SERVICE.value());
+			Placement placed = this.daemon.policy()
+				.place(new PlacementRequest(route,
+						new Service(SERVICE, CONNECTIONS, Optional.of(Play.this.experiment.profile())), this.tokens,
+						this.events * (long) Play.this.experiment.profile().stride(), route.patience().minus(waited),
+						waited, Set.of(), DATA_CENTRE));
+			if (placed.waits()) {
+				this.work.waits();
+				Play.this.scheduler.schedule(PLACED_AGAIN, this::place);
+				return;
+			}
+			this.work.placed();
+			boolean helped = placed.helpers()
+				.stream()
+				.allMatch((helper) -> Play.this.engines.get(helper.start()).helps());
+			if (placed.target().isEmpty() || !helped) {
+				this.outcome.refused++;
+				this.work.ended();
+				return;
+			}
+			send(placed);
+		}
+
+		private void send(Placement placed) {
+			Backend target = placed.target().orElseThrow();
+			this.work.sent(placed, this.tokens, this.kind.route(SERVICE.value()));
+			this.unread = placed.helpers().size() + 1;
+			PassEngine writer = Play.this.engines.get(target.start());
+			double part = (double) this.tokens / this.unread;
+			writer.read(this.kind.name(), part, placed.readMillis(), false, () -> read(writer));
+			for (Backend helper : placed.helpers()) {
+				Play.this.engines.get(helper.start())
+					.read(this.kind.name(), part, placed.readMillis(), true, () -> read(writer));
+			}
+		}
+
+		private void read(PassEngine writer) {
+			this.unread--;
+			if (this.unread == 0) {
+				writer.write(this.events, this.tokens, this);
+			}
+		}
+
+		@Override
+		public void event(String mostRead) {
+			long now = Play.this.scheduler.nanos();
+			if (this.written == 0) {
+				long millis = (now - this.arrived) / 1_000_000;
+				this.outcome.firstMillis.recordValue(millis);
+				this.lateFirst = millis > this.kind.targetMillis();
+				this.gone = millis > this.kind.route(SERVICE.value()).patience().toMillis();
+				this.work.read();
+			}
+			else if (now - this.lastEvent > this.kind.pauseMillis() * 1_000_000L) {
+				this.latePause = String.valueOf(mostRead);
+			}
+			this.lastEvent = now;
+			this.written++;
+			if (this.written == this.events) {
+				this.work.ended();
+				account();
+			}
+		}
+
+		private void account() {
+			if (this.lateFirst) {
+				this.outcome.lateFirst++;
+			}
+			else if (this.latePause != null) {
+				this.outcome.latePause++;
+				this.outcome.latePauses.merge(this.latePause, 1, Integer::sum);
+			}
+			else {
+				this.outcome.inTime++;
+			}
+			boolean late = this.lateFirst || this.latePause != null;
+			this.outcome.earned += this.gone ? 0 : worth(late ? this.kind.lateWorth() : this.kind.worth());
+		}
+
+		private double worth(double each) {
+			return each * this.kind.weight(this.tokens);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/PlayedDaemon.java
@@ -0,0 +1,87 @@
+package org.bramleyscale.bench.experiment;
+
+import java.util.random.RandomGenerator;
+
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendHealth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.placement.PlacementPolicy;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * What one daemon knows, and how it decides. Not safe for use by multiple threads.
+ */
+final class PlayedDaemon {
+
+	private final String name;
+
+	private final LoadBoard loads;
+
+	private final DemandBoard demands;
+
+	private final BackendTable backends;
+
+	private final BackendHealth health;
+
+	private final RandomGenerator random;
+
+	private final PlacementPolicy policy;
+
+	PlayedDaemon(String name, ManualScheduler scheduler, BackendTable backends, PolicyFactory policy,
+			RandomGenerator random) {
+		this.name = name;
+		this.loads = new LoadBoard(scheduler);
+		this.demands = new DemandBoard(scheduler);
+		this.backends = backends;
+		this.health = new BackendHealth(scheduler, DecisionLog.NONE);
+		this.random = random;
+		this.policy = policy.create(this);
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	LoadBoard loads() {
+		return this.loads;
+	}
+
+	DemandBoard demands() {
+		return this.demands;
+	}
+
+	BackendTable backends() {
+		return this.backends;
+	}
+
+	BackendHealth health() {
+		return this.health;
+	}
+
+	RandomGenerator random() {
+		return this.random;
+	}
+
+	PlacementPolicy policy() {
+		return this.policy;
+	}
+
+	int active(Backend engine) {
+		return this.loads.load(engine.start()).active();
+	}
+
+	/**
+	 * Notes a request that has arrived.
+	 * @param profile how engines work
+	 * @param tokens its prompt's length
+	 * @return its work, for the boards
+	 */
+	PlayedWork arrived(EngineProfile profile, long tokens) {
+		return new PlayedWork(this, profile, tokens);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Policies.java
@@ -0,0 +1,80 @@
+package org.bramleyscale.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.placement.EnginePlacement;
+import org.bramleyscale.internal.gateway.placement.Placement;
+import org.bramleyscale.internal.gateway.placement.PlacementPolicy;
+
+/**
+ * The policies that an experiment may name: the product's, and baselines.
+ *
+ * <p>
+ * Stateless and safe for use by multiple threads.
+ */
+final class Policies {
+
+	/** The protocol's bound: the target and 16 that help. */
+	private static final int MOST_READERS = 17;
+
+	private static final Map<String, PolicyFactory> POLICIES = new TreeMap<>(Map.of("product", Policies::product,
+			"least in flight", Policies::leastInFlight, "always split", Policies::alwaysSplit));
+
+	private Policies() {
+	}
+
+	static Set<String> names() {
+		return POLICIES.keySet();
+	}
+
+	static PolicyFactory named(String name) {
+		return POLICIES.get(name);
+	}
+
+	private static PlacementPolicy product(PlayedDaemon daemon) {
+		return new EnginePlacement(daemon.backends(), daemon.health(), daemon.loads(), daemon.demands(),
+				daemon.random());
+	}
+
+	/**
+	 * The engine with the fewest requests reads the prompt alone.
+	 * @param daemon what the daemon knows
+	 * @return the policy
+	 */
+	private static PlacementPolicy leastInFlight(PlayedDaemon daemon) {
+		return (request) -> {
+			EngineProfile profile = request.service().engine().orElseThrow();
+			Backend best = byActive(daemon).get(0);
+			return Placement.at(best, List.of(), profile.readMillis(request.promptTokens()), 0, "least in flight");
+		};
+	}
+
+	/**
+	 * Any prompt is read by as many of the least busy engines as may help.
+	 * @param daemon what the daemon knows
+	 * @return the policy
+	 */
+	private static PlacementPolicy alwaysSplit(PlayedDaemon daemon) {
+		return (request) -> {
+			EngineProfile profile = request.service().engine().orElseThrow();
+			List<Backend> sorted = byActive(daemon);
+			int readers = Math.min(MOST_READERS, sorted.size());
+			return Placement.at(sorted.get(0), sorted.subList(1, readers),
+					profile.readMillis(request.promptTokens()) / readers, 0, "always split");
+		};
+	}
+
+	private static List<Backend> byActive(PlayedDaemon daemon) {
+		List<Backend> sorted = new ArrayList<>(daemon.backends().usable(Play.SERVICE));
+		sorted.sort(Comparator.comparingInt(daemon::active));
+		return sorted;
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/DocumentReader.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/DocumentReader.java
@@ -25,7 +25,7 @@
  * It works on YAML nodes rather than on bound objects, because binding stops at the first
  * error and forgets line numbers. Not safe for use by multiple threads.
  */
-final class DocumentReader {
+public final class DocumentReader {
 
 	private static final int LARGEST_DOCUMENT = 32 * 1024 * 1024;
 
@@ -39,12 +39,18 @@
 
 	private final MappingReader root;
 
-	DocumentReader(String yaml, List<String> sections) throws InvalidConfigurationException {
+	/**
+	 * Begins to read a document.
+	 * @param yaml its text
+	 * @param sections the keys that it may have
+	 * @throws InvalidConfigurationException if it is no YAML map
+	 */
+	public DocumentReader(String yaml, List<String> sections) throws InvalidConfigurationException {
 		this.root = new MappingReader(this, "", compose(yaml));
 		this.root.allowOnly(sections);
 	}
 
-	MappingReader root() {
+	public MappingReader root() {
 		return this.root;
 	}
 
@@ -55,7 +61,7 @@
 	 * @param constructor reads one entry; only called where all fields can be read
 	 * @return the entries without problems
 	 */
-	<E> List<E> entries(String section, Function<MappingReader, E> constructor) {
+	public <E> List<E> entries(String section, Function<MappingReader, E> constructor) {
 		List<E> entries = new ArrayList<>();
 		for (MappingReader mapping : this.root.mappings(section)) {
 			E entry = constructor.apply(mapping);
@@ -82,7 +88,7 @@
 	 * @param checks problems of the document as a whole
 	 * @throws InvalidConfigurationException if anything is wrong
 	 */
-	void finish(List<ConfigurationProblem> checks) throws InvalidConfigurationException {
+	public void finish(List<ConfigurationProblem> checks) throws InvalidConfigurationException {
 		// An entry that is broken in itself is missing from the whole; what refers to it
 		// isn't wrong for that.
 		checks.stream()
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/FieldType.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/FieldType.java
@@ -17,20 +17,29 @@
  * @param allowed what is allowed
  * @param parser reads the text or throws an {@link IllegalArgumentException}
  */
-record FieldType<T>(String allowed, Function<String, T> parser) {
+public record FieldType<T>(String allowed, Function<String, T> parser) {
 
-	static final FieldType<String> TEXT = new FieldType<>("text", Function.identity());
+	/** Any text. */
+	public static final FieldType<String> TEXT = new FieldType<>("text", Function.identity());
 
-	static final FieldType<Integer> INTEGER = new FieldType<>("a whole number", Integer::valueOf);
+	/** A whole number of at most 32 bits. */
+	public static final FieldType<Integer> INTEGER = new FieldType<>("a whole number", Integer::valueOf);
 
-	static final FieldType<Long> LONG = new FieldType<>("a whole number", Long::valueOf);
+	/** A whole number of at most 64 bits. */
+	public static final FieldType<Long> LONG = new FieldType<>("a whole number", Long::valueOf);
 
-	static final FieldType<Boolean> BOOLEAN = new FieldType<>("true or false", FieldType::parseBoolean);
+	/** A number that is 0 or more. */
+	public static final FieldType<Double> NUMBER = new FieldType<>("a number of 0 or more", FieldType::parseNumber);
 
-	static final FieldType<Duration> DURATION = new FieldType<>("a duration such as 500ms, 2s or 10m",
+	/** True or false. */
+	public static final FieldType<Boolean> BOOLEAN = new FieldType<>("true or false", FieldType::parseBoolean);
+
+	/** A time with its unit. */
+	public static final FieldType<Duration> DURATION = new FieldType<>("a duration such as 500ms, 2s or 10m",
 			DurationText::parse);
 
-	static final FieldType<ServiceEntry.Kind> KIND = new FieldType<>("model or plain", FieldType::parseKind);
+	/** What a service consists of. */
+	public static final FieldType<ServiceEntry.Kind> KIND = new FieldType<>("model or plain", FieldType::parseKind);
 
 	static <T> FieldType<T> name(Function<String, T> constructor) {
 		return new FieldType<>(
@@ -38,6 +47,14 @@
 				constructor);
 	}
 
+	private static Double parseNumber(String text) {
+		double number = Double.parseDouble(text);
+		if (!(number >= 0) || Double.isInfinite(number)) {
+			throw new IllegalArgumentException("'" + text + "' is not a number of 0 or more");
+		}
+		return number;
+	}
+
 	private static Boolean parseBoolean(String text) {
 		return switch (text) {
 			case "true" -> true;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/MappingReader.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/MappingReader.java
@@ -20,7 +20,7 @@
  * Invariant: each read of a field either returns its value or reports a problem and
  * returns null. Not safe for use by multiple threads.
  */
-final class MappingReader {
+public final class MappingReader {
 
 	private static final String NAME = "name";
 
@@ -44,7 +44,11 @@
 		node.getValue().forEach(this::index);
 	}
 
-	boolean valid() {
+	/**
+	 * Whether nothing was wrong so far.
+	 * @return false once a problem was reported
+	 */
+	public boolean valid() {
 		return this.valid;
 	}
 
@@ -56,7 +60,12 @@
 		return (this.fields.get(NAME) instanceof ScalarNode scalar) ? scalar.getValue() : this.path;
 	}
 
-	MappingReader allowOnly(List<String> keys) {
+	/**
+	 * Reports each field that the map may not have.
+	 * @param keys the fields that it may have
+	 * @return this reader
+	 */
+	public MappingReader allowOnly(List<String> keys) {
 		this.fields.keySet()
 			.stream()
 			.filter((key) -> !keys.contains(key))
@@ -65,7 +74,14 @@
 		return this;
 	}
 
-	<T> T required(String key, FieldType<T> type) {
+	/**
+	 * Reads a field that must be there.
+	 * @param <T> the type of the value
+	 * @param key the field
+	 * @param type how it is read
+	 * @return the value, or null if a problem was reported
+	 */
+	public <T> T required(String key, FieldType<T> type) {
 		if (!this.fields.containsKey(key)) {
 			add(this.line, key, "", type.allowed());
 			return null;
@@ -73,11 +89,26 @@
 		return value(key, this.fields.get(key), type);
 	}
 
-	<T> T optional(String key, FieldType<T> type, T defaultValue) {
+	/**
+	 * Reads a field that may be missing.
+	 * @param <T> the type of the value
+	 * @param key the field
+	 * @param type how it is read
+	 * @param defaultValue the value where it is missing
+	 * @return the value, or null if a problem was reported
+	 */
+	public <T> T optional(String key, FieldType<T> type, T defaultValue) {
 		return this.fields.containsKey(key) ? value(key, this.fields.get(key), type) : defaultValue;
 	}
 
-	<T> List<T> list(String key, FieldType<T> type) {
+	/**
+	 * Reads a list of scalars.
+	 * @param <T> the type of the values
+	 * @param key the field
+	 * @param type how each is read
+	 * @return the values without problems; none if the field is missing
+	 */
+	public <T> List<T> list(String key, FieldType<T> type) {
 		List<T> values = new ArrayList<>();
 		for (Node item : sequence(key)) {
 			T value = value(key, item, type);
@@ -88,7 +119,12 @@
 		return values;
 	}
 
-	List<MappingReader> mappings(String key) {
+	/**
+	 * Reads a list of maps.
+	 * @param key the field
+	 * @return a reader for each map; none if the field is missing
+	 */
+	public List<MappingReader> mappings(String key) {
 		List<MappingReader> mappings = new ArrayList<>();
 		int index = 0;
 		for (Node item : sequence(key)) {
