--- a/bench/src/main/java/org/bramleyscale/bench/experiment/ExperimentReader.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/ExperimentReader.java
@@ -53,11 +53,12 @@
 		Duration delay = root.required("hearingDelay", FieldType.DURATION);
 		Duration length = root.required("length", FieldType.DURATION);
 		Integer seeds = root.required("seeds", COUNT);
-		List<EngineGroup> engines = document.entries("engines", ExperimentReader::engines);
+		List<MappingReader> groups = root.mappings("engines");
+		List<EngineGroup> engines = groups.stream().map(ExperimentReader::engines).toList();
 		List<RequestKind> kinds = document.entries("kinds", ExperimentReader::kind);
 		List<Phase> phases = document.entries("phases", ExperimentReader::phase);
 		List<String> policies = root.list("policies", FieldType.TEXT);
-		document.finish(problems(engines, kinds, phases, policies));
+		document.finish(problems(groups.size(), kinds, phases, policies));
 		EngineGroup group = engines.get(0);
 		return new Experiment(name, group.count(), group.profile(), daemons, delay, length, seeds, kinds, phases,
 				policies);
@@ -111,11 +112,11 @@
 		return reader.valid() ? new Phase(kind, from, to, factor) : null;
 	}
 
-	private static List<ConfigurationProblem> problems(List<EngineGroup> engines, List<RequestKind> kinds,
-			List<Phase> phases, List<String> policies) {
+	private static List<ConfigurationProblem> problems(int groups, List<RequestKind> kinds, List<Phase> phases,
+			List<String> policies) {
 		List<ConfigurationProblem> problems = new ArrayList<>();
-		if (engines.size() != 1) {
-			problems.add(problem("engines", engines.size() + " groups", "one group of engines"));
+		if (groups != 1) {
+			problems.add(problem("engines", groups + " groups", "one group of engines"));
 		}
 		Set<String> names = kinds.stream().map(RequestKind::name).collect(Collectors.toSet());
 		if (names.isEmpty()) {
