Choose readers of long prompts by the room that the streams' pauses leave

Hypothesis: short answers are late by pauses, and these are filled with the reading of long prompts on engines that write. Cause: the long lane grew with the demand for it, over engines that still wrote short answers, and its parts (60 ms, 110 ms, 500 ms, 0.4) were times of the first customers, whatever the document's pauses. Change: (1) boards tell the strictest pause of the streams at each engine; a long prompt is split over as many engines as read it first, among those whose room takes a part, and waits while none does or too few would. (2) The long lane is whatever short answers leave (0.7 of their slots taken), so it is clean when long prompts come. (3) Parts of short and medium prompts are shares of what the service's strictest pause leaves.

--- a/bench/src/main/java/org/bramleyscale/bench/experiment/KindOutcome.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/KindOutcome.java
@@ -27,6 +27,9 @@
 
 	int refused;
 
+	/** Of these, refused because an engine helps as many as it may. */
+	int notHelped;
+
 	double earned;
 
 	double owed;
@@ -39,6 +42,7 @@
 		this.lateFirst += other.lateFirst;
 		this.latePause += other.latePause;
 		this.refused += other.refused;
+		this.notHelped += other.notHelped;
 		this.earned += other.earned;
 		this.owed += other.owed;
 	}
--- a/bench/src/main/java/org/bramleyscale/bench/experiment/PlayedDaemon.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/PlayedDaemon.java
@@ -5,7 +5,7 @@
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
-import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -76,12 +76,12 @@
 
 	/**
 	 * Notes a request that has arrived.
-	 * @param profile how engines work
+	 * @param service the service
 	 * @param tokens its prompt's length
 	 * @return its work, for the boards
 	 */
-	PlayedWork arrived(EngineProfile profile, long tokens) {
-		return new PlayedWork(this, profile, tokens);
+	PlayedWork arrived(Service service, long tokens) {
+		return new PlayedWork(this, service, tokens);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/Catalog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/Catalog.java
@@ -40,7 +40,7 @@
 
 	private Catalog(Builder builder) {
 		this.version = builder.version;
-		this.services = Map.copyOf(builder.services);
+		this.services = Map.copyOf(withAims(builder));
 		this.accountsByKey = Map.copyOf(builder.accountsByKey);
 		this.keysNeeded = builder.keysNeeded;
 		this.limits = builder.limits;
@@ -50,6 +50,17 @@
 		this.routesByHost.values().forEach((routes) -> routes.sort(LONGEST_FIRST));
 	}
 
+	private static Map<ServiceName, Service> withAims(Builder builder) {
+		Map<ServiceName, Service> services = new HashMap<>();
+		builder.services.forEach((name, service) -> {
+			List<Route> routes = builder.routes.stream()
+				.filter((route) -> route.services().stream().anyMatch((share) -> share.service().equals(name)))
+				.toList();
+			services.put(name, new Service(name, service.connectionLimit(), service.engine(), StreamAims.of(routes)));
+		});
+		return services;
+	}
+
 	/**
 	 * Starts a catalog.
 	 * @param version the document's version, which grows with each change
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/DemandBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/DemandBoard.java
@@ -1,6 +1,5 @@
 package org.bramleyscale.internal.gateway.load;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,21 +11,15 @@
 import org.bramleyscale.internal.time.Clock;
 
 /**
- * How many short requests are under way, and how much reading long prompts ask for, by
+ * How many short requests are under way, and how much reading waits at daemons, by
  * service and over all daemons.
  *
  * <p>
- * The reading asked for is averaged over {@link #MEMORY}: long enough to hold several
- * arrivals of long prompts, short enough that a change of the mix is seen within seconds.
- * Confined to the scheduler's thread.
+ * Invariant: what a silent daemon told counts for {@link LoadBoard#PEER_KEPT}. Confined
+ * to the scheduler's thread.
  */
 public final class DemandBoard {
 
-	/** At two long prompts a second this holds about six arrivals. */
-	static final Duration MEMORY = Duration.ofSeconds(3);
-
-	private static final double NANOS_PER_SECOND = 1_000_000_000;
-
 	private final Clock clock;
 
 	private final Map<ServiceName, Own> own = new HashMap<>();
@@ -45,17 +38,6 @@
 		own(service).shortActive--;
 	}
 
-	/**
-	 * Notes a long prompt.
-	 * @param service the service
-	 * @param readMillis its reading, ms
-	 */
-	public void longArrived(ServiceName service, double readMillis) {
-		Own demand = own(service);
-		demand.decay(this.clock.nanos());
-		demand.longSum += readMillis;
-	}
-
 	/**
 	 * Notes that a long prompt isn't sent yet.
 	 * @param service the service
@@ -78,19 +60,6 @@
 		demand.waitingMillis -= readMillis;
 	}
 
-	/**
-	 * The reading of long prompts that wait at all daemons.
-	 * @param service the service
-	 * @return the time of one engine that it needs, ms
-	 */
-	public double waitingMillis(ServiceName service) {
-		double sum = own(service).waitingMillis;
-		for (LoadTold.Demand demand : told(service)) {
-			sum += demand.waitingMillis();
-		}
-		return sum;
-	}
-
 	/**
 	 * The reading that is done before a prompt's own, if shorter prompts go first.
 	 * @param service the service
@@ -123,28 +92,10 @@
 		return sum;
 	}
 
-	/**
-	 * The reading that long prompts ask for on all daemons.
-	 * @param service the service
-	 * @return engines kept busy by it
-	 */
-	public double longEngines(ServiceName service) {
-		Own demand = own(service);
-		demand.decay(this.clock.nanos());
-		double sum = demand.longPerSecond();
-		for (LoadTold.Demand told : told(service)) {
-			sum += told.longMillis();
-		}
-		return sum / 1_000;
-	}
-
 	public List<LoadTold.Demand> demands() {
 		List<LoadTold.Demand> demands = new ArrayList<>();
-		this.own.forEach((service, demand) -> {
-			demand.decay(this.clock.nanos());
-			demands.add(new LoadTold.Demand(service.value(), demand.shortActive,
-					(int) Math.round(demand.longPerSecond()), demand.waiting, (int) Math.round(demand.waitingMillis)));
-		});
+		this.own.forEach((service, demand) -> demands.add(new LoadTold.Demand(service.value(), demand.shortActive,
+				demand.waiting, (int) Math.round(demand.waitingMillis))));
 		return demands;
 	}
 
@@ -173,7 +124,7 @@
 	}
 
 	private Own own(ServiceName service) {
-		return this.own.computeIfAbsent(service, (name) -> new Own(this.clock.nanos()));
+		return this.own.computeIfAbsent(service, (name) -> new Own());
 	}
 
 	/**
@@ -192,28 +143,10 @@
 
 		private int shortActive;
 
-		private double longSum;
-
 		private int waiting;
 
 		private double waitingMillis;
 
-		private long decayedAt;
-
-		private Own(long now) {
-			this.decayedAt = now;
-		}
-
-		private void decay(long now) {
-			double seconds = (now - this.decayedAt) / NANOS_PER_SECOND;
-			this.longSum *= Math.exp(-seconds / MEMORY.toSeconds());
-			this.decayedAt = now;
-		}
-
-		private double longPerSecond() {
-			return this.longSum / MEMORY.toSeconds();
-		}
-
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadBoard.java
@@ -59,10 +59,12 @@
 	 * @param readMillis the prompt, or the part of it, that it reads, in ms of reading
 	 * @param tokens the context that it keeps in memory
 	 * @param active false if it only helps to read
+	 * @param pauseMillis the longest pause that its stream may have, ms, or
+	 * {@link EndpointLoad#ANY_PAUSE}
 	 * @return the work, to be told when it is read and when it ends
 	 */
-	public Work begin(EndpointStart endpoint, double readMillis, long tokens, boolean active) {
-		Work work = new Work(endpoint, readMillis, tokens, active, this.clock.nanos());
+	public Work begin(EndpointStart endpoint, double readMillis, long tokens, boolean active, int pauseMillis) {
+		Work work = new Work(endpoint, readMillis, tokens, active, pauseMillis, this.clock.nanos());
 		this.own.computeIfAbsent(endpoint, (id) -> new LinkedHashSet<>()).add(work);
 		return work;
 	}
@@ -82,16 +84,18 @@
 		int active = mine.active();
 		long tokens = mine.tokens();
 		int helping = mine.helping();
+		int pause = mine.pauseMillis();
 		for (Told told : this.others.values()) {
 			LoadTold.Share theirs = told.shares().get(endpoint);
 			if (theirs != null && now - told.at() < PEER_KEPT.toNanos()) {
 				active += theirs.active();
 				tokens += theirs.tokens();
 				helping += theirs.helping();
+				pause = Math.min(pause, theirs.pauseMillis());
 				reading = reading.plus(told.reading(theirs));
 			}
 		}
-		return new EndpointLoad(active, reading.unread(now), tokens, helping);
+		return new EndpointLoad(active, reading.unread(now), tokens, helping, pause);
 	}
 
 	/**
@@ -107,7 +111,7 @@
 			shares.add(new LoadTold.Share(endpoint.toString(), mine.active(), (int) Math.ceil(reading.millis()),
 					mine.tokens(), (reading.millis() > 0) ? millisSince(reading.oldest(), now) : 0,
 					(reading.done() != Reading.NEVER) ? millisSince(reading.done(), now) : LoadTold.Share.NEVER,
-					mine.helping()));
+					mine.helping(), mine.pauseMillis()));
 		}
 		return shares;
 	}
@@ -127,16 +131,18 @@
 		int active = 0;
 		long tokens = 0;
 		int helping = 0;
+		int pause = EndpointLoad.ANY_PAUSE;
 		Reading reading = new Reading(0, Long.MAX_VALUE, this.lastRead.getOrDefault(endpoint, Reading.NEVER));
 		for (Work work : this.own.getOrDefault(endpoint, Set.of())) {
 			active += work.active ? 1 : 0;
 			tokens += work.tokens;
+			pause = Math.min(pause, work.pauseMillis);
 			if (!work.read) {
 				helping += work.active ? 0 : 1;
 				reading = reading.plus(new Reading(work.readMillis, work.begun, Reading.NEVER));
 			}
 		}
-		return new OwnWork(active, tokens, reading, helping);
+		return new OwnWork(active, tokens, reading, helping, pause);
 	}
 
 	private static int millisSince(long then, long now) {
@@ -168,8 +174,9 @@
 	 * @param tokens context in memory
 	 * @param reading what is to be read
 	 * @param helping parts that it reads for other endpoints
+	 * @param pauseMillis the strictest pause of its streams, ms
 	 */
-	private record OwnWork(int active, long tokens, Reading reading, int helping) {
+	private record OwnWork(int active, long tokens, Reading reading, int helping, int pauseMillis) {
 	}
 
 	/**
@@ -211,15 +218,19 @@
 
 		private final boolean active;
 
+		private final int pauseMillis;
+
 		private final long begun;
 
 		private boolean read;
 
-		private Work(EndpointStart endpoint, double readMillis, long tokens, boolean active, long begun) {
+		private Work(EndpointStart endpoint, double readMillis, long tokens, boolean active, int pauseMillis,
+				long begun) {
 			this.endpoint = endpoint;
 			this.readMillis = readMillis;
 			this.tokens = tokens;
 			this.active = active;
+			this.pauseMillis = pauseMillis;
 			this.begun = begun;
 		}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
@@ -23,19 +23,19 @@
 	LoadSum add(List<LoadTold.Share> toldShares, List<LoadTold.Demand> toldDemands, int sign) {
 		for (LoadTold.Share told : toldShares) {
 			LoadTold.Share held = this.shares.getOrDefault(told.endpoint(),
-					new LoadTold.Share(told.endpoint(), 0, 0, 0, 0, LoadTold.Share.NEVER, 0));
+					new LoadTold.Share(told.endpoint(), 0, 0, 0, 0, LoadTold.Share.NEVER, 0, EndpointLoad.ANY_PAUSE));
 			this.shares.put(told.endpoint(),
 					new LoadTold.Share(told.endpoint(), held.active() + sign * told.active(),
 							held.readMillis() + sign * told.readMillis(), held.tokens() + sign * told.tokens(),
 							Math.max(held.oldestMillis(), told.oldestMillis()), latest(held, told),
-							held.helping() + sign * told.helping()));
+							held.helping() + sign * told.helping(), Math.min(held.pauseMillis(), told.pauseMillis())));
 		}
 		for (LoadTold.Demand told : toldDemands) {
 			LoadTold.Demand held = this.demands.getOrDefault(told.service(),
-					new LoadTold.Demand(told.service(), 0, 0, 0, 0));
+					new LoadTold.Demand(told.service(), 0, 0, 0));
 			this.demands.put(told.service(),
 					new LoadTold.Demand(told.service(), held.shortActive() + sign * told.shortActive(),
-							held.longMillis() + sign * told.longMillis(), held.waiting() + sign * told.waiting(),
+							held.waiting() + sign * told.waiting(),
 							held.waitingMillis() + sign * told.waitingMillis()));
 		}
 		return this;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadTold.java
@@ -22,9 +22,11 @@
 	 * @param oldestMillis for how long the oldest unread prompt has been there
 	 * @param doneMillis how long ago a prompt was last read to its end, or -1 if none was
 	 * @param helping requests of other endpoints whose prompts it helps to read
+	 * @param pauseMillis the strictest pause of the streams written there, ms, or
+	 * {@link EndpointLoad#ANY_PAUSE}
 	 */
 	public record Share(String endpoint, int active, int readMillis, long tokens, int oldestMillis, int doneMillis,
-			int helping) {
+			int helping, int pauseMillis) {
 
 		/** Nothing was read to its end lately. */
 		public static final int NEVER = -1;
@@ -36,11 +38,10 @@
 	 *
 	 * @param service the service
 	 * @param shortActive short requests that haven't ended
-	 * @param longMillis long prompts that arrived lately, in ms of reading per second
 	 * @param waiting long prompts that aren't sent yet
 	 * @param waitingMillis their reading, ms
 	 */
-	public record Demand(String service, int shortActive, int longMillis, int waiting, int waitingMillis) {
+	public record Demand(String service, int shortActive, int waiting, int waitingMillis) {
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
@@ -14,7 +14,7 @@
  * @param load what it has to do
  * @param longLane whether long prompts go there
  * @param avoided whether it failed lately
- * @param extra what failures and chance add to its score, ms
+ * @param extra what failures add to its score, ms
  * @param profile how it works
  */
 record Candidate(Backend backend, EndpointLoad load, boolean longLane, boolean avoided, double extra,
@@ -62,6 +62,21 @@
 		return full() ? score + FULL_MILLIS : score;
 	}
 
+	/**
+	 * What may still be read there so that its streams keep to their pauses.
+	 * @param pauseShare the part of a pause that a pass may take
+	 * @param freeMillis what it may have before it if no stream minds a pause, ms; an
+	 * idle engine may read any length
+	 * @return ms of reading; negative if a stream there pauses too long already
+	 */
+	double roomMillis(double pauseShare, double freeMillis) {
+		if (this.load.pauseMillis() == EndpointLoad.ANY_PAUSE) {
+			return (this.load.readMillis() > 0) ? freeMillis - this.load.readMillis() : Double.MAX_VALUE;
+		}
+		double pass = this.profile.passMillis(this.load.active(), this.load.tokens());
+		return pauseShare * (this.load.pauseMillis() - pass) - this.load.readMillis();
+	}
+
 	boolean full() {
 		return this.load.active() >= this.profile.slots();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -10,9 +10,9 @@
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.EngineProfile;
+import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.hold.MemoryHold;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
-import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 
 /**
@@ -30,42 +30,9 @@
 	/** The protocol's bound on engines that help to read is 16; the target reads too. */
 	static final int MOST_READERS = 17;
 
-	/**
-	 * What one engine reads at a time among short answers, ms. Their callers allow pauses
-	 * of 250 ms; a pass takes 45 ms without reading, and two or three parts may meet.
-	 */
-	static final double SHORT_PART_MILLIS = 60;
-
-	/** A part that is longer than this goes to the long lane if there is one, ms. */
-	static final double LONGEST_SHORT_PART_MILLIS = 110;
-
-	/**
-	 * Engines among which one is chosen for a short prompt. All daemons know the same of
-	 * engines, some hundred milliseconds late in a large fleet; if each took the best of
-	 * all, they would all take the same one until they hear of it. On fake engines (69,
-	 * 76 daemons that hear of each other after 250 ms, 165 quotes a second), 0.87 of the
-	 * quotes were in time with 3, 0.89 with 2, 0.80 with 5, 0.15 with all; on 21 engines
-	 * with 7 daemons (2 ms) 0.80 with 3 and 0.73 with all.
-	 */
-	static final int CHOICES = 3;
-
 	/** What a recent failure adds to an engine's score, ms. */
 	private static final double FAILURE_MILLIS = 150;
 
-	/**
-	 * Scores are spread by this, so that daemons don't all choose the same engine, ms.
-	 */
-	private static final double JITTER_MILLIS = 8;
-
-	/**
-	 * Reading that each engine of the long lane may have before it, ms, when another long
-	 * prompt is sent there. Engines read what they have in no order of ours: twenty long
-	 * prompts sent at once all end after the time of twenty. On fake engines with many
-	 * manuals (mean of eight seeds), 0.95 to 0.99 of the manuals were in time with 20 to
-	 * 130 ms, 0.73 to 0.86 with 300 to 1,200 ms, 0.78 without a bound.
-	 */
-	static final double MOST_UNREAD_MILLIS = 60;
-
 	/** Requests that wait at a full engine, as a part of its slots. */
 	private static final double MOST_WAITING = 0.5;
 
@@ -86,30 +53,73 @@
 
 	private final RandomGenerator random;
 
+	private final PlacementTuning tuning;
+
 	public EnginePlacement(BackendTable backends, BackendHealth health, LoadBoard loads, DemandBoard demands,
 			RandomGenerator random) {
+		this(backends, health, loads, demands, random, PlacementTuning.DEFAULT);
+	}
+
+	/**
+	 * Makes a policy for experiments.
+	 * @param backends the endpoints
+	 * @param health which of them failed lately
+	 * @param loads what they have to do
+	 * @param demands what is asked for
+	 * @param random spreads choices
+	 * @param tuning the thresholds
+	 */
+	public EnginePlacement(BackendTable backends, BackendHealth health, LoadBoard loads, DemandBoard demands,
+			RandomGenerator random, PlacementTuning tuning) {
 		this.backends = backends;
 		this.health = health;
 		this.loads = loads;
 		this.demands = demands;
 		this.random = random;
+		this.tuning = tuning;
 	}
 
 	/**
 	 * Whether a prompt counts as long: its parts are long however many engines read it.
-	 * @param profile the engine
+	 * @param service the service, which has engines
 	 * @param promptTokens the prompt's length
 	 * @return true if it is kept apart from short ones
 	 */
-	public static boolean isLong(EngineProfile profile, long promptTokens) {
-		return profile.readMillis(promptTokens) > MOST_READERS * LONGEST_SHORT_PART_MILLIS;
+	public static boolean isLong(Service service, long promptTokens) {
+		EngineProfile profile = service.engine().orElseThrow();
+		return profile.readMillis(promptTokens) > MOST_READERS
+				* longestWhole(service, profile, PlacementTuning.DEFAULT);
+	}
+
+	/**
+	 * What one engine reads of a prompt by itself among short answers.
+	 * @param service the service
+	 * @param profile its engines
+	 * @param tuning the thresholds
+	 * @return ms of reading
+	 */
+	private static double longestWhole(Service service, EngineProfile profile, PlacementTuning tuning) {
+		return tuning.wholeShare() * readingPause(service, profile);
+	}
+
+	/**
+	 * The time that the strictest pause leaves for reading in a pass of a half full
+	 * engine, or one chunk if it leaves less.
+	 * @param service the service
+	 * @param profile its engines
+	 * @return ms
+	 */
+	private static double readingPause(Service service, EngineProfile profile) {
+		double pass = profile.passMillis(profile.slots() / 2, 0);
+		double chunk = profile.readMillis(profile.chunk());
+		return Math.max(chunk, service.aims().strictestPause().toMillis() - pass);
 	}
 
 	@Override
 	public Placement place(PlacementRequest request) {
 		EngineProfile profile = request.service().engine().orElseThrow();
 		double read = profile.readMillis(request.promptTokens());
-		List<Candidate> candidates = candidates(request, profile, read);
+		List<Candidate> candidates = candidates(request, profile);
 		if (candidates.isEmpty()) {
 			boolean none = this.backends.usable(request.service().name()).isEmpty();
 			return Placement.refused(none ? "no endpoint" : "no other endpoint", PlainPlacement.NO_ENDPOINT_PAUSE);
@@ -118,15 +128,21 @@
 			.filter((candidate) -> !candidate.longLane() && !candidate.avoided())
 			.toList();
 		double shortPart = read / Math.max(1, Math.min(MOST_READERS, shortLane.size()));
+		double whole = longestWhole(request.service(), profile, this.tuning);
 		boolean large = needed(request) > Candidate.USED_MEMORY * profile.memoryTokens();
-		if (large || shortPart > LONGEST_SHORT_PART_MILLIS) {
+		if (large || shortPart > whole) {
 			return checked(request, placeLong(request, candidates, read));
 		}
-		return checked(request, placeShort(request, candidates, shortLane, read));
+		int readers = 1;
+		if (read > whole) {
+			double part = this.tuning.partShare() * readingPause(request.service(), profile);
+			readers = Math.min(MOST_READERS, (int) Math.ceil(read / part));
+		}
+		return checked(request, placeShort(request, candidates, shortLane, read, readers));
 	}
 
 	private Placement placeShort(PlacementRequest request, List<Candidate> candidates, List<Candidate> shortLane,
-			double read) {
+			double read, int readers) {
 		Candidate target = few(request, shortLane, candidates).stream()
 			.filter((candidate) -> candidate.freeTokens() >= needed(request))
 			.min(Comparator.comparingDouble(Candidate::shortScore))
@@ -138,11 +154,10 @@
 		if (over >= MOST_WAITING * target.profile().slots()) {
 			return Placement.refused("all slots taken", FULL_PAUSE);
 		}
-		int readers = (read <= LONGEST_SHORT_PART_MILLIS) ? 1 : (int) Math.ceil(read / SHORT_PART_MILLIS);
 		List<Backend> helpers = shortLane.stream()
 			.filter((candidate) -> candidate != target && candidate.mayHelp())
 			.sorted(Comparator.comparingDouble(Candidate::readScore))
-			.limit(Math.min(MOST_READERS, readers) - 1L)
+			.limit(readers - 1L)
 			.map(Candidate::backend)
 			.toList();
 		double part = read / (helpers.size() + 1);
@@ -151,23 +166,37 @@
 	}
 
 	/**
-	 * Whether a long prompt waits here until its lane has read more of what it has. The
-	 * longer it has waited, measured by its own reading, the more it may find there: so
-	 * shorter ones go first, and none waits for ever.
+	 * The engines that read a long prompt now, or none if it should wait here.
 	 * @param request the request
-	 * @param lane the engines that would read it
+	 * @param lane the engines that may read it
 	 * @param read its reading, ms
-	 * @param part what each of them would read, ms
-	 * @return the placement to wait, or null to go on
+	 * @return the readers
 	 */
-	private Placement waiting(PlacementRequest request, List<Candidate> lane, double read, double part) {
-		double unread = lane.stream().mapToDouble((candidate) -> candidate.load().readMillis()).average().orElse(0);
-		double waited = request.waited().toNanos() / NANOS_PER_MILLI;
-		if (unread <= MOST_UNREAD_MILLIS * (1 + waited / part)) {
-			return null;
+	private List<Candidate> readers(PlacementRequest request, List<Candidate> lane, double read) {
+		if (!this.tuning.budgets()) {
+			return lane;
 		}
+		double part = read / Math.min(MOST_READERS, lane.size());
+		double left = request.route().targetLatency().toMillis() - millis(request.waited());
+		double latest = Math.max(left, this.tuning.laterThanBest() * part);
+		double free = this.tuning.freeShare() * request.service().aims().slowestTarget().toMillis();
+		return new ReaderChoice(this.tuning.pauseShare(), free).among(lane, read, needed(request), latest);
+	}
+
+	/**
+	 * A prompt that waits here, with its first event as it would be once the lane has
+	 * read what is before it.
+	 * @param request the request
+	 * @param lane the engines that may read it
+	 * @param read its reading, ms
+	 * @return the placement
+	 */
+	private Placement later(PlacementRequest request, List<Candidate> lane, double read) {
+		double unread = lane.stream().mapToDouble((candidate) -> candidate.load().readMillis()).average().orElse(0);
 		double ahead = this.demands.waitingAhead(request.service().name(), read);
-		return Placement.later(unread + ahead / lane.size() + part, "long, waits");
+		long memory = lane.stream().mapToLong(Candidate::freeTokens).filter((tokens) -> tokens > 0).sum();
+		return Placement.later(unread + ahead / lane.size() + read / Math.min(MOST_READERS, lane.size()),
+				(memory < needed(request)) ? "long, no memory free" : "long, waits");
 	}
 
 	/**
@@ -186,7 +215,7 @@
 			return candidates;
 		}
 		List<Candidate> few = new ArrayList<>();
-		while (few.size() < CHOICES && !open.isEmpty()) {
+		while (few.size() < this.tuning.choices() && !open.isEmpty()) {
 			few.add(open.remove(this.random.nextInt(open.size())));
 		}
 		return few;
@@ -202,16 +231,17 @@
 	 * @return the placement
 	 */
 	private Placement placeLong(PlacementRequest request, List<Candidate> candidates, double read) {
-		List<Candidate> readers = new ArrayList<>(
-				candidates.stream().filter((candidate) -> candidate.longLane() && !candidate.avoided()).toList());
+		List<Candidate> lane = candidates.stream()
+			.filter((candidate) -> candidate.longLane() && !candidate.avoided() && candidate.mayHelp())
+			.toList();
+		if (lane.isEmpty()) {
+			lane = candidates;
+		}
+		List<Candidate> readers = new ArrayList<>(readers(request, lane, read));
 		if (readers.isEmpty()) {
-			readers.addAll(candidates);
+			return later(request, lane, read);
 		}
 		double smallest = read / Math.min(MOST_READERS, readers.size());
-		Placement waiting = waiting(request, readers, read, smallest);
-		if (waiting != null) {
-			return waiting;
-		}
 		readers.sort(Comparator.comparingDouble(Candidate::readScore));
 		Candidate target = readers.stream()
 			.filter((candidate) -> !candidate.full())
@@ -288,12 +318,16 @@
 		return target.profile().passMillis(target.load().active(), target.load().tokens());
 	}
 
+	private static double millis(Duration duration) {
+		return duration.toNanos() / NANOS_PER_MILLI;
+	}
+
 	private static long needed(PlacementRequest request) {
 		return request.promptTokens() + request.outputTokens();
 	}
 
 	private static Placement checked(PlacementRequest request, Placement placement) {
-		double left = request.left().toNanos() / NANOS_PER_MILLI;
+		double left = millis(request.left());
 		double late = placement.firstMillis() - left;
 		if ((placement.target().isEmpty() && !placement.waits()) || late <= 0) {
 			return placement;
@@ -302,21 +336,17 @@
 		return Placement.refused("first event predicted in " + Math.round(placement.firstMillis()) + " ms", pause);
 	}
 
-	private List<Candidate> candidates(PlacementRequest request, EngineProfile profile, double read) {
+	private List<Candidate> candidates(PlacementRequest request, EngineProfile profile) {
 		List<Backend> usable = this.backends.usable(request.service().name());
-		List<EndpointLoad> known = usable.stream().map((backend) -> this.loads.load(backend.start())).toList();
-		double backlog = known.stream().mapToDouble(EndpointLoad::readMillis).sum()
-				+ this.demands.waitingMillis(request.service().name()) + read;
 		LanePlan plan = LanePlan.of(usable.size(), profile.slots(), this.demands.shortActive(request.service().name()),
-				this.demands.longEngines(request.service().name()), backlog);
+				this.tuning.shortFull());
 		List<Candidate> candidates = new ArrayList<>();
 		for (int i = 0; i < usable.size(); i++) {
 			Backend backend = usable.get(i);
 			if (!request.tried().contains(backend.start())) {
-				double extra = FAILURE_MILLIS * this.health.failures(backend.start())
-						+ JITTER_MILLIS * this.random.nextDouble();
-				candidates.add(new Candidate(backend, known.get(i), plan.isLong(i), this.health.avoid(backend.start()),
-						extra, profile));
+				double extra = FAILURE_MILLIS * this.health.failures(backend.start());
+				candidates.add(new Candidate(backend, this.loads.load(backend.start()),
+						this.tuning.lanes() && plan.isLong(i), this.health.avoid(backend.start()), extra, profile));
 			}
 		}
 		return candidates;
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementTuning.java
@@ -0,0 +1,218 @@
+package org.bramleyscale.internal.gateway.placement;
+
+/**
+ * The thresholds of {@link EnginePlacement}, as parts of what the operator's document
+ * says and not as times of their own.
+ *
+ * <p>
+ * Daemons use {@link #DEFAULT}. Experiments change one value or switch one mechanism off;
+ * each value's figures are the mean worth over three mixes of requests on modelled
+ * engines (forecasts, hire-desk, departure-boards; 30 seeds each, paired), where 0.01 is
+ * about the width of the 95 % interval. Immutable and safe for use by multiple threads.
+ */
+public final class PlacementTuning {
+
+	/** What daemons use. */
+	public static final PlacementTuning DEFAULT = builder().build();
+
+	private final double pauseShare;
+
+	private final double wholeShare;
+
+	private final double partShare;
+
+	private final double shortFull;
+
+	private final double freeShare;
+
+	private final double laterThanBest;
+
+	private final int choices;
+
+	private final boolean lanes;
+
+	private final boolean budgets;
+
+	private PlacementTuning(Builder builder) {
+		this.pauseShare = builder.pauseShare;
+		this.wholeShare = builder.wholeShare;
+		this.partShare = builder.partShare;
+		this.shortFull = builder.shortFull;
+		this.freeShare = builder.freeShare;
+		this.laterThanBest = builder.laterThanBest;
+		this.choices = builder.choices;
+		this.lanes = builder.lanes;
+		this.budgets = builder.budgets;
+	}
+
+	/**
+	 * Starts from what daemons use.
+	 * @return a builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * The part of a stream's longest pause that a pass may take; the rest is for what
+	 * other daemons send unheard, and for the way to the caller.
+	 * @return the part; 0.9 and 1 differ by less than 0.003
+	 */
+	double pauseShare() {
+		return this.pauseShare;
+	}
+
+	/**
+	 * The longest reading that one engine does for a prompt by itself among short
+	 * answers, as a part of the time that the strictest pause leaves for reading.
+	 * @return the part; 0.4 loses 0.02 on two mixes, 0.7 loses 0.005 to 0.02
+	 */
+	double wholeShare() {
+		return this.wholeShare;
+	}
+
+	/**
+	 * What each engine reads at a time of a prompt that several read among short answers,
+	 * as a part of the same time: two or three parts may meet in a pass.
+	 * @return the part; 0.2 and 0.35 differ from 0.3 by less than 0.005
+	 */
+	double partShare() {
+		return this.partShare;
+	}
+
+	/**
+	 * The part of the short lane's slots that is taken before the lane grows.
+	 * @return the part; 0.4 and 0.5 lose up to 0.02 against 0.6, 0.7 gains 0.004 on it
+	 */
+	double shortFull() {
+		return this.shortFull;
+	}
+
+	/**
+	 * What an engine on which nobody writes may have before it, as a part of the
+	 * service's longest time to the first event. Engines read what they have in no order
+	 * of ours: twenty long prompts sent at once all end after the time of twenty.
+	 * @return the part; 0.4 to 0.8 differ by less than 0.005, 4 loses 0.01 to 0.02, and
+	 * 0.04 with twice as many long prompts; 0.15 loses as much
+	 */
+	double freeShare() {
+		return this.freeShare;
+	}
+
+	/**
+	 * How much later than if the whole lane read it a long prompt may be read once its
+	 * target is missed or can't be met: sent to the one engine that has room at the
+	 * moment, a very long one would be read there until its caller has left.
+	 * @return the factor; 2.5 loses 0.001 to 0.008, without it 0.002 to 0.015 are lost,
+	 * 1.1 gains up to 0.004 and refuses three times as many
+	 */
+	double laterThanBest() {
+		return this.laterThanBest;
+	}
+
+	/**
+	 * Engines among which one is chosen for a short prompt. All daemons know the same of
+	 * engines, some hundred milliseconds late in a large fleet; if each took the best of
+	 * all, they would all take the same one until they hear of it. With 69 engines and 76
+	 * daemons that hear of each other after 250 ms, 0.87 of short prompts were in time
+	 * with 3, 0.89 with 2, 0.80 with 5, 0.15 with all.
+	 * @return the number
+	 */
+	int choices() {
+		return this.choices;
+	}
+
+	/**
+	 * Whether long prompts are kept on engines of their own.
+	 * @return false only in experiments
+	 */
+	boolean lanes() {
+		return this.lanes;
+	}
+
+	/**
+	 * Whether long prompts keep to the pauses of the streams that they meet.
+	 * @return false only in experiments
+	 */
+	boolean budgets() {
+		return this.budgets;
+	}
+
+	/**
+	 * Collects values; not safe for use by multiple threads.
+	 */
+	public static final class Builder {
+
+		private double pauseShare = 0.9;
+
+		private double wholeShare = 0.55;
+
+		private double partShare = 0.3;
+
+		private double shortFull = 0.7;
+
+		private double freeShare = 0.5;
+
+		private double laterThanBest = 1.5;
+
+		private int choices = 3;
+
+		private boolean lanes = true;
+
+		private boolean budgets = true;
+
+		private Builder() {
+		}
+
+		public Builder pauseShare(double value) {
+			this.pauseShare = value;
+			return this;
+		}
+
+		public Builder wholeShare(double value) {
+			this.wholeShare = value;
+			return this;
+		}
+
+		public Builder partShare(double value) {
+			this.partShare = value;
+			return this;
+		}
+
+		public Builder shortFull(double value) {
+			this.shortFull = value;
+			return this;
+		}
+
+		public Builder freeShare(double value) {
+			this.freeShare = value;
+			return this;
+		}
+
+		public Builder laterThanBest(double value) {
+			this.laterThanBest = value;
+			return this;
+		}
+
+		public Builder choices(int value) {
+			this.choices = value;
+			return this;
+		}
+
+		public Builder lanes(boolean value) {
+			this.lanes = value;
+			return this;
+		}
+
+		public Builder budgets(boolean value) {
+			this.budgets = value;
+			return this;
+		}
+
+		public PlacementTuning build() {
+			return new PlacementTuning(this);
+		}
+
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.placement.Placement;
 import org.bramleyscale.internal.time.Cancellable;
@@ -99,11 +100,14 @@
 	 */
 	void send(Function<List<Helper>, OutgoingRequest> outgoing) {
 		long tokens = this.request.promptTokens() + this.request.outputTokens() - this.placement.held();
-		this.works
-			.add(this.ports.loads().begin(this.target.start(), this.placement.readMillis(), Math.max(0, tokens), true));
+		Route route = this.request.route();
+		int pause = route.streaming() ? (int) route.longestPause().toMillis() : EndpointLoad.ANY_PAUSE;
+		this.works.add(this.ports.loads()
+			.begin(this.target.start(), this.placement.readMillis(), Math.max(0, tokens), true, pause));
 		for (Backend helper : this.placement.helpers()) {
 			this.works.add(this.ports.loads()
-				.begin(helper.start(), this.placement.readMillis(), this.placement.heldAt(helper), false));
+				.begin(helper.start(), this.placement.readMillis(), this.placement.heldAt(helper), false,
+						EndpointLoad.ANY_PAUSE));
 		}
 		if (this.placement.holds().isEmpty()) {
 			sendNow(outgoing.apply(helpers(null)));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -98,7 +98,7 @@
 		this.endsAt = this.arrived + request.timeWithin(allowed.route().timeout()).toNanos();
 		this.longPrompt = allowed.service()
 			.engine()
-			.filter((engine) -> EnginePlacement.isLong(engine, request.promptTokens()))
+			.filter((engine) -> EnginePlacement.isLong(allowed.service(), request.promptTokens()))
 			.isPresent();
 		this.lastEventId = request.lastEventId().orElse(null);
 		this.kept = new KeptPrompt(ports, request.id(), allowed.service().name(), readMillis());
@@ -107,10 +107,7 @@
 	void start() {
 		Service service = this.allowed.service();
 		this.ports.retries().first(service.name());
-		if (this.longPrompt) {
-			this.ports.demands().longArrived(service.name(), readMillis());
-		}
-		else {
+		if (!this.longPrompt) {
 			this.ports.demands().shortBegan(service.name());
 		}
 		this.endTimer = this.ports.scheduler().schedule(left(), this::timeOver);
