--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -1,6 +1,5 @@
 package org.bramleyscale.internal.gateway.node;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,18 +37,10 @@
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
 import org.bramleyscale.internal.gateway.retry.RetryWindow;
-import org.bramleyscale.internal.membership.MembershipMessages;
 import org.bramleyscale.internal.membership.MembershipService;
-import org.bramleyscale.internal.membership.MembershipSettings;
-import org.bramleyscale.internal.membership.MembershipTimes;
-import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.MessageCodec;
-import org.bramleyscale.internal.peer.PeerIdentity;
-import org.bramleyscale.internal.peer.PeerMessages;
 import org.bramleyscale.internal.peer.TcpPeerNetwork;
-import org.bramleyscale.internal.peer.TcpPeerSettings;
 import org.bramleyscale.internal.platform.ObjectStore;
-import org.bramleyscale.internal.platform.VmRecord;
 import org.bramleyscale.internal.status.StatusSummary;
 import org.jboss.logging.Logger;
 
@@ -75,20 +66,6 @@
 	 */
 	private static final Duration OUTAGE_MEMORY = Duration.ofSeconds(3);
 
-	/**
-	 * Peers speak within a private network; the key keeps fleets apart, not enemies out.
-	 */
-	private static final byte[] PEER_KEY = "bramleyscale gateway peers".getBytes(StandardCharsets.UTF_8);
-
-	/**
-	 * Half of the product's usual times: callers that are named a dead daemon lose one of
-	 * two tries, and a lost connection alone doesn't show a daemon without power.
-	 */
-	private static final MembershipTimes TIMES = new MembershipTimes(Duration.ofMillis(500), Duration.ofMillis(1_500),
-			Duration.ofMillis(300), Duration.ofMillis(500), Duration.ofMillis(1_500), Duration.ofMillis(1_500),
-			Duration.ofSeconds(2), Duration.ofSeconds(5), Duration.ofMillis(300), Duration.ofMillis(500),
-			Duration.ofSeconds(5), Duration.ofMinutes(10));
-
 	private final GatewaySettings settings;
 
 	private final Parts parts;
@@ -139,6 +116,7 @@
 		NettyLoop loop = parts.loop();
 		DecisionLog log = parts.log();
 		this.self = new Incarnation(settings.vm(), registration.start());
+		PeerSetup peers = new PeerSetup(settings, this.self);
 		this.backends = new BackendTable(loop, log);
 		FollowedKind catalogKind = new FollowedKind(this::catalogChanged);
 		this.health = new BackendHealth(loop, log);
@@ -149,10 +127,10 @@
 				catalogKind, this::pace, log);
 		this.backendFollower = new StoreFollower(parts.documents().backendKind(), loop, this.random, daemons,
 				backendKind, this::pace, log);
-		this.network = new TcpPeerNetwork(peerSettings(), loop, new MessageCodec(messages()), this.random,
+		this.network = new TcpPeerNetwork(peers.connections(), loop, new MessageCodec(peers.messages()), this.random,
 				parts.metrics());
 		this.membership = MembershipService.builder()
-			.settings(new MembershipSettings(identity(), seeds(), MembershipSettings.DEFAULT_MESH_LIMIT, TIMES))
+			.settings(peers.membership())
 			.scheduler(loop)
 			.network(this.network)
 			.store(daemons)
@@ -331,33 +309,6 @@
 				this.settings.retryConstant(), () -> Math.max(1, this.membership.expected()));
 	}
 
-	private PeerIdentity identity() {
-		return new PeerIdentity(this.self, this.settings.dataCentre(), GatewaySettings.text(this.settings.peers()),
-				GatewaySettings.text(this.settings.callers()));
-	}
-
-	private TcpPeerSettings peerSettings() {
-		return TcpPeerSettings.builder().identity(identity()).listen(this.settings.peers()).key(PEER_KEY).build();
-	}
-
-	private List<VmRecord> seeds() {
-		int port = this.settings.peers().getPort();
-		return this.settings.seeds()
-			.stream()
-			.filter((seed) -> !seed.equals(this.settings.vm()))
-			.map((seed) -> new VmRecord(seed, this.settings.dataCentre(), seed.value() + ":" + port, "", false))
-			.toList();
-	}
-
-	private static MessageCatalog messages() {
-		MessageCatalog.Builder builder = MessageCatalog.builder();
-		PeerMessages.register(builder);
-		MembershipMessages.register(builder);
-		PeerCopies.register(builder);
-		LoadExchange.register(builder);
-		return builder.build();
-	}
-
 	/**
 	 * What a daemon uses of the world outside.
 	 *
