--- a/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
@@ -18,6 +18,7 @@
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
+import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.load.LoadTold;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -205,7 +206,7 @@
 
 		private void place() {
 			Duration waited = Duration.ofNanos(Play.this.scheduler.nanos() - this.arrived);
-			var route = this.kind.route(SERVICE.value());
+			Route route = this.kind.route(SERVICE.value());
 			Placement placed = this.daemon.policy()
 				.place(new PlacementRequest(route, Play.this.service, this.tokens,
 						this.events * (long) Play.this.experiment.profile().stride(), route.patience().minus(waited),
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementTuning.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementTuning.java
@@ -180,56 +180,110 @@
 		private Builder() {
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#pauseShare()}.
+		 * @param value a part of a pause, 0 to 1
+		 * @return this builder
+		 */
 		public Builder pauseShare(double value) {
 			this.pauseShare = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#wholeShare()}.
+		 * @param value a part of the time for reading
+		 * @return this builder
+		 */
 		public Builder wholeShare(double value) {
 			this.wholeShare = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#partShare()}.
+		 * @param value a part of the time for reading
+		 * @return this builder
+		 */
 		public Builder partShare(double value) {
 			this.partShare = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#shortFull()}.
+		 * @param value a part of the slots, 0 to 1
+		 * @return this builder
+		 */
 		public Builder shortFull(double value) {
 			this.shortFull = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#freeShare()}.
+		 * @param value a part of the slowest target
+		 * @return this builder
+		 */
 		public Builder freeShare(double value) {
 			this.freeShare = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#laterThanBest()}.
+		 * @param value a factor, 1 or more
+		 * @return this builder
+		 */
 		public Builder laterThanBest(double value) {
 			this.laterThanBest = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#lateShare()}.
+		 * @param value a part of the prompt's target
+		 * @return this builder
+		 */
 		public Builder lateShare(double value) {
 			this.lateShare = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#choices()}.
+		 * @param value engines, 1 or more
+		 * @return this builder
+		 */
 		public Builder choices(int value) {
 			this.choices = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#lanes()}.
+		 * @param value false to read long prompts anywhere
+		 * @return this builder
+		 */
 		public Builder lanes(boolean value) {
 			this.lanes = value;
 			return this;
 		}
 
+		/**
+		 * Sets {@link PlacementTuning#budgets()}.
+		 * @param value false to let all of the lane read at once
+		 * @return this builder
+		 */
 		public Builder budgets(boolean value) {
 			this.budgets = value;
 			return this;
 		}
 
+		/**
+		 * Makes the thresholds.
+		 * @return the thresholds
+		 */
 		public PlacementTuning build() {
 			return new PlacementTuning(this);
 		}
