Take a route without a longest pause as one that bears any

Cause: found on re-reading. A streaming route may say nothing of pauses; its streams were told to the boards with a pause of 0 ms, for which no engine that writes them ever has room, so long prompts would wait until refused. A test of three routes fails with the old line by its second case. StreamAims is tested with two routes each.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -100,8 +100,7 @@
 	 */
 	void send(Function<List<Helper>, OutgoingRequest> outgoing) {
 		long tokens = this.request.promptTokens() + this.request.outputTokens() - this.placement.held();
-		Route route = this.request.route();
-		int pause = route.streaming() ? (int) route.longestPause().toMillis() : EndpointLoad.ANY_PAUSE;
+		int pause = pauseMillis(this.request.route());
 		this.works.add(this.ports.loads()
 			.begin(this.target.start(), this.placement.readMillis(), Math.max(0, tokens), true, pause));
 		for (Backend helper : this.placement.helpers()) {
@@ -127,6 +126,17 @@
 		});
 	}
 
+	/**
+	 * The pause that callers of a route bear between events, for the load board.
+	 * @param route the route
+	 * @return ms; one that says nothing bears any, and not none, or engines that write
+	 * for it would never have room for a long prompt
+	 */
+	private static int pauseMillis(Route route) {
+		boolean said = route.streaming() && !route.longestPause().isZero();
+		return said ? (int) route.longestPause().toMillis() : EndpointLoad.ANY_PAUSE;
+	}
+
 	private void sendNow(OutgoingRequest outgoing) {
 		this.reached = true;
 		this.exchange = this.ports.client().send(this.target, outgoing, this);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/catalog/CatalogTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/catalog/CatalogTests.java
@@ -1,10 +1,13 @@
 package org.bramleyscale.internal.gateway.catalog;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.ServiceName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -57,6 +60,30 @@
 		Truth.assertThat(holder.current().orElseThrow().version()).isEqualTo(9);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "250, 300, 1000, 3000, 250, 3000", "600, 1500, 250, 300, 250, 1500", "0, 300, 600, 1500, 600, 1500",
+			"0, 300, 0, 300, 1000, 1000" })
+	void aServiceKnowsWhatItsRoutesWantOfStreams(long pause, long target, long otherPause, long otherTarget,
+			long strictest, long slowest) {
+		Catalog streams = Catalog.builder(1)
+			.service(new Service(new ServiceName("quotes"), 9, Optional.empty()))
+			.route(stream("a", pause, target))
+			.route(stream("b", otherPause, otherTarget))
+			.route(Route.builder("c", "hire.example", "/c/").service("yard").build())
+			.build();
+		Truth.assertThat(streams.service(new ServiceName("quotes")).orElseThrow().aims())
+			.isEqualTo(new StreamAims(Duration.ofMillis(strictest), Duration.ofMillis(slowest)));
+	}
+
+	private static Route stream(String name, long pause, long target) {
+		return Route.builder(name, "hire.example", "/" + name + "/")
+			.service("quotes")
+			.streaming(true)
+			.longestPause(Duration.ofMillis(pause))
+			.targetLatency(Duration.ofMillis(target))
+			.build();
+	}
+
 	private static Route route(String name, String prefix) {
 		return Route.builder(name, "hire.example", prefix).service("quotes").build();
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -92,6 +92,7 @@
 				.longestPause(Duration.ofMillis(250))
 				.patience(Duration.ofSeconds(2))
 				.build())
+			.route(route("any-pause", "/any-pause/").streaming(true).patience(Duration.ofSeconds(2)).build())
 			.route(route("book", "/book/").build())
 			.route(route("log", "/log/").idempotent(true).maxAttempts(2).build())
 			.build());
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -243,6 +243,16 @@
 		Truth.assertThat(caller.got.toString()).isEqualTo(got);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "/stream/1, 250", "/any-pause/1, 2147483647", "/book/1, 2147483647" })
+	void tellsWhichPauseItsCallerBears(String path, int pause) {
+		// Symptom: long prompts wait although engines are almost idle. Sequence: a stream
+		// runs whose route says nothing of pauses. Cause: that counts as a pause of 0 ms,
+		// for which no engine that writes it has room.
+		this.fixture.call(path);
+		Truth.assertThat(this.fixture.loads.load(this.fixture.last().to.start()).pauseMillis()).isEqualTo(pause);
+	}
+
 	@Test
 	void endpointsShareTheLoad() {
 		for (int i = 0; i < 3; i++) {
