Note a placed request on the load board in one place; name shared bounds once

Cause: found on re-reading the change. PlacedWork does it for both. The bound of 17 readers, the pause between tellings and the time after which a waiting request is placed anew stood a second time in the tool; it uses the gateway's. A played request made its route anew at each event. Read and left: the look-alike fields of KeptPrompt, LeaveSequence, Attempt and FleetStatus, of PassEngine's, FakePool's and ManualScheduler's entries, and the two readers of YAML maps: declarations of unlike things.

--- a/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
@@ -20,6 +20,7 @@
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.load.LoadExchange;
 import org.bramleyscale.internal.gateway.load.LoadTold;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.placement.Placement;
@@ -40,12 +41,6 @@
 
 	private static final DataCentre DATA_CENTRE = new DataCentre("east");
 
-	/** How often daemons tell each other of their work, as the gateway does. */
-	private static final Duration TELLING = Duration.ofMillis(100);
-
-	/** After this a request that waits is placed anew, as the gateway does. */
-	private static final Duration PLACED_AGAIN = Duration.ofMillis(25);
-
 	/** After the last arrival, so that the last answers end. */
 	private static final Duration LAST_ANSWERS = Duration.ofSeconds(30);
 
@@ -101,7 +96,7 @@
 	 */
 	Map<String, KindOutcome> run() {
 		if (this.daemons.size() > 1) {
-			this.scheduler.repeat(TELLING, this::tell);
+			this.scheduler.repeat(LoadExchange.PAUSE, this::tell);
 		}
 		this.experiment.kinds().forEach(this::arrive);
 		this.scheduler.advance(this.experiment.length().plus(LAST_ANSWERS));
@@ -166,6 +161,8 @@
 
 		private final RequestKind kind;
 
+		private final Route route;
+
 		private final long tokens;
 
 		private final int events;
@@ -191,6 +188,7 @@
 		private PlayedRequest(PlayedDaemon daemon, RequestKind kind, long tokens, int events) {
 			this.daemon = daemon;
 			this.kind = kind;
+			this.route = kind.route(SERVICE.value());
 			this.tokens = tokens;
 			this.events = events;
 			this.arrived = Play.this.scheduler.nanos();
@@ -206,14 +204,13 @@
 
 		private void place() {
 			Duration waited = Duration.ofNanos(Play.this.scheduler.nanos() - this.arrived);
-			Route route = this.kind.route(SERVICE.value());
 			Placement placed = this.daemon.policy()
-				.place(new PlacementRequest(route, Play.this.service, this.tokens,
-						this.events * (long) Play.this.experiment.profile().stride(), route.patience().minus(waited),
-						waited, Set.of(), DATA_CENTRE));
+				.place(new PlacementRequest(this.route, Play.this.service, this.tokens,
+						this.events * (long) Play.this.experiment.profile().stride(),
+						this.route.patience().minus(waited), waited, Set.of(), DATA_CENTRE));
 			if (placed.waits()) {
 				this.work.waits();
-				Play.this.scheduler.schedule(PLACED_AGAIN, this::place);
+				Play.this.scheduler.schedule(Placement.PLACED_AGAIN, this::place);
 				return;
 			}
 			this.work.placed();
@@ -231,7 +228,7 @@
 
 		private void send(Placement placed) {
 			Backend target = placed.target().orElseThrow();
-			this.work.sent(placed, this.tokens, this.kind.route(SERVICE.value()));
+			this.work.sent(placed, this.tokens, this.route);
 			this.unread = placed.helpers().size() + 1;
 			PassEngine writer = Play.this.engines.get(target.start());
 			double part = (double) this.tokens / this.unread;
@@ -258,7 +255,7 @@
 				long millis = (now - this.arrived) / 1_000_000;
 				this.outcome.firstMillis.recordValue(millis);
 				this.lateFirst = millis > this.kind.targetMillis();
-				this.gone = millis > this.kind.route(SERVICE.value()).patience().toMillis();
+				this.gone = millis > this.route.patience().toMillis();
 				this.work.read();
 			}
 			else if (now - this.lastEvent > this.kind.pauseMillis() * 1_000_000L) {
--- a/bench/src/main/java/org/bramleyscale/bench/experiment/PlayedWork.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/PlayedWork.java
@@ -1,14 +1,9 @@
 package org.bramleyscale.bench.experiment;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
-import org.bramleyscale.internal.gateway.load.EndpointLoad;
-import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.placement.EnginePlacement;
+import org.bramleyscale.internal.gateway.placement.PlacedWork;
 import org.bramleyscale.internal.gateway.placement.Placement;
 
 /**
@@ -25,7 +20,7 @@
 
 	private final double readMillis;
 
-	private final List<LoadBoard.Work> works = new ArrayList<>();
+	private PlacedWork work;
 
 	private boolean waiting;
 
@@ -53,22 +48,17 @@
 	}
 
 	void sent(Placement placed, long tokens, Route route) {
-		Backend target = placed.target().orElseThrow();
-		LoadBoard loads = this.daemon.loads();
-		this.works.add(loads.begin(target.start(), placed.readMillis(), tokens - placed.held(), true,
-				(int) route.longestPause().toMillis()));
-		for (Backend helper : placed.helpers()) {
-			this.works.add(loads.begin(helper.start(), placed.readMillis(), placed.heldAt(helper), false,
-					EndpointLoad.ANY_PAUSE));
-		}
+		this.work = PlacedWork.begin(this.daemon.loads(), placed, route, tokens);
 	}
 
 	void read() {
-		this.works.forEach(LoadBoard.Work::read);
+		this.work.read();
 	}
 
 	void ended() {
-		this.works.forEach(LoadBoard.Work::end);
+		if (this.work != null) {
+			this.work.end();
+		}
 		if (!this.longPrompt) {
 			this.daemon.demands().shortEnded(Play.SERVICE);
 		}
--- a/bench/src/main/java/org/bramleyscale/bench/experiment/Policies.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Policies.java
@@ -22,9 +22,6 @@
  */
 final class Policies {
 
-	/** The protocol's bound: the target and 16 that help. */
-	private static final int MOST_READERS = 17;
-
 	private static final Map<String, PolicyFactory> POLICIES = policies();
 
 	private Policies() {
@@ -84,7 +81,7 @@
 		return (request) -> {
 			EngineProfile profile = request.service().engine().orElseThrow();
 			List<Backend> sorted = byActive(daemon);
-			int readers = Math.min(MOST_READERS, sorted.size());
+			int readers = Math.min(EnginePlacement.MOST_READERS, sorted.size());
 			return Placement.at(sorted.get(0), sorted.subList(1, readers),
 					profile.readMillis(request.promptTokens()) / readers, 0, "always split");
 		};
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
@@ -28,7 +28,7 @@
 	 * which a short prompt's first token is wanted. At 30 endpoints a telling has about
 	 * 600 bytes.
 	 */
-	static final Duration PAUSE = Duration.ofMillis(100);
+	public static final Duration PAUSE = Duration.ofMillis(100);
 
 	/**
 	 * Sums travel over two more hops, and go to a whole data centre; every other round.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -28,7 +28,7 @@
 public final class EnginePlacement implements PlacementPolicy {
 
 	/** The protocol's bound on engines that help to read is 16; the target reads too. */
-	static final int MOST_READERS = 17;
+	public static final int MOST_READERS = 17;
 
 	/** What a recent failure adds to an engine's score, ms. */
 	private static final double FAILURE_MILLIS = 150;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Placement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Placement.java
@@ -25,6 +25,12 @@
 public record Placement(Optional<Backend> target, List<Backend> helpers, List<MemoryHold> holds, double readMillis,
 		double firstMillis, String reason, Duration retryAfter, boolean waits) {
 
+	/**
+	 * A request that waits is placed anew after this: parts of long prompts are read in
+	 * several times as much, so that hardly any room is left unused.
+	 */
+	public static final Duration PLACED_AGAIN = Duration.ofMillis(25);
+
 	/**
 	 * A request that goes to an endpoint.
 	 * @param target the endpoint
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -11,8 +10,7 @@
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
-import org.bramleyscale.internal.gateway.load.EndpointLoad;
-import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.gateway.placement.PlacedWork;
 import org.bramleyscale.internal.gateway.placement.Placement;
 import org.bramleyscale.internal.time.Cancellable;
 
@@ -66,14 +64,14 @@
 
 	private final GatewayPorts ports;
 
-	private final List<LoadBoard.Work> works = new ArrayList<>();
-
 	private final EventSplitter splitter = new EventSplitter();
 
 	private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
 
 	private BackendClient.BackendExchange exchange;
 
+	private PlacedWork work;
+
 	private MemoryHolds.Group group;
 
 	private BackendHead head;
@@ -99,15 +97,8 @@
 	 * @param outgoing makes the request as the endpoint gets it
 	 */
 	void send(Function<List<Helper>, OutgoingRequest> outgoing) {
-		long tokens = this.request.promptTokens() + this.request.outputTokens() - this.placement.held();
-		int pause = pauseMillis(this.request.route());
-		this.works.add(this.ports.loads()
-			.begin(this.target.start(), this.placement.readMillis(), Math.max(0, tokens), true, pause));
-		for (Backend helper : this.placement.helpers()) {
-			this.works.add(this.ports.loads()
-				.begin(helper.start(), this.placement.readMillis(), this.placement.heldAt(helper), false,
-						EndpointLoad.ANY_PAUSE));
-		}
+		this.work = PlacedWork.begin(this.ports.loads(), this.placement, this.request.route(),
+				this.request.promptTokens() + this.request.outputTokens());
 		if (this.placement.holds().isEmpty()) {
 			sendNow(outgoing.apply(helpers(null)));
 			return;
@@ -126,17 +117,6 @@
 		});
 	}
 
-	/**
-	 * The pause that callers of a route bear between events, for the load board.
-	 * @param route the route
-	 * @return ms; one that says nothing bears any, and not none, or engines that write
-	 * for it would never have room for a long prompt
-	 */
-	private static int pauseMillis(Route route) {
-		boolean said = route.streaming() && !route.longestPause().isZero();
-		return said ? (int) route.longestPause().toMillis() : EndpointLoad.ANY_PAUSE;
-	}
-
 	private void sendNow(OutgoingRequest outgoing) {
 		this.reached = true;
 		this.exchange = this.ports.client().send(this.target, outgoing, this);
@@ -219,7 +199,7 @@
 		}
 		List<EventSplitter.Event> events = this.splitter.take(data);
 		if (!events.isEmpty()) {
-			this.works.forEach(LoadBoard.Work::read);
+			this.work.read();
 			watchSilence(pauseLimit());
 		}
 		for (EventSplitter.Event event : events) {
@@ -330,7 +310,9 @@
 			this.group.release();
 		}
 		this.silenceTimer.cancel();
-		this.works.forEach(LoadBoard.Work::end);
+		if (this.work != null) {
+			this.work.end();
+		}
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/KeptPrompt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/KeptPrompt.java
@@ -16,12 +16,6 @@
  */
 final class KeptPrompt {
 
-	/**
-	 * A request that is kept is placed anew after this: half of what the long lane may
-	 * have to read when the next prompt is sent there.
-	 */
-	private static final Duration PLACED_AGAIN = Duration.ofMillis(25);
-
 	private final GatewayPorts ports;
 
 	private final String request;
@@ -59,7 +53,7 @@
 				.request(this.request, "kept", "reason", placement.reason(), "predicted_ms",
 						Math.round(placement.firstMillis()), "left_ms", left.toMillis());
 		}
-		this.timer = this.ports.scheduler().schedule(PLACED_AGAIN, again);
+		this.timer = this.ports.scheduler().schedule(Placement.PLACED_AGAIN, again);
 	}
 
 	/**
