Let a daemon's peers share its event loop; count messages by type

Cause: each message between peers woke two threads, the loop for peers and the scheduler's, 300 times a second each on an idle daemon among 40. Ruled out: telling loads (nobody had any), copies (11 messages a second of 45).

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/NettyLoop.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/NettyLoop.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.bramleyscale.internal.peer.PeerLoops;
 import org.bramleyscale.internal.time.ExecutorScheduler;
 
 /**
@@ -48,6 +49,14 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * This loop for connections with peers.
+	 * @return loops that end with this one
+	 */
+	public PeerLoops forPeers() {
+		return new PeerLoops(this.group, channel(), serverChannel(), true);
+	}
+
 	boolean epoll() {
 		return this.epoll;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerCounters.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerCounters.java
@@ -1,12 +1,15 @@
 package org.bramleyscale.internal.peer;
 
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 
 /**
- * What the peer slice counts. Safe for use by multiple threads.
+ * What the peer slice counts. Safe for use by multiple threads, but for the counts of
+ * messages by type.
  */
 final class PeerCounters {
 
@@ -28,6 +31,8 @@
 
 	private final Counter bytesReceived;
 
+	private final Map<Class<?>, Counter> messages = new HashMap<>();
+
 	PeerCounters(MetricRegistry metrics) {
 		this.metrics = metrics;
 		this.opened = metrics.counter("peer.connections.opened");
@@ -68,6 +73,17 @@
 		this.bytesSent.inc(bytes);
 	}
 
+	/**
+	 * Counts a message by its type.
+	 * @param message the message; called on the scheduler's thread only
+	 */
+	void received(PeerMessage message) {
+		this.messages
+			.computeIfAbsent(message.getClass(),
+					(type) -> this.metrics.counter("peer.messages.received." + type.getSimpleName()))
+			.inc();
+	}
+
 	void received(int bytes) {
 		this.bytesReceived.inc(bytes);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerNetwork.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.peer;
 
+import java.util.Collection;
 import java.util.Set;
 
 import org.bramleyscale.VmId;
@@ -23,6 +24,15 @@
 	 */
 	boolean send(VmId to, PeerMessage message);
 
+	/**
+	 * Sends a message to several daemons.
+	 * @param to the VMs whose daemons shall get it
+	 * @param message the message
+	 */
+	default void sendAll(Collection<VmId> to, PeerMessage message) {
+		to.forEach((vm) -> send(vm, message));
+	}
+
 	/**
 	 * The daemons with a working connection.
 	 * @return the VMs
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/TcpPeerNetwork.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/TcpPeerNetwork.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -18,12 +19,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import org.bramleyscale.ErrorCode;
 import org.bramleyscale.Ran;
 import org.bramleyscale.ServingException;
@@ -68,7 +65,7 @@
 
 	private final SecureRandom nonces = new SecureRandom();
 
-	private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1, new DefaultThreadFactory("peer", true));
+	private final PeerLoops loops;
 
 	private final AtomicInteger greetings = new AtomicInteger();
 
@@ -80,7 +77,7 @@
 	};
 
 	/**
-	 * Makes a network that isn't started.
+	 * Makes a network with a thread of its own that isn't started.
 	 * @param settings the settings
 	 * @param scheduler the daemon's scheduler
 	 * @param codec a codec whose catalog has the messages of {@link PeerMessages}
@@ -89,7 +86,22 @@
 	 */
 	public TcpPeerNetwork(TcpPeerSettings settings, Scheduler scheduler, MessageCodec codec, RandomGenerator random,
 			MetricRegistry metrics) {
+		this(settings, PeerLoops.own(), scheduler, codec, random, metrics);
+	}
+
+	/**
+	 * Makes a network that isn't started.
+	 * @param settings the settings
+	 * @param loops the thread for its sockets
+	 * @param scheduler the daemon's scheduler
+	 * @param codec a codec whose catalog has the messages of {@link PeerMessages}
+	 * @param random for the jitter of dials
+	 * @param metrics where connections and frames are counted
+	 */
+	public TcpPeerNetwork(TcpPeerSettings settings, PeerLoops loops, Scheduler scheduler, MessageCodec codec,
+			RandomGenerator random, MetricRegistry metrics) {
 		this.settings = settings;
+		this.loops = loops;
 		this.scheduler = scheduler;
 		this.codec = codec;
 		this.random = random;
@@ -97,7 +109,8 @@
 	}
 
 	/**
-	 * Starts to listen and to dial; blocks until the address is bound.
+	 * Starts to listen and to dial; blocks until the address is bound, so it must not be
+	 * called on the thread of its sockets.
 	 * @param directory tells whom to dial
 	 * @return the port bound
 	 * @throws ServingException if the address can't be bound
@@ -113,10 +126,22 @@
 
 	@Override
 	public boolean send(VmId to, PeerMessage message) {
-		if (this.connections == null) {
-			return false;
+		return this.connections != null && send(to, this.codec.encode(message));
+	}
+
+	/**
+	 * {@inheritDoc} The message is encoded once.
+	 */
+	@Override
+	public void sendAll(Collection<VmId> to, PeerMessage message) {
+		if (this.connections == null || to.isEmpty()) {
+			return;
 		}
 		byte[] payload = this.codec.encode(message);
+		to.forEach((vm) -> send(vm, payload));
+	}
+
+	private boolean send(VmId to, byte[] payload) {
 		if (payload.length > this.settings.largestFrame()) {
 			this.counters.refusedSend();
 			return false;
@@ -150,7 +175,9 @@
 		if (this.server != null) {
 			this.server.close();
 		}
-		this.eventLoops.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+		if (!this.loops.shared()) {
+			this.loops.group().shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+		}
 	}
 
 	TcpPeerSettings settings() {
@@ -198,6 +225,7 @@
 		this.scheduler.execute(() -> {
 			delivered.run();
 			boolean heartbeat = message instanceof Ping;
+			this.counters.received(message);
 			if (this.connections.heard(link, !heartbeat) && !heartbeat) {
 				this.listeners.deliver(link.remote().incarnation(), message);
 			}
@@ -205,8 +233,8 @@
 	}
 
 	private Channel bind() throws ServingException {
-		ChannelFuture bound = new ServerBootstrap().group(this.eventLoops)
-			.channel(NioServerSocketChannel.class)
+		ChannelFuture bound = new ServerBootstrap().group(this.loops.group())
+			.channel(this.loops.serverChannel())
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(initializer(null, false))
@@ -229,8 +257,8 @@
 			this.scheduler.execute(() -> this.connections.dialFailed(vm));
 			return;
 		}
-		new Bootstrap().group(this.eventLoops)
-			.channel(NioSocketChannel.class)
+		new Bootstrap().group(this.loops.group())
+			.channel(this.loops.channel())
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.handler(initializer(vm, replacing))
