Send relays' sums as one message that each daemon takes its part out of

Cause: a relay made, encoded and sent a sum without the receiver's own part for each daemon of its data centre: 90 a second of 224 us and 211 us each at 172 endpoints and 18 daemons, 4 % of a core (loops of 2,000 on a loaded machine). Now one sum, encoded once, names the telling of each daemon that is in it, and a daemon takes out that one of its last tellings. Test: a daemon's own work is never among that of others, also when it tells between rounds.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
@@ -1,6 +1,8 @@
 package org.bramleyscale.internal.gateway.load;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,12 +40,20 @@
 	/** An idle daemon tells every so many pauses that it is. */
 	private static final int IDLE_ROUNDS = 5;
 
+	/**
+	 * Tellings that may still be in a sum: those of the time for which they count, and as
+	 * many between two rounds, since a long prompt is told at once.
+	 */
+	private static final int REMEMBERED = 2 * (int) LoadBoard.PEER_KEPT.dividedBy(PAUSE);
+
 	private static final String FLEET = "fleet";
 
 	private final Scheduler scheduler;
 
 	private final PeerNetwork network;
 
+	private final VmId self;
+
 	private final LoadRoutes routes;
 
 	private final LoadBoard loads;
@@ -54,6 +64,10 @@
 
 	private final Map<String, Heard<LoadSummed>> far = new HashMap<>();
 
+	private final Deque<LoadTold> tellings = new ArrayDeque<>();
+
+	private long sequence;
+
 	private int rounds;
 
 	private int idleRounds;
@@ -62,14 +76,16 @@
 	 * Makes the exchange.
 	 * @param scheduler the daemon's scheduler
 	 * @param network to the peers
+	 * @param self this daemon's VM
 	 * @param routes who tells whom
 	 * @param loads what is under way by endpoint
 	 * @param demands what is asked for by service
 	 */
-	public LoadExchange(Scheduler scheduler, PeerNetwork network, LoadRoutes routes, LoadBoard loads,
+	public LoadExchange(Scheduler scheduler, PeerNetwork network, VmId self, LoadRoutes routes, LoadBoard loads,
 			DemandBoard demands) {
 		this.scheduler = scheduler;
 		this.network = network;
+		this.self = self;
 		this.routes = routes;
 		this.loads = loads;
 		this.demands = demands;
@@ -93,13 +109,12 @@
 	 * Tells now; called when a long prompt was sent, which others must not meet unawares.
 	 */
 	public void tell() {
-		LoadTold message = new LoadTold(this.loads.shares(), this.demands.demands());
-		if (this.routes.flat()) {
-			this.network.connected().forEach((peer) -> this.network.send(peer, message));
-		}
-		else {
-			this.routes.relays().forEach((relay) -> this.network.send(relay, message));
+		LoadTold message = new LoadTold(++this.sequence, this.loads.shares(), this.demands.demands());
+		this.tellings.addLast(message);
+		if (this.tellings.size() > REMEMBERED) {
+			this.tellings.removeFirst();
 		}
+		this.network.sendAll(this.routes.flat() ? this.network.connected() : this.routes.relays(), message);
 	}
 
 	private void round() {
@@ -114,27 +129,45 @@
 		}
 	}
 
+	/**
+	 * Sends the sums. All daemons of the data centre get the same message, encoded once,
+	 * and take out their own part themselves: making a sum for each of 18 took a relay 4
+	 * % of a core at 172 endpoints.
+	 */
 	private void relay() {
 		long oldest = this.scheduler.nanos() - LoadBoard.PEER_KEPT.toNanos();
 		this.near.values().removeIf((heard) -> heard.at() < oldest);
 		this.far.values().removeIf((heard) -> heard.at() < oldest);
 		LoadSum sum = new LoadSum().add(this.loads.shares(), this.demands.demands(), 1);
-		this.near.values().forEach((heard) -> sum.add(heard.message().shares(), heard.message().demands(), 1));
-		LoadSummed ownDataCentre = sum.message(false);
-		this.routes.remoteRelays().forEach((relay) -> this.network.send(relay, ownDataCentre));
+		Map<String, Long> included = new HashMap<>();
+		this.near.forEach((vm, heard) -> {
+			sum.add(heard.message().shares(), heard.message().demands(), 1);
+			included.put(vm.value(), heard.message().sequence());
+		});
+		this.network.sendAll(this.routes.remoteRelays(), sum.message(false, Map.of()));
 		this.far.values().forEach((heard) -> sum.add(heard.message().shares(), heard.message().demands(), 1));
-		for (VmId vm : this.routes.near()) {
-			this.network.send(vm, without(sum, vm).message(true));
-		}
+		this.network.sendAll(this.routes.near(), sum.message(true, included));
 	}
 
-	private LoadSum without(LoadSum sum, VmId vm) {
-		Heard<LoadTold> own = this.near.get(vm);
-		return (own != null) ? sum.copy().add(own.message().shares(), own.message().demands(), -1) : sum;
+	/**
+	 * Takes this daemon's own part out of a sum.
+	 * @param message the sum
+	 * @return the work of all others
+	 */
+	private LoadSummed withoutOwn(LoadSummed message) {
+		Long own = (message.included() != null) ? message.included().get(this.self.value()) : null;
+		if (own == null) {
+			return message;
+		}
+		LoadSum sum = new LoadSum().add(message.shares(), message.demands(), 1);
+		this.tellings.stream()
+			.filter((telling) -> telling.sequence() == own)
+			.forEach((telling) -> sum.add(telling.shares(), telling.demands(), -1));
+		return sum.message(message.fleet(), Map.of());
 	}
 
 	private void told(Incarnation from, LoadTold message) {
-		LoadTold whole = new LoadTold(orEmpty(message.shares()), orEmpty(message.demands()));
+		LoadTold whole = new LoadTold(message.sequence(), orEmpty(message.shares()), orEmpty(message.demands()));
 		this.near.put(from.vm(), new Heard<>(whole, this.scheduler.nanos()));
 		if (this.routes.flat() || this.routes.isRelay()) {
 			this.loads.told(from.vm().value(), whole.shares());
@@ -147,7 +180,8 @@
 			// A relay adds up for itself; and what it adds up isn't for other daemons.
 			return;
 		}
-		LoadSummed whole = new LoadSummed(message.fleet(), orEmpty(message.shares()), orEmpty(message.demands()));
+		LoadSummed whole = withoutOwn(new LoadSummed(message.fleet(), orEmpty(message.shares()),
+				orEmpty(message.demands()), message.included()));
 		String source = message.fleet() ? FLEET : this.routes.dataCentre(from.vm());
 		if (!message.fleet()) {
 			this.far.put(source, new Heard<>(whole, this.scheduler.nanos()));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSum.java
@@ -48,22 +48,19 @@
 		return Math.min(left.doneMillis(), right.doneMillis());
 	}
 
-	LoadSum copy() {
-		return new LoadSum().add(List.copyOf(this.shares.values()), List.copyOf(this.demands.values()), 1);
-	}
-
 	/**
 	 * The sum as a message.
 	 * @param fleet what {@link LoadSummed} says of it
+	 * @param included what {@link LoadSummed} says of it
 	 * @return the message, without endpoints that have nothing to do
 	 */
-	LoadSummed message(boolean fleet) {
+	LoadSummed message(boolean fleet, Map<String, Long> included) {
 		return new LoadSummed(fleet,
 				this.shares.values()
 					.stream()
 					.filter((share) -> share.active() > 0 || share.readMillis() > 0 || share.tokens() > 0)
 					.toList(),
-				List.copyOf(this.demands.values()));
+				List.copyOf(this.demands.values()), included);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSummed.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadSummed.java
@@ -1,17 +1,19 @@
 package org.bramleyscale.internal.gateway.load;
 
 import java.util.List;
+import java.util.Map;
 
 import org.bramleyscale.internal.peer.PeerMessage;
 
 /**
  * The work of many daemons, as a relay adds it up.
  *
- * @param fleet true for that of all daemons without the receiver, false for that of the
- * relay's data centre
+ * @param fleet true for that of all daemons, false for that of the relay's data centre
  * @param shares the work by endpoint
  * @param demands the demand by service
+ * @param included which telling of each daemon of the relay's data centre is in the sum,
+ * so that a daemon can take out its own
  */
-public record LoadSummed(boolean fleet, List<LoadTold.Share> shares,
-		List<LoadTold.Demand> demands) implements PeerMessage {
+public record LoadSummed(boolean fleet, List<LoadTold.Share> shares, List<LoadTold.Demand> demands,
+		Map<String, Long> included) implements PeerMessage {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadTold.java
@@ -7,10 +7,11 @@
 /**
  * What a daemon has under way, told to its peers several times a second.
  *
+ * @param sequence counts the sender's tellings, from 1
  * @param shares its work by endpoint
  * @param demands its demand by service
  */
-public record LoadTold(List<Share> shares, List<Demand> demands) implements PeerMessage {
+public record LoadTold(long sequence, List<Share> shares, List<Demand> demands) implements PeerMessage {
 
 	/**
 	 * Work at one endpoint.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -143,7 +143,7 @@
 				Map.of(parts.documents().catalogKind(), catalogKind, parts.documents().backendKind(), backendKind),
 				log);
 		DemandBoard demands = new DemandBoard(loop);
-		this.loadExchange = new LoadExchange(loop, this.network, this.directory, this.loads, demands);
+		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
 		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
 		PlacementPolicy engines = new EnginePlacement(this.backends, this.health, this.loads, demands, this.random);
 		BackendConnections connections = new BackendConnections(loop, parts.dialect());
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadExchangeTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/load/LoadExchangeTests.java
@@ -73,6 +73,22 @@
 			.forEach((daemon) -> Truth.assertThat(daemon.loads.load(ENGINE)).isEqualTo(EndpointLoad.IDLE));
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void aDaemonsOwnWorkIsNeverAmongThatOfOthers(boolean flat) {
+		// Symptom: a daemon avoids engines that only it uses. Sequence: it sends a long
+		// prompt, which it tells at once, between two rounds of the relays. Cause: sums
+		// hold its work as it was when it last told.
+		start(flat, 4);
+		Daemon alone = this.fleet.get(new VmId("dc1-3"));
+		for (int i = 0; i < 30; i++) {
+			alone.loads.begin(ENGINE, 0, 100, true, 250);
+			alone.exchange.tell();
+			this.scheduler.advance(Duration.ofMillis(37));
+			Truth.assertThat(alone.loads.load(ENGINE).active()).isEqualTo(i + 1);
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "4, 45", "20, 45" })
 	void aDaemonThatIsNoRelaySendsAsMuchInALargeFleetAsInASmallOne(int each, int most) {
@@ -121,7 +137,8 @@
 			this.vm = vm;
 			this.dataCentre = dataCentre;
 			this.relay = relay;
-			this.exchange = new LoadExchange(LoadExchangeTests.this.scheduler, this, this, this.loads, this.demands);
+			this.exchange = new LoadExchange(LoadExchangeTests.this.scheduler, this, vm, this, this.loads,
+					this.demands);
 		}
 
 		@Override
