Follow the store with two watchers and push what is new

Now two daemons watch, in an order that all know; they push what is new, and say when nothing was. Others ask only when the news they have are older than half of the time within which a change must be in force, one after the other; one that finds what nobody told watches for ten seconds. A watch that peers' news overtake is given up as silent. At a start copies come from a cached list and from peers. While the store is away watchers ask every 0.4 s at most, the others every 4 s. The list of daemons is a cached read.

Ruled out: longer watches for all (a connection that has gone silent would be noticed too late); no watch at all (a change is late by a check each time). Tests: a fleet of 20 followers on a manual clock: watchers gone, turned away, silent, without peers; half of the fleet turned away; all connections silent; a store that is away; calls of a quiet minute. Removed: the pace of loose and close followers and its test, whose symptom (calls after each change) the new ones state for every daemon.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/CopiesHeld.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/CopiesHeld.java
@@ -17,8 +17,9 @@
 	 * @param kind the kind of objects
 	 * @param lastChange the revision of the newest change known
 	 * @param complete the revision up to which every change is known
+	 * @param ageMillis how long ago the store said that nothing was newer, ms
 	 */
-	public record Held(String kind, long lastChange, long complete) {
+	public record Held(String kind, long lastChange, long complete, long ageMillis) {
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/CopiesTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/CopiesTold.java
@@ -5,12 +5,17 @@
 import org.bramleyscale.internal.peer.PeerMessage;
 
 /**
- * A daemon's copies of changed objects, for a peer that lacks them.
+ * What a daemon knows of a kind of objects, for a peer that may know less. Without
+ * objects it says that nothing changed.
  *
  * @param kind the kind of objects
  * @param from all changes after this revision are given
  * @param to and up to this one
+ * @param ageMillis how long ago the store said that nothing was newer, ms
+ * @param outageMillis how long ago the store was last away for somebody who read it, ms;
+ * entries that lapsed meanwhile may be back soon
  * @param objects the copies
  */
-public record CopiesTold(String kind, long from, long to, List<FollowedObject> objects) implements PeerMessage {
+public record CopiesTold(String kind, long from, long to, long ageMillis, long outageMillis,
+		List<FollowedObject> objects) implements PeerMessage {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowedKind.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowedKind.java
@@ -26,6 +26,9 @@
 	 */
 	private static final int MOST_DELETIONS = 20_000;
 
+	/** A time so long ago that differences to it still fit. */
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final Map<String, FollowedObject> copies = new HashMap<>();
 
 	private final Listener listener;
@@ -34,6 +37,8 @@
 
 	private long lastChange;
 
+	private long confirmedAt = NEVER;
+
 	private int deletions;
 
 	public FollowedKind(Listener listener) {
@@ -57,6 +62,22 @@
 		return this.lastChange;
 	}
 
+	/**
+	 * When the store, as far as heard, said that nothing was newer than these copies.
+	 * @return the scheduler's time; long before any other if it never did
+	 */
+	public long confirmedAt() {
+		return this.confirmedAt;
+	}
+
+	/**
+	 * Notes that the store had nothing newer.
+	 * @param at the scheduler's time; an earlier one than known changes nothing
+	 */
+	public void confirm(long at) {
+		this.confirmedAt = Math.max(this.confirmedAt, at);
+	}
+
 	/**
 	 * Takes a list of all objects.
 	 * @param list the list
@@ -110,13 +131,16 @@
 	 * @param from the revision after which the peer gave all changes
 	 * @param to the revision up to which it knows all changes
 	 * @param objects the copies
+	 * @return false if changes before the first revision are missing here, so that
+	 * nothing was taken
 	 */
-	public void fromPeer(long from, long to, List<FollowedObject> objects) {
+	public boolean fromPeer(long from, long to, List<FollowedObject> objects) {
 		if (from > this.complete) {
-			return;
+			return false;
 		}
 		objects.forEach(this::take);
 		this.complete = Math.max(this.complete, to);
+		return true;
 	}
 
 	private void take(FollowedObject object) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -1,7 +1,6 @@
 package org.bramleyscale.internal.gateway.follow;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -16,22 +15,31 @@
  * Passes copies of platform objects between daemons.
  *
  * <p>
- * The store may turn single daemons away while it serves the others and the operator.
- * Such a daemon would go on with keys that were taken away and endpoints that drain. So
- * every daemon tells a few peers how far its copies reach, and one that knows more sends
- * what is missing. Invariant: a daemon answers only with changes that it knows without a
- * gap. Confined to the scheduler's thread.
+ * Few daemons ask the store, and it may turn single ones away while it serves the others
+ * and the operator. Whoever reads something new pushes it to the others; besides, every
+ * daemon tells a few peers how far its copies reach, and one that knows more sends what
+ * is missing, so that a lost push costs a moment. Invariant: a daemon answers only with
+ * changes that it knows without a gap. Confined to the scheduler's thread.
  */
 public final class PeerCopies {
 
-	/**
-	 * The pause between tellings. A daemon that the store turns away learns a change one
-	 * to two pauses after its peers, well within the five seconds that it has.
-	 */
+	/** The pause between tellings; they only make good what pushes missed. */
 	static final Duration PAUSE = Duration.ofMillis(400);
 
 	/** Peers told in one round; the rest follow in later rounds. */
-	static final int TOLD_AT_ONCE = 8;
+	static final int TOLD_AT_ONCE = 2;
+
+	/** Peers that were silent for five rounds may be gone, frozen or cut off. */
+	static final Duration ALONE = PAUSE.multipliedBy(5);
+
+	/** By then the first one's push has arrived. */
+	static final Duration SECOND_HAND = Duration.ofMillis(100);
+
+	/** A peer whose news are older by so much missed a push, or has just started. */
+	private static final Duration MUCH_OLDER = Duration.ofSeconds(1);
+
+	/** News that are fresher by less aren't worth a message to each daemon. */
+	private static final Duration FRESHER = Duration.ofMillis(200);
 
 	private final Scheduler scheduler;
 
@@ -39,8 +47,14 @@
 
 	private final Map<String, FollowedKind> kinds;
 
+	private final NewsRoutes routes;
+
 	private final DecisionLog log;
 
+	private long heardAt;
+
+	private long outageAt;
+
 	private int next;
 
 	/**
@@ -48,13 +62,18 @@
 	 * @param scheduler the daemon's scheduler
 	 * @param network to the peers
 	 * @param kinds the copies by kind
+	 * @param routes who gets what is new
 	 * @param log takes a line for each delta taken
 	 */
-	public PeerCopies(Scheduler scheduler, PeerNetwork network, Map<String, FollowedKind> kinds, DecisionLog log) {
+	public PeerCopies(Scheduler scheduler, PeerNetwork network, Map<String, FollowedKind> kinds, NewsRoutes routes,
+			DecisionLog log) {
 		this.scheduler = scheduler;
 		this.network = network;
 		this.kinds = Map.copyOf(kinds);
+		this.routes = routes;
 		this.log = log;
+		this.heardAt = scheduler.nanos();
+		this.outageAt = scheduler.nanos() - Duration.ofDays(1).toNanos();
 		network.listen(CopiesHeld.class, this::held);
 		network.listen(CopiesTold.class, this::told);
 	}
@@ -68,43 +87,119 @@
 	}
 
 	public void start() {
+		this.heardAt = this.scheduler.nanos();
 		this.scheduler.repeat(PAUSE, this::tell);
 		tell();
 	}
 
+	/**
+	 * Whether no peer has been heard lately.
+	 * @return true if nobody would tell this daemon what changes
+	 */
+	public boolean alone() {
+		return this.scheduler.nanos() - this.heardAt > ALONE.toNanos();
+	}
+
+	/**
+	 * For how long the store has not been away for those who read it, as far as heard.
+	 * @return the time since the last sign of an outage
+	 */
+	public Duration sinceOutage() {
+		return Duration.ofNanos(this.scheduler.nanos() - this.outageAt);
+	}
+
+	/**
+	 * Tells the others of what this daemon just read from the store. The first in the
+	 * order pushes the copies themselves. Others may have read the same at the same
+	 * moment; they say a little later how far they got, and whoever was missed asks for
+	 * the rest, so that a document of half a megabyte goes to each daemon once.
+	 * @param kind the kind of objects
+	 * @param from its copies hold every change after this revision
+	 * @param sinceOutage how long ago the store was last away for this daemon
+	 * @param first whether this daemon is the first in the order
+	 */
+	public void push(String kind, long from, Duration sinceOutage, boolean first) {
+		this.outageAt = Math.max(this.outageAt, this.scheduler.nanos() - sinceOutage.toNanos());
+		CopiesTold message = copies(kind, this.kinds.get(kind), from);
+		if (first || message.objects().isEmpty()) {
+			this.network.sendAll(this.routes.firstHand(), message);
+		}
+		else {
+			this.scheduler.schedule(SECOND_HAND, () -> this.network.sendAll(this.routes.firstHand(), reach()));
+		}
+	}
+
+	private CopiesTold copies(String kind, FollowedKind ours, long from) {
+		return new CopiesTold(kind, from, ours.complete(), age(ours), sinceOutage().toMillis(), ours.after(from));
+	}
+
+	private long age(FollowedKind ours) {
+		return Duration.ofNanos(this.scheduler.nanos() - ours.confirmedAt()).toMillis();
+	}
+
 	private void tell() {
 		List<VmId> peers = List.copyOf(this.network.connected());
-		CopiesHeld held = new CopiesHeld(this.kinds.entrySet()
-			.stream()
-			.map((entry) -> new CopiesHeld.Held(entry.getKey(), entry.getValue().lastChange(),
-					entry.getValue().complete()))
-			.toList());
 		for (int i = 0; i < Math.min(TOLD_AT_ONCE, peers.size()); i++) {
-			this.network.send(peers.get(this.next++ % peers.size()), held);
+			this.network.send(peers.get(this.next++ % peers.size()), reach());
 		}
 	}
 
+	private CopiesHeld reach() {
+		return new CopiesHeld(
+				this.kinds.entrySet().stream().map((entry) -> reach(entry.getKey(), entry.getValue())).toList());
+	}
+
+	private CopiesHeld.Held reach(String kind, FollowedKind ours) {
+		return new CopiesHeld.Held(kind, ours.lastChange(), ours.complete(), age(ours));
+	}
+
 	private void held(Incarnation from, CopiesHeld message) {
+		this.heardAt = this.scheduler.nanos();
 		for (CopiesHeld.Held theirs : message.kinds()) {
 			FollowedKind ours = this.kinds.get(theirs.kind());
-			if (ours != null && ours.lastChange() > theirs.lastChange()) {
-				List<FollowedObject> missing = new ArrayList<>(ours.after(theirs.lastChange()));
-				this.network.send(from.vm(),
-						new CopiesTold(theirs.kind(), theirs.lastChange(), ours.complete(), missing));
+			if (ours == null) {
+				continue;
+			}
+			if (ours.lastChange() < theirs.lastChange()) {
+				this.network.send(from.vm(), new CopiesHeld(List.of(reach(theirs.kind(), ours))));
+				continue;
+			}
+			// What the store said of copies that reach no further holds for ours too.
+			ours.confirm(before(theirs.ageMillis()));
+			boolean older = theirs.ageMillis() - age(ours) > MUCH_OLDER.toMillis();
+			if (ours.lastChange() > theirs.lastChange() || older) {
+				this.network.send(from.vm(), copies(theirs.kind(), ours, theirs.lastChange()));
 			}
 		}
 	}
 
 	private void told(Incarnation from, CopiesTold message) {
+		this.heardAt = this.scheduler.nanos();
 		FollowedKind ours = this.kinds.get(message.kind());
-		if (ours == null || message.objects() == null) {
+		if (ours == null) {
 			return;
 		}
-		long before = ours.lastChange();
-		ours.fromPeer(message.from(), message.to(), message.objects());
-		if (ours.lastChange() > before) {
-			this.log.belief("copies", message.kind(), "from", from, "revision", ours.lastChange(), "was", before);
+		List<FollowedObject> objects = (message.objects() != null) ? message.objects() : List.of();
+		this.outageAt = Math.max(this.outageAt, before(message.outageMillis()));
+		long known = ours.lastChange();
+		if (!ours.fromPeer(message.from(), message.to(), objects)) {
+			this.network.send(from.vm(), reach());
+			return;
 		}
+		long confirmed = before(message.ageMillis());
+		boolean fresher = confirmed - ours.confirmedAt() > FRESHER.toNanos();
+		ours.confirm(confirmed);
+		boolean changed = ours.lastChange() > known;
+		if (changed) {
+			this.log.belief("copies", message.kind(), "from", from, "revision", ours.lastChange(), "was", known);
+		}
+		if (changed || fresher) {
+			this.network.sendAll(this.routes.passedOn(from.vm()), message);
+		}
+	}
+
+	private long before(long millis) {
+		return this.scheduler.nanos() - Duration.ofMillis(millis).toNanos();
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -1,7 +1,7 @@
 package org.bramleyscale.internal.gateway.follow;
 
 import java.time.Duration;
-import java.util.function.Supplier;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -10,22 +10,62 @@
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
- * Follows one kind of objects in the platform's store: lists it once, then watches.
+ * Follows one kind of objects in the platform's store, as one of a fleet.
  *
  * <p>
- * The store is at times down, slow or without its history, turns single daemons away, or
- * falls silent on an open connection. Each call therefore ends within a time limit of the
- * adapter's; after a failure the follower tries again soon, after lost history it lists
- * anew. Invariant: one call is under way at a time. Confined to the scheduler's thread.
+ * Each change answers every watch that waits, so if all daemons watched, a change would
+ * cost as many calls as there are daemons. The first two in the fleet's order watch and
+ * tell the others. The others ask only when the news they have are old, one after the
+ * other in that order, so that normally the third asks and all hear of it. One that finds
+ * something that no watcher told of watches for a while itself: the watchers may be
+ * frozen, cut off, turned away by the store, or hold connections that have gone silent.
+ *
+ * <p>
+ * The store is at times down, slow or without its history. Each call ends within a time
+ * limit of the adapter's; after a failure the follower tries again, after lost history it
+ * lists anew. Confined to the scheduler's thread.
  */
 public final class StoreFollower {
 
+	/** Daemons that always watch: one may be gone without a delay for the others. */
+	static final int WATCHERS = 2;
+
+	/** The pause between looks at whether to ask. */
+	static final Duration TURN = Duration.ofMillis(100);
+
 	/** The first pause after a failure; a hiccup shall cost less than a heartbeat. */
 	static final Duration SHORTEST_PAUSE = Duration.ofMillis(50);
 
-	/** The longest pause: entries that lapsed are judged within two seconds. */
+	/** The longest pause of a watcher: entries that lapsed are judged in two seconds. */
 	static final Duration LONGEST_PAUSE = Duration.ofMillis(400);
 
+	/**
+	 * The longest pause of others: while the store is away, the watchers find out when it
+	 * is back, and a fleet that asks as one would get in its own way.
+	 */
+	static final Duration LONGEST_PAUSE_OF_OTHERS = Duration.ofSeconds(4);
+
+	/** Before this, a daemon that starts waits for what its peers know. */
+	static final Duration PEERS_FIRST = Duration.ofMillis(500);
+
+	/** A watch that others' news have overtaken for so long has gone silent. */
+	static final Duration OVERTAKEN = Duration.ofMillis(500);
+
+	/** How long a daemon watches that found what no watcher had told of. */
+	static final Duration STAND_IN = Duration.ofSeconds(10);
+
+	/** A call that takes so much longer than it should met a silent store. */
+	private static final Duration UNANSWERED = Duration.ofSeconds(1);
+
+	/** A watch that is answered at once. */
+	private static final Duration AT_ONCE = Duration.ofMillis(1);
+
+	/** By how much later each next daemon asks: news need some ms to spread. */
+	private static final Duration STEP = Duration.ofMillis(100);
+
+	/** The last ones ask together, so that news never get older than this adds. */
+	private static final int MOST_STEPS = 8;
+
 	private final String kind;
 
 	private final Scheduler scheduler;
@@ -36,17 +76,30 @@
 
 	private final FollowedKind copies;
 
-	private final Supplier<FollowPace> pace;
+	private final FollowOrder order;
+
+	private final FollowTimes times;
 
 	private final DecisionLog log;
 
+	private News news = (from) -> {
+	};
+
 	private long failures;
 
 	private long failedAt;
 
+	private long outageAt;
+
 	private long answeredAt;
 
-	private boolean listed;
+	private long notBefore;
+
+	private long watchesUntil;
+
+	private long overtakenAt;
+
+	private Asked asked;
 
 	private boolean stopped;
 
@@ -57,24 +110,38 @@
 	 * @param random for the jitter of pauses
 	 * @param store the store
 	 * @param copies takes what is read
-	 * @param pace how closely to follow, asked before each watch
+	 * @param order who asks first
+	 * @param times how closely to follow
 	 * @param log takes a line when the store is lost and when it is back
 	 */
 	public StoreFollower(String kind, Scheduler scheduler, RandomGenerator random, ObjectStore store,
-			FollowedKind copies, Supplier<FollowPace> pace, DecisionLog log) {
+			FollowedKind copies, FollowOrder order, FollowTimes times, DecisionLog log) {
 		this.kind = kind;
 		this.scheduler = scheduler;
 		this.random = random;
 		this.store = store;
 		this.copies = copies;
-		this.pace = pace;
+		this.order = order;
+		this.times = times;
 		this.log = log;
 		this.failedAt = scheduler.nanos() - Duration.ofDays(1).toNanos();
+		this.outageAt = this.failedAt;
 		this.answeredAt = scheduler.nanos();
+		this.watchesUntil = scheduler.nanos();
+	}
+
+	/**
+	 * Tells of each answer of the store.
+	 * @param listener called after the copies have taken the answer
+	 */
+	public void onNews(News listener) {
+		this.news = listener;
 	}
 
 	public void start() {
-		list();
+		this.notBefore = this.scheduler.nanos();
+		list(true);
+		this.scheduler.repeat(TURN, this::turn);
 	}
 
 	public void stop() {
@@ -90,12 +157,20 @@
 	}
 
 	/**
-	 * Whether the store failed this daemon within a time.
-	 * @param span the time until now
-	 * @return true if a call failed then
+	 * For how long the store has not failed this daemon.
+	 * @return the time since the last failed call
 	 */
-	public boolean failedWithin(Duration span) {
-		return this.scheduler.nanos() - this.failedAt < span.toNanos();
+	public Duration sinceFailure() {
+		return Duration.ofNanos(this.scheduler.nanos() - this.failedAt);
+	}
+
+	/**
+	 * For how long the store has not been away. A single call that is cut off, and the
+	 * next one answered, is no outage.
+	 * @return the time since the last sign of an outage
+	 */
+	public Duration sinceOutage() {
+		return Duration.ofNanos(this.scheduler.nanos() - this.outageAt);
 	}
 
 	/**
@@ -106,69 +181,137 @@
 		return Duration.ofNanos(this.scheduler.nanos() - this.answeredAt);
 	}
 
-	private void list() {
-		this.store.list(this.kind).whenComplete((batch, failure) -> {
-			if (this.stopped) {
-				return;
+	private void turn() {
+		long now = this.scheduler.nanos();
+		if (this.stopped || (this.asked != null && !overtaken(now)) || now - this.notBefore < 0) {
+			return;
+		}
+		if (this.copies.complete() == 0) {
+			list(false);
+		}
+		else if (watches(now)) {
+			watch(this.times.watch());
+		}
+		else if (now - this.copies.confirmedAt() >= patience().toNanos()) {
+			watch(AT_ONCE);
+		}
+	}
+
+	/**
+	 * Whether the call under way is a watch on a connection that has gone silent: peers
+	 * have told of changes that it should have been answered with. Only the end of the
+	 * watch would show it otherwise, seconds later.
+	 * @param now the time
+	 * @return true if it is to be given up
+	 */
+	private boolean overtaken(long now) {
+		if (this.asked.after() < 0 || this.copies.lastChange() <= this.asked.after()) {
+			this.overtakenAt = now;
+			return false;
+		}
+		if (now - this.overtakenAt < OVERTAKEN.toNanos()) {
+			return false;
+		}
+		this.log.belief("store", this.kind, "watch", "silent", "after", this.asked.after(), "known",
+				this.copies.lastChange());
+		return true;
+	}
+
+	private boolean watches(long now) {
+		return now - this.watchesUntil < 0 || this.order.rank() < WATCHERS || this.order.alone();
+	}
+
+	private Duration patience() {
+		int before = Math.max(0, Math.min(MOST_STEPS, this.order.rank() - WATCHERS));
+		return this.times.checkAfter().plus(STEP.multipliedBy(before));
+	}
+
+	/**
+	 * Reads all objects. The first time a copy that may be seconds old will do, since
+	 * peers or the first watch bring what is newer.
+	 * @param first whether this is the daemon's first call
+	 */
+	private void list(boolean first) {
+		long known = this.copies.complete();
+		CompletableFuture<WatchBatch> call = first ? this.store.listCached(this.kind) : this.store.list(this.kind);
+		ask(call, Asked.NO_WATCH, Duration.ZERO, (batch) -> {
+			this.copies.list(batch);
+			if (first) {
+				this.notBefore = this.scheduler.nanos() + PEERS_FIRST.toNanos();
 			}
-			if (failure != null) {
-				failed(failure, this::list);
-				return;
+			else {
+				told(known);
 			}
-			answered();
-			this.listed = true;
-			this.copies.list(batch);
-			watch();
 		});
 	}
 
-	private void watch() {
-		this.store.watch(this.kind, this.copies.complete(), this.pace.get().watch()).whenComplete((batch, failure) -> {
-			if (this.stopped) {
+	private void watch(Duration wait) {
+		long after = this.copies.complete();
+		boolean check = wait.equals(AT_ONCE);
+		ask(this.store.watch(this.kind, after, wait), after, wait, (batch) -> {
+			if (batch.gap()) {
+				this.log.belief("store", this.kind, "history", "lost", "revision", after);
+				list(false);
 				return;
 			}
-			if (failure != null) {
-				failed(failure, this::watch);
-				return;
+			long known = this.copies.lastChange();
+			this.copies.changes(batch);
+			boolean changed = this.copies.lastChange() > known;
+			if (changed) {
+				this.notBefore = this.scheduler.nanos() + this.times.gather().toNanos();
 			}
-			answered();
-			watched(batch);
+			if (changed && check) {
+				this.watchesUntil = this.scheduler.nanos() + STAND_IN.toNanos();
+				this.log.belief("store", this.kind, "watchers", "behind", "revision", this.copies.lastChange(), "known",
+						known);
+			}
+			told(after);
 		});
 	}
 
-	private void watched(WatchBatch batch) {
-		if (batch.gap()) {
-			this.log.belief("store", this.kind, "history", "lost", "revision", this.copies.complete());
-			list();
-			return;
-		}
-		this.copies.changes(batch);
-		Duration pause = this.pace.get().pause();
-		if (pause.isZero() || (batch.changed().isEmpty() && batch.deleted().isEmpty())) {
-			watch();
-			return;
-		}
-		this.scheduler.schedule(pause, () -> {
-			if (!this.stopped) {
-				watch();
+	private void told(long from) {
+		this.copies.confirm(this.scheduler.nanos());
+		this.news.told(from);
+	}
+
+	private void ask(CompletableFuture<WatchBatch> call, long after, Duration wait, Reading reading) {
+		long now = this.scheduler.nanos();
+		Asked mine = new Asked(after, now + wait.plus(UNANSWERED).toNanos());
+		this.asked = mine;
+		this.overtakenAt = now;
+		call.whenComplete((batch, failure) -> {
+			if (this.stopped || this.asked != mine) {
+				return;
+			}
+			this.asked = null;
+			if (failure != null) {
+				failed(failure, mine);
+				return;
 			}
+			answered();
+			reading.take(batch);
+			turn();
 		});
 	}
 
-	private void failed(Throwable failure, Runnable again) {
-		this.failedAt = this.scheduler.nanos();
+	private void failed(Throwable failure, Asked call) {
+		long now = this.scheduler.nanos();
+		this.failedAt = now;
 		this.failures++;
+		if (this.failures > 1 || now - call.dueAt() >= 0) {
+			this.outageAt = now;
+		}
 		if (this.failures == 1) {
-			this.log.belief("store", this.kind, "state", "lost", "cause", failure.getMessage(), "listed", this.listed,
-					"revision", this.copies.complete());
+			this.log.belief("store", this.kind, "state", "lost", "cause", failure.getMessage(), "revision",
+					this.copies.complete());
 		}
-		long doubled = SHORTEST_PAUSE.toNanos() << Math.min(this.failures - 1, 10);
-		long pause = Math.min(doubled, LONGEST_PAUSE.toNanos());
-		this.scheduler.schedule(Duration.ofNanos(pause / 2 + this.random.nextLong(pause)), () -> {
-			if (!this.stopped) {
-				again.run();
-			}
-		});
+		boolean needed = this.copies.complete() == 0 || watches(now);
+		long longest = (needed ? LONGEST_PAUSE : LONGEST_PAUSE_OF_OTHERS).toNanos();
+		long first = (needed ? SHORTEST_PAUSE : this.times.checkAfter()).toNanos();
+		long pause = Math.min(first << Math.min(this.failures - 1, 10), longest);
+		Duration jittered = Duration.ofNanos(pause / 2 + this.random.nextLong(pause));
+		this.notBefore = now + jittered.toNanos();
+		this.scheduler.schedule(jittered, this::turn);
 	}
 
 	private void answered() {
@@ -180,4 +323,55 @@
 		this.answeredAt = this.scheduler.nanos();
 	}
 
+	/**
+	 * Told when the store has answered.
+	 */
+	@FunctionalInterface
+	public interface News {
+
+		/**
+		 * Called on the scheduler's thread.
+		 * @param from the copies hold every change after this revision
+		 */
+		void told(long from);
+
+	}
+
+	/**
+	 * Takes an answer into the copies.
+	 */
+	@FunctionalInterface
+	private interface Reading {
+
+		void take(WatchBatch batch);
+
+	}
+
+	/**
+	 * The call under way. Compared by identity: the answer of one that was given up is no
+	 * longer waited for.
+	 */
+	private static final class Asked {
+
+		private static final long NO_WATCH = -1;
+
+		private final long after;
+
+		private final long dueAt;
+
+		private Asked(long after, long dueAt) {
+			this.after = after;
+			this.dueAt = dueAt;
+		}
+
+		private long after() {
+			return this.after;
+		}
+
+		private long dueAt() {
+			return this.dueAt;
+		}
+
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import java.util.stream.Stream;
 
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.follow.NewsRoutes;
 import org.bramleyscale.internal.gateway.load.LoadRoutes;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipService;
@@ -23,7 +25,7 @@
  * and between the relays and the other daemons of a data centre. Confined to the
  * scheduler's thread.
  */
-final class FleetDirectory implements PeerDirectory, LoadRoutes {
+final class FleetDirectory implements PeerDirectory, LoadRoutes, NewsRoutes {
 
 	/**
 	 * Up to so many daemons all connect with all. At this size each sends 230 tellings a
@@ -39,8 +41,7 @@
 
 	@Override
 	public Set<VmId> wanted() {
-		Set<VmId> wanted = new TreeSet<>((left, right) -> left.value().compareTo(right.value()));
-		wanted.addAll(this.membership.directory().wanted());
+		Set<VmId> wanted = byName(this.membership.directory().wanted());
 		if (flat()) {
 			present().forEach((member) -> wanted.add(member.vm()));
 		}
@@ -73,10 +74,7 @@
 
 	@Override
 	public Collection<VmId> near() {
-		return present().filter((member) -> member.dataCentre().equals(this.membership.dataCentre()))
-			.map(Member::vm)
-			.filter((vm) -> !vm.equals(this.membership.self().vm()))
-			.toList();
+		return others(present().filter((member) -> member.dataCentre().equals(this.membership.dataCentre())));
 	}
 
 	@Override
@@ -89,6 +87,62 @@
 		return this.membership.member(vm).map((member) -> member.dataCentre().value()).orElse("");
 	}
 
+	@Override
+	public Collection<VmId> firstHand() {
+		if (flat()) {
+			return others(present());
+		}
+		return isRelay() ? passedOnByRelay(near()) : relays();
+	}
+
+	/**
+	 * {@inheritDoc} What comes from another data centre came from a relay there, which
+	 * tells the other relays itself.
+	 */
+	@Override
+	public Collection<VmId> passedOn(VmId from) {
+		if (flat() || !isRelay()) {
+			return List.of();
+		}
+		List<VmId> near = new ArrayList<>(near());
+		near.remove(from);
+		boolean fromNear = dataCentre(from).equals(this.membership.dataCentre().value());
+		return fromNear ? passedOnByRelay(near) : near;
+	}
+
+	private Collection<VmId> passedOnByRelay(Collection<VmId> near) {
+		List<VmId> all = new ArrayList<>(near);
+		all.addAll(remoteRelays());
+		return all;
+	}
+
+	/**
+	 * This daemon's place among those that ask the store: relays first, since they reach
+	 * all others in the fewest steps, in an order that is the same for all of them; then
+	 * the others, those of different data centres side by side.
+	 * @return 0 for the first
+	 */
+	int storeRank() {
+		VmId self = this.membership.self().vm();
+		Set<VmId> relays = byName(this.membership.relays());
+		relays.addAll(this.membership.remoteRelays());
+		if (relays.contains(self)) {
+			return List.copyOf(relays).indexOf(self);
+		}
+		long before = near().stream().filter((vm) -> vm.value().compareTo(self.value()) < 0).count();
+		return relays.size() + (int) before;
+	}
+
+	private static Set<VmId> byName(Collection<VmId> vms) {
+		Set<VmId> sorted = new TreeSet<>(Comparator.comparing(VmId::value));
+		sorted.addAll(vms);
+		return sorted;
+	}
+
+	private Collection<VmId> others(Stream<Member> members) {
+		return members.map(Member::vm).filter((vm) -> !vm.equals(this.membership.self().vm())).toList();
+	}
+
 	private Stream<Member> present() {
 		return this.membership.members().stream().filter((member) -> member.state() != Member.State.DEAD);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -9,13 +9,13 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.Incarnation;
-import org.bramleyscale.ServingException;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
-import org.bramleyscale.internal.gateway.follow.FollowPace;
+import org.bramleyscale.internal.gateway.follow.FollowOrder;
+import org.bramleyscale.internal.gateway.follow.FollowTimes;
 import org.bramleyscale.internal.gateway.follow.FollowedKind;
 import org.bramleyscale.internal.gateway.follow.FollowedObject;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
@@ -123,12 +123,10 @@
 		this.loads = new LoadBoard(loop);
 		FollowedKind backendKind = new FollowedKind(new BackendEntries(parts.documents(), this.backends, this.health,
 				this.loads, this::mayHaveLapsed, log)::changed);
-		this.catalogFollower = new StoreFollower(parts.documents().catalogKind(), loop, this.random, daemons,
-				catalogKind, this::pace, log);
-		this.backendFollower = new StoreFollower(parts.documents().backendKind(), loop, this.random, daemons,
-				backendKind, this::pace, log);
-		this.network = new TcpPeerNetwork(peers.connections(), loop, new MessageCodec(peers.messages()), this.random,
-				parts.metrics());
+		this.catalogFollower = follower(parts.documents().catalogKind(), daemons, catalogKind);
+		this.backendFollower = follower(parts.documents().backendKind(), daemons, backendKind);
+		this.network = new TcpPeerNetwork(peers.connections(), loop.forPeers(), loop,
+				new MessageCodec(peers.messages()), this.random, parts.metrics());
 		this.membership = MembershipService.builder()
 			.settings(peers.membership())
 			.scheduler(loop)
@@ -141,7 +139,7 @@
 		this.entries = new EntryList(loop, this.membership, this.network);
 		this.copies = new PeerCopies(loop, this.network,
 				Map.of(parts.documents().catalogKind(), catalogKind, parts.documents().backendKind(), backendKind),
-				log);
+				this.directory, log);
 		DemandBoard demands = new DemandBoard(loop);
 		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
 		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
@@ -192,13 +190,14 @@
 	 */
 	public void start() throws Exception {
 		this.callers.listen(this.settings.callers());
+		this.network.start(this.directory);
 		CompletableFuture<Void> done = new CompletableFuture<>();
 		this.parts.loop().execute(() -> {
 			try {
 				startSlices();
 				done.complete(null);
 			}
-			catch (ServingException | RuntimeException ex) {
+			catch (RuntimeException ex) {
 				done.completeExceptionally(ex);
 			}
 		});
@@ -257,10 +256,9 @@
 				this.status.daemons(), this.status.endpoints(), List.of(), List.of());
 	}
 
-	private void startSlices() throws ServingException {
+	private void startSlices() {
 		this.catalogFollower.start();
 		this.backendFollower.start();
-		this.network.start(this.directory);
 		this.membership.start();
 		this.copies.start();
 		this.loadExchange.start();
@@ -287,23 +285,28 @@
 		}
 	}
 
+	private StoreFollower follower(String kind, ObjectStore store, FollowedKind copies) {
+		StoreFollower follower = new StoreFollower(kind, this.parts.loop(), this.random, store, copies,
+				new StoreOrder(), FollowTimes.within(this.settings.changeWithin()), this.parts.log());
+		follower
+			.onNews((from) -> this.copies.push(kind, from, follower.sinceOutage(), this.directory.storeRank() == 0));
+		return follower;
+	}
+
 	/**
-	 * Whether an entry that is off the list may only have lapsed. A daemon that follows
-	 * loosely can't tell whether the store was away.
+	 * Whether an entry that is off the list may only have lapsed, because the store was
+	 * away for this daemon or for one that told it of the change.
 	 * @return true if the endpoint, if it lives, is back on the list soon
 	 */
 	private boolean mayHaveLapsed() {
-		return this.backendFollower.failedWithin(OUTAGE_MEMORY) || pace().equals(FollowPace.LOOSE);
+		return this.backendFollower.sinceFailure().compareTo(OUTAGE_MEMORY) < 0
+				|| this.copies.sinceOutage().compareTo(OUTAGE_MEMORY) < 0;
 	}
 
 	private boolean takes(Duration timeLeft) {
 		return this.leave.takes(timeLeft);
 	}
 
-	private FollowPace pace() {
-		return (this.directory.flat() || this.directory.isRelay()) ? FollowPace.CLOSE : FollowPace.LOOSE;
-	}
-
 	private RetryWindow retries() {
 		return new RetryWindow(this.parts.loop(), this.settings.retryWindow(), this.settings.retryRatio(),
 				this.settings.retryConstant(), () -> Math.max(1, this.membership.expected()));
@@ -324,6 +327,23 @@
 			EngineOrders orders, DecisionLog log, MetricRegistry metrics) {
 	}
 
+	/**
+	 * This daemon's place among those that ask the store.
+	 */
+	private final class StoreOrder implements FollowOrder {
+
+		@Override
+		public int rank() {
+			return GatewayNode.this.directory.storeRank();
+		}
+
+		@Override
+		public boolean alone() {
+			return GatewayNode.this.copies.alone();
+		}
+
+	}
+
 	/**
 	 * What the planned stop does to this daemon.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewaySettings.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewaySettings.java
@@ -20,19 +20,23 @@
  * @param seeds peers to dial before the list of daemons could be read
  * @param addressKeepFor how long callers keep an answer about addresses
  * @param grace how long a planned stop may take
+ * @param changeWithin how soon a change in the store must be in force on every daemon
  * @param retryWindow the window of the retry budget
  * @param retryRatio repeats allowed for each request in a window
  * @param retryConstant repeats allowed in a window besides, for all daemons together
  */
 public record GatewaySettings(VmId vm, DataCentre dataCentre, InetSocketAddress callers, InetSocketAddress peers,
-		List<VmId> seeds, Duration addressKeepFor, Duration grace, Duration retryWindow, double retryRatio,
-		double retryConstant) {
+		List<VmId> seeds, Duration addressKeepFor, Duration grace, Duration changeWithin, Duration retryWindow,
+		double retryRatio, double retryConstant) {
 
 	public GatewaySettings {
 		seeds = List.copyOf(seeds);
 		if (grace.isNegative() || grace.isZero()) {
 			throw new IllegalArgumentException("grace must be positive, was " + grace);
 		}
+		if (changeWithin.isNegative() || changeWithin.isZero()) {
+			throw new IllegalArgumentException("changeWithin must be positive, was " + changeWithin);
+		}
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
@@ -43,6 +43,11 @@
 		return this.store.list(kind);
 	}
 
+	@Override
+	public CompletableFuture<WatchBatch> listCached(String kind) {
+		return this.store.listCached(kind);
+	}
+
 	@Override
 	public CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
 		return this.store.write(key, value, expected);
@@ -58,9 +63,13 @@
 		return this.store.watch(kind, after, wait);
 	}
 
+	/**
+	 * {@inheritDoc} A cached list will do: daemons that have met tell each other who is
+	 * there, and the list only says whom to look for.
+	 */
 	@Override
 	public CompletableFuture<List<VmRecord>> vms() {
-		return this.store.list(DaemonRecord.KIND).thenApply((batch) -> {
+		return this.store.listCached(DaemonRecord.KIND).thenApply((batch) -> {
 			List<VmRecord> records = new ArrayList<>();
 			for (StoredObject object : batch.changed()) {
 				try {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/platform/ObjectStore.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/ObjectStore.java
@@ -32,6 +32,16 @@
 	 */
 	CompletableFuture<WatchBatch> list(String kind);
 
+	/**
+	 * Reads all objects of a kind as they were at some moment of the last seconds, for a
+	 * fraction of the price where the platform offers that.
+	 * @param kind the kind
+	 * @return the objects and the revision from which a watch continues
+	 */
+	default CompletableFuture<WatchBatch> listCached(String kind) {
+		return list(kind);
+	}
+
 	/**
 	 * Writes an object if the stored version is the expected one.
 	 * @param key the key
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
@@ -20,6 +20,8 @@
 
 	final Deque<CompletableFuture<WatchBatch>> lists = new ArrayDeque<>();
 
+	final Deque<CompletableFuture<WatchBatch>> cachedLists = new ArrayDeque<>();
+
 	final Deque<CompletableFuture<WatchBatch>> watches = new ArrayDeque<>();
 
 	long watchedFrom = -1;
@@ -36,6 +38,13 @@
 		return call;
 	}
 
+	@Override
+	public CompletableFuture<WatchBatch> listCached(String kind) {
+		CompletableFuture<WatchBatch> call = new CompletableFuture<>();
+		this.cachedLists.add(call);
+		return call;
+	}
+
 	@Override
 	public CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
 		throw new UnsupportedOperationException();
