Take a cached list as complete up to its newest object only

Cause, found by reading: at a start the copies come from a cached list, which may be seconds old; if the revision that comes with it is that of now, a watch from there misses what changed between, and the daemon holds an old document, or lacks endpoints, until each changes again. Now it is complete up to its newest object; the first watch, or a peer, brings the rest. A test starts from a list of revision 10 whose newest object is of 5 and fails without the change.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -6,6 +6,7 @@
 
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.platform.ObjectStore;
+import org.bramleyscale.internal.platform.StoredObject;
 import org.bramleyscale.internal.platform.WatchBatch;
 import org.bramleyscale.internal.time.Scheduler;
 
@@ -232,19 +233,33 @@
 	 * @param first whether this is the daemon's first call
 	 */
 	private void list(boolean first) {
+		if (first) {
+			ask(this.store.listCached(this.kind), Asked.NO_WATCH, Duration.ZERO, (batch) -> {
+				this.copies.list(asOfItsNewest(batch));
+				this.notBefore = this.scheduler.nanos() + PEERS_FIRST.toNanos();
+			});
+			return;
+		}
 		long known = this.copies.complete();
-		CompletableFuture<WatchBatch> call = first ? this.store.listCached(this.kind) : this.store.list(this.kind);
-		ask(call, Asked.NO_WATCH, Duration.ZERO, (batch) -> {
+		ask(this.store.list(this.kind), Asked.NO_WATCH, Duration.ZERO, (batch) -> {
 			this.copies.list(batch);
-			if (first) {
-				this.notBefore = this.scheduler.nanos() + PEERS_FIRST.toNanos();
-			}
-			else {
-				told(known);
-			}
+			told(known);
 		});
 	}
 
+	/**
+	 * A cached list as complete up to its newest object only. The revision that the store
+	 * gives with it may be that of now; a watch from there would miss what changed since
+	 * the list was made, and the daemon would serve by an old document until the next
+	 * one.
+	 * @param cached the list
+	 * @return the list with the revision of its newest object, 0 if it has none
+	 */
+	private static WatchBatch asOfItsNewest(WatchBatch cached) {
+		long newest = cached.changed().stream().mapToLong(StoredObject::version).max().orElse(0);
+		return new WatchBatch(Math.min(newest, cached.revision()), false, cached.changed());
+	}
+
 	private void watch(Duration wait) {
 		long after = this.copies.complete();
 		boolean check = wait.equals(AT_ONCE);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -63,9 +63,20 @@
 	}
 
 	@Test
-	void listsOnceAndThenWatchesFromTheListsRevision() {
+	void watchesFromTheNewestObjectOfACachedList() {
+		// Symptom: a daemon serves by a document that was replaced seconds before its
+		// start, until the next one. Sequence: the list is seconds old, its revision is
+		// that of now; the daemon watches from there. Cause: what changed between is in
+		// neither.
+		Truth.assertThat(this.heard).containsExactly("+a3", "+b5");
+		Truth.assertThat(this.store.watchedFrom).isEqualTo(5);
+		this.store.watches.poll().complete(new WatchBatch(10, false, List.of(FakeStore.object("a", 9)), List.of("b")));
+		Truth.assertThat(this.heard).containsExactly("+a3", "+b5", "+a9", "-b10").inOrder();
+	}
+
+	@Test
+	void watchesOnFromWhatAWatchBrought() {
 		Truth.assertThat(this.heard).containsExactly("+a3", "+b5");
-		Truth.assertThat(this.store.watchedFrom).isEqualTo(10);
 		this.store.watches.poll().complete(new WatchBatch(12, false, List.of(FakeStore.object("c", 11)), List.of("a")));
 		Truth.assertThat(this.heard).containsExactly("+a3", "+b5", "+c11", "-a12").inOrder();
 		this.scheduler.advance(TIMES.gather().plus(StoreFollower.TURN));
@@ -89,7 +100,7 @@
 	@Test
 	void tellsWhereItsNewsBegin() {
 		this.store.watches.poll().complete(new WatchBatch(12, false, List.of(FakeStore.object("c", 11))));
-		Truth.assertThat(this.told).containsExactly(10L);
+		Truth.assertThat(this.told).containsExactly(5L);
 		Truth.assertThat(this.copies.confirmedAt()).isEqualTo(this.scheduler.nanos());
 	}
 
@@ -99,7 +110,7 @@
 		// connection goes silent, the store changes, a peer tells of it. Cause: the
 		// silent connection never reports an error.
 		Truth.assertThat(this.store.watches).hasSize(1);
-		this.copies.fromPeer(10, 12, List.of(new FollowedObject("c", 12, new byte[1])));
+		this.copies.fromPeer(5, 12, List.of(new FollowedObject("c", 12, new byte[1])));
 		this.scheduler.advance(StoreFollower.OVERTAKEN.plus(StoreFollower.TURN.multipliedBy(2)));
 		Truth.assertThat(this.store.watches).hasSize(2);
 		Truth.assertThat(this.store.watchedFrom).isEqualTo(12);
@@ -130,7 +141,7 @@
 		// 30,
 		// then a list asked for before arrives. Cause: lists and peers overtake each
 		// other.
-		this.copies.fromPeer(10, 30, List.of(new FollowedObject("a", 30, null)));
+		this.copies.fromPeer(5, 30, List.of(new FollowedObject("a", 30, null)));
 		this.copies.list(new WatchBatch(20, false, List.of(FakeStore.object("a", 3))));
 		Truth.assertThat(this.heard).containsExactly("+a3", "+b5", "-a30").inOrder();
 	}
