--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
@@ -20,9 +20,10 @@
  *
  * <p>
  * Decisions are as good as what a daemon knows of the others' work is fresh: with 172
- * engines and 95 daemons, 0.83 of what was offered was served in time when daemons heard
- * of each other after 250 ms, and 0.91 after 100 ms. So a daemon tells as soon as
- * something begins or ends, but for a moment in which more may happen.
+ * engines and 95 daemons, 0.83 of the worth of what was asked was earned when daemons
+ * heard of each other 250 ms late, 0.91 after 100 ms (the experiment hire-desk-large). So
+ * a daemon tells as soon as something begins or ends, but for a moment in which more may
+ * happen.
  *
  * <p>
  * In a small fleet all tell all. In a large one that would be thousands of messages a
@@ -36,10 +37,16 @@
 	/** What happens within so long after something began or ended is told at once. */
 	public static final Duration GATHER = Duration.ofMillis(20);
 
-	/** The pause between a relay's sums: as many messages a second as it has peers. */
+	/**
+	 * The pause between a relay's sums. Work in another data centre is told twice on its
+	 * way, so it is known within a quarter of the time to a short prompt's first token;
+	 * half of the pause would double the messages of relays, 20 a second to each peer.
+	 */
 	static final Duration SUM_PAUSE = Duration.ofMillis(50);
 
-	/** Each so many sums one names all endpoints. */
+	/**
+	 * One of so many sums names all endpoints: twice in the time that a telling counts.
+	 */
 	private static final int WHOLE_SUMS = 8;
 
 	/**
