Let a daemon that has just started name others, and hold early requests

From 38.4 to 40.8 callers got hardly anything, then small daemons served them with first events after 0.5 to 0.9 s: a small daemon that had just started knew nobody, so it named itself, in one case 1.1 s after its start without knowing an endpoint. And 12 of the first 30 requests at the large ones were refused with 'no endpoint' 0.1 s before these were known. Ruled out: the large daemons' own speed (first events after 0.1 to 0.2 s there in the same second), the store (copies came from peers).

Change: a daemon without configuration or endpoints names others only; one that has met nobody although others are listed names nobody in its first second, so that callers ask elsewhere or keep what they have. Requests that come before the daemon knows endpoints are held, 0.5 s after its start at the most, and their time left shrinks meanwhile.

Tests: EntryListTests (names only itself without the change), StartQueueTests.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -222,7 +222,7 @@
 		this.body.reset();
 		this.reply = new ChannelReply(this, request);
 		ChannelReply current = this.reply;
-		Runnable whenGone = this.server.service().take(read, current);
+		Runnable whenGone = this.server.requests().take(read, current);
 		if (this.reply == current) {
 			this.gone = whenGone;
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -15,7 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
-import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.CallerRequests;
 
 /**
  * Listens for callers.
@@ -37,7 +37,7 @@
 
 	private final NettyLoop loop;
 
-	private final GatewayService service;
+	private final CallerRequests requests;
 
 	private final WireDialect dialect;
 
@@ -52,13 +52,13 @@
 	/**
 	 * Makes a server that doesn't listen yet.
 	 * @param loop the daemon's loop
-	 * @param service takes the requests
+	 * @param requests takes the requests
 	 * @param dialect reads them
 	 * @param limits the limits in force
 	 */
-	public CallerServer(NettyLoop loop, GatewayService service, WireDialect dialect, Supplier<CallerLimits> limits) {
+	public CallerServer(NettyLoop loop, CallerRequests requests, WireDialect dialect, Supplier<CallerLimits> limits) {
 		this.loop = loop;
-		this.service = service;
+		this.requests = requests;
 		this.dialect = dialect;
 		this.limits = limits;
 	}
@@ -119,8 +119,8 @@
 		return this.leaving;
 	}
 
-	GatewayService service() {
-		return this.service;
+	CallerRequests requests() {
+		return this.requests;
 	}
 
 	WireDialect dialect() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -8,9 +8,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.IntSupplier;
-import java.util.function.Predicate;
-import java.util.function.Supplier;
 
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.membership.Member;
@@ -26,8 +23,10 @@
  * to it in the meantime loses one of its two tries. A killed daemon's connections end at
  * once, and a frozen one stops telling its work, so a daemon with which the connection
  * was lost or that isn't heard isn't named, unless nobody else is left. Which of the
- * others are named {@link EntrySelection} says. Invariant: the list is never empty while
- * any daemon is known. Confined to the scheduler's thread.
+ * others are named {@link EntrySelection} says. A daemon that has just started and knows
+ * nobody names nobody, so that callers ask another or keep the answer that they have.
+ * Invariant: once it has been there for a moment, the list is never empty. Confined to
+ * the scheduler's thread.
  */
 final class EntryList {
 
@@ -37,39 +36,35 @@
 	/** A connection that is replaced by another is missing for less than this. */
 	private static final Duration REPLACED = Duration.ofMillis(400);
 
+	/**
+	 * For so long a daemon that has just started doesn't name itself while it has met
+	 * nobody though others are listed. After a loss of all power the small VMs of a fleet
+	 * came back two seconds after the large ones; each named only itself to who asked it,
+	 * and 12 of 19 callers of the next two seconds had their first event after 1.3 s in
+	 * the middle.
+	 */
+	private static final Duration ACQUAINTED = Duration.ofSeconds(1);
+
 	private final Clock clock;
 
+	private final long startedAt;
+
 	private final MembershipView membership;
 
 	private final PeerNetwork network;
 
-	private final Predicate<VmId> unheard;
-
-	private final Supplier<EntrySelection> selection;
-
-	private final IntSupplier underWay;
+	private final FleetKnowledge knowledge;
 
 	private final Map<VmId, Long> lastConnected = new HashMap<>();
 
 	private final Random random = new Random();
 
-	/**
-	 * Makes a list.
-	 * @param clock the daemon's clock
-	 * @param membership who there is
-	 * @param network to the peers
-	 * @param unheard whether a daemon fell silent
-	 * @param selection chooses among those that answer
-	 * @param underWay requests under way in the whole fleet
-	 */
-	EntryList(Clock clock, MembershipView membership, PeerNetwork network, Predicate<VmId> unheard,
-			Supplier<EntrySelection> selection, IntSupplier underWay) {
+	EntryList(Clock clock, MembershipView membership, PeerNetwork network, FleetKnowledge knowledge) {
 		this.clock = clock;
+		this.startedAt = clock.nanos();
 		this.membership = membership;
 		this.network = network;
-		this.unheard = unheard;
-		this.selection = selection;
-		this.underWay = underWay;
+		this.knowledge = knowledge;
 	}
 
 	/**
@@ -84,26 +79,34 @@
 	/**
 	 * The daemons that callers should use.
 	 * @param selfLeaves whether this daemon leaves
-	 * @return {@code host:port} of each
+	 * @return {@code host:port} of each, none if this daemon has just started
 	 */
 	List<String> addresses(boolean selfLeaves) {
 		List<Member> sure = new ArrayList<>();
 		List<Member> others = new ArrayList<>();
+		VmId self = this.membership.self().vm();
 		for (Member member : this.membership.eligible()) {
-			boolean self = member.vm().equals(this.membership.self().vm());
-			if (self && selfLeaves) {
-				continue;
+			if (!member.vm().equals(self)) {
+				boolean alive = member.state() == Member.State.ALIVE && !lost(member.vm());
+				(alive ? sure : others).add(member);
 			}
-			boolean alive = self || (member.state() == Member.State.ALIVE && !lost(member.vm()));
-			(alive ? sure : others).add(member);
 		}
-		List<Member> usable = sure.isEmpty() ? others : sure;
+		boolean stranger = sure.isEmpty() && this.knowledge.othersListed()
+				&& this.clock.nanos() - this.startedAt < ACQUAINTED.toNanos();
+		if (!selfLeaves && !stranger && this.knowledge.informed()) {
+			this.membership.member(self).ifPresent(sure::add);
+		}
+		List<Member> usable = new ArrayList<>(sure.isEmpty() ? others : sure);
+		if (usable.isEmpty() && !stranger) {
+			this.membership.member(self).ifPresent(usable::add);
+		}
+		return chosen(usable);
+	}
+
+	private List<String> chosen(List<Member> usable) {
 		List<String> chosen = new ArrayList<>();
-		this.selection.get()
-			.among(usable, this.underWay.getAsInt())
-			.forEach((member) -> chosen.add(member.httpAddress()));
-		if (chosen.isEmpty()) {
-			this.membership.member(this.membership.self().vm()).ifPresent((self) -> chosen.add(self.httpAddress()));
+		for (Member member : this.knowledge.selection().among(usable, this.knowledge.underWay())) {
+			chosen.add(member.httpAddress());
 		}
 		if (chosen.size() > MOST) {
 			Collections.shuffle(chosen, this.random);
@@ -114,7 +117,7 @@
 	private boolean lost(VmId vm) {
 		Long last = this.lastConnected.get(vm);
 		boolean cut = last != null && this.clock.nanos() - last > REPLACED.toNanos();
-		return cut || this.unheard.test(vm);
+		return cut || this.knowledge.unheard(vm);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -9,6 +9,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
@@ -36,6 +37,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.StartQueue;
 import org.bramleyscale.internal.gateway.retry.RetryWindow;
 import org.bramleyscale.internal.membership.MembershipService;
 import org.bramleyscale.internal.peer.MessageCodec;
@@ -141,8 +143,7 @@
 				this.directory, log);
 		DemandBoard demands = new DemandBoard(loop);
 		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
-		this.entries = new EntryList(loop, this.membership, this.network, this.loadExchange::unheard,
-				this.directory::entries, this.loads::underWay);
+		this.entries = new EntryList(loop, this.membership, this.network, new Knowledge());
 		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
 		PlacementPolicy engines = new EnginePlacement(this.backends, this.health, this.loads, demands, this.random);
 		BackendConnections connections = new BackendConnections(loop, parts.dialect());
@@ -153,7 +154,8 @@
 				this.loads, demands, retries(), holds, this.loadExchange::tell, log,
 				new GatewayMetrics(parts.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this::takes, this.random);
-		this.callers = new CallerServer(loop, this.service, parts.dialect(),
+		StartQueue requests = new StartQueue(loop, this::informed, this.service);
+		this.callers = new CallerServer(loop, requests, parts.dialect(),
 				() -> this.catalogs.current().map(Catalog::limits).orElse(CallerLimits.DEFAULT));
 		this.status = new FleetStatus(this.membership, this.backends, this.health, this.loads, this.catalogs);
 		this.leave = new LeaveSequence(loop, settings, new Leaving(ended), log);
@@ -217,7 +219,11 @@
 	 * @return true once it knows the configuration and endpoints, until it leaves
 	 */
 	public boolean ready() {
-		return !this.leave.begun() && this.catalogs.current().isPresent() && !this.backends.all().isEmpty();
+		return !this.leave.begun() && informed();
+	}
+
+	private boolean informed() {
+		return this.catalogs.current().isPresent() && !this.backends.all().isEmpty();
 	}
 
 	/**
@@ -345,6 +351,38 @@
 
 	}
 
+	/**
+	 * What this daemon knows when callers ask for addresses.
+	 */
+	private final class Knowledge implements FleetKnowledge {
+
+		@Override
+		public boolean informed() {
+			return GatewayNode.this.informed();
+		}
+
+		@Override
+		public boolean othersListed() {
+			return GatewayNode.this.membership.othersListed();
+		}
+
+		@Override
+		public boolean unheard(VmId vm) {
+			return GatewayNode.this.loadExchange.unheard(vm);
+		}
+
+		@Override
+		public EntrySelection selection() {
+			return GatewayNode.this.directory.entries();
+		}
+
+		@Override
+		public int underWay() {
+			return GatewayNode.this.loads.underWay();
+		}
+
+	}
+
 	/**
 	 * What the planned stop does to this daemon.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
@@ -35,6 +35,17 @@
 		return (query >= 0) ? this.target.substring(0, query) : this.target;
 	}
 
+	/**
+	 * The same request once it has waited here.
+	 * @param waited for how long
+	 * @return the request with so much less time left
+	 */
+	CallerRequest after(Duration waited) {
+		return new CallerRequest(this.id, this.method, this.target, this.host, this.headers, this.body, this.key,
+				this.timeLeft.map((time) -> time.minus(waited)), this.promptTokens, this.outputTokens,
+				this.lastEventId);
+	}
+
 	/**
 	 * The time that this request has on a route.
 	 * @param timeout the route's timeout
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -22,7 +22,7 @@
  * Invariant: a daemon that knows no catalog yet refuses with "not run" and never says
  * that a route or key doesn't exist. Confined to the scheduler's thread.
  */
-public final class GatewayService {
+public final class GatewayService implements CallerRequests {
 
 	/** Another daemon can be asked at once; zero would mean that nothing is said. */
 	private static final Duration LEAVING_PAUSE = Duration.ofMillis(10);
@@ -62,12 +62,7 @@
 		this.random = random;
 	}
 
-	/**
-	 * Takes a request.
-	 * @param request the request
-	 * @param reply the way back to the caller
-	 * @return what to run when the caller has gone
-	 */
+	@Override
 	public Runnable take(CallerRequest request, CallerReply reply) {
 		Catalog catalog = this.catalogs.current().orElse(null);
 		if (catalog == null) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.DataCentre;
@@ -19,6 +20,8 @@
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.time.ManualScheduler;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Tests of {@link EntryList}.
@@ -29,10 +32,9 @@
 
 	private final Fleet fleet = new Fleet();
 
-	private final Set<VmId> unheard = new HashSet<>();
+	private final Knowledge knowledge = new Knowledge();
 
-	private final EntryList entries = new EntryList(this.scheduler, this.fleet, this.fleet, this.unheard::contains,
-			() -> new EntrySelection(true, Set.of()), () -> 0);
+	private final EntryList entries = new EntryList(this.scheduler, this.fleet, this.fleet, this.knowledge);
 
 	@Test
 	void aDaemonWhoseConnectionWasLostIsNotNamed() {
@@ -57,10 +59,30 @@
 		// after three seconds only.
 		this.fleet.connected.addAll(List.of(vm("b"), vm("c")));
 		this.entries.observe();
-		this.unheard.add(vm("c"));
+		this.knowledge.unheard.add(vm("c"));
 		Truth.assertThat(this.entries.addresses(false)).containsExactly("a:80", "b:80");
 	}
 
+	@ParameterizedTest
+	@CsvSource({
+			// ms since the start, informed, others met, others listed, names
+			"100, true, true, true, a:80 b:80 c:80", "100, false, true, true, b:80 c:80", "100, true, false, true, ''",
+			"100, false, false, true, ''", "100, true, false, false, a:80", "1000, true, false, true, a:80",
+			"1000, false, true, true, b:80 c:80" })
+	void aDaemonThatHasJustStartedDoesNotCallCallersToItself(long millis, boolean informed, boolean met, boolean listed,
+			String named) {
+		// Symptom: callers wait for seconds at small VMs while large ones are back.
+		// Sequence: all power is lost; a small VM's daemon starts last; who asks it first
+		// is named only it. Cause: it doesn't know the others yet, nor the endpoints.
+		if (!met) {
+			this.fleet.members.removeIf((member) -> !member.vm().equals(vm("a")));
+		}
+		this.knowledge.informed = informed;
+		this.knowledge.othersListed = listed;
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(String.join(" ", new TreeSet<>(this.entries.addresses(false)))).isEqualTo(named);
+	}
+
 	@Test
 	void aDaemonThatLeavesNamesTheOthers() {
 		Truth.assertThat(this.entries.addresses(true)).containsExactly("b:80", "c:80");
@@ -85,6 +107,44 @@
 		return new VmId(name);
 	}
 
+	/**
+	 * A daemon that has been there for long, unless a test says otherwise.
+	 */
+	private static final class Knowledge implements FleetKnowledge {
+
+		private final Set<VmId> unheard = new HashSet<>();
+
+		private boolean informed = true;
+
+		private boolean othersListed;
+
+		@Override
+		public boolean informed() {
+			return this.informed;
+		}
+
+		@Override
+		public boolean othersListed() {
+			return this.othersListed;
+		}
+
+		@Override
+		public boolean unheard(VmId vm) {
+			return this.unheard.contains(vm);
+		}
+
+		@Override
+		public EntrySelection selection() {
+			return new EntrySelection(true, Set.of());
+		}
+
+		@Override
+		public int underWay() {
+			return 0;
+		}
+
+	}
+
 	/**
 	 * Three daemons, of which the first is this one.
 	 */
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartQueueTests.java
@@ -0,0 +1,79 @@
+package org.bramleyscale.internal.gateway.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link StartQueue}.
+ */
+class StartQueueTests {
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final List<String> taken = new ArrayList<>();
+
+	private final List<String> gone = new ArrayList<>();
+
+	private final List<Duration> left = new ArrayList<>();
+
+	private boolean ready;
+
+	private final StartQueue queue = new StartQueue(this.scheduler, () -> this.ready, this::take);
+
+	@ParameterizedTest
+	@CsvSource({ "20, 100, 110", "20, 495, 500", "400, 450, 460", "20, 10000, 500" })
+	void whatComesBeforeTheDaemonKnowsAnEndpointIsNotRefused(long askedAt, long readyAt, long takenBy) {
+		// Symptom: after a loss of all power callers are refused and come back half a
+		// second later, on their last try. Sequence: a daemon listens, a request comes,
+		// 0.1 s later the daemon knows the endpoints. Cause: it refused at once what it
+		// could serve a moment later.
+		this.scheduler.schedule(Duration.ofMillis(readyAt), () -> this.ready = true);
+		this.scheduler.advance(Duration.ofMillis(askedAt));
+		this.queue.take(request("first"), null);
+		this.queue.take(request("second"), null);
+		this.scheduler.advance(Duration.ofMillis(Math.min(readyAt, 500) - askedAt - 1));
+		Truth.assertThat(this.taken).isEmpty();
+		this.scheduler.advance(Duration.ofMillis(takenBy - Math.min(readyAt, 500) + 2));
+		Truth.assertThat(this.taken).containsExactly("first", "second").inOrder();
+		this.left.forEach(
+				(left) -> Truth.assertThat(left).isAtMost(Duration.ofMillis(1_000 + askedAt - Math.min(readyAt, 500))));
+	}
+
+	@Test
+	void laterRequestsAreNotHeld() {
+		this.scheduler.advance(StartQueue.LONGEST);
+		this.queue.take(request("late"), null);
+		Truth.assertThat(this.taken).containsExactly("late");
+	}
+
+	@Test
+	void aCallerThatLeavesMeanwhileIsNotServed() {
+		this.queue.take(request("leaves"), null).run();
+		Runnable stays = this.queue.take(request("stays"), null);
+		this.ready = true;
+		this.scheduler.advance(Duration.ofMillis(20));
+		Truth.assertThat(this.taken).containsExactly("stays");
+		stays.run();
+		Truth.assertThat(this.gone).containsExactly("stays");
+	}
+
+	private static CallerRequest request(String id) {
+		return new CallerRequest(id, "POST", "/quotes/1", "hire.example", List.of(), new byte[0], Optional.empty(),
+				Optional.of(Duration.ofSeconds(1)), 0, 0, Optional.empty());
+	}
+
+	private Runnable take(CallerRequest request, CallerReply reply) {
+		this.taken.add(request.id());
+		request.timeLeft().ifPresent(this.left::add);
+		return () -> this.gone.add(request.id());
+	}
+
+}
