Pack large frames between daemons and queue only the newest for slow links

Each version is a document of 270 routes, 65 KB, that goes whole to 30 daemons: 1.1 s of a link of 14 Mbit/s, and 25 versions come in seconds; sums of work wait in the same queues.

Frames from 2 KB on are packed (JDK's deflate, fastest); only proven peers may make a daemon unpack. Daemons whose connections hold more than 16 KB get no load, and of copies only how far they reach once there is room; the kernel holds 32 KB of a connection at most. A test of bounded queues now fills them with bytes that can't be packed, since a megabyte of zeros takes 1 KB; its bounds are the same.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -1,8 +1,12 @@
 package org.bramleyscale.internal.gateway.follow;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
@@ -18,8 +22,11 @@
  * Few daemons ask the store, and it may turn single ones away while it serves the others
  * and the operator. Whoever reads something new pushes it to the others; besides, every
  * daemon tells a few peers how far its copies reach, and one that knows more sends what
- * is missing, so that a lost push costs a moment. Invariant: a daemon answers only with
- * changes that it knows without a gap. Confined to the scheduler's thread.
+ * is missing, so that a lost push costs a moment. A peer whose connection doesn't keep up
+ * gets what is newest once it does, and nothing in between: 25 versions in two seconds
+ * would queue for ten on a link of 14 Mbit/s, and the last of them counts. Invariant: a
+ * daemon answers only with changes that it knows without a gap. Confined to the
+ * scheduler's thread.
  */
 public final class PeerCopies {
 
@@ -41,6 +48,9 @@
 	/** News that are fresher by less aren't worth a message to each daemon. */
 	private static final Duration FRESHER = Duration.ofMillis(200);
 
+	/** The pause between looks at connections that didn't keep up. */
+	static final Duration LOOK = Duration.ofMillis(20);
+
 	private final Scheduler scheduler;
 
 	private final PeerNetwork network;
@@ -51,6 +61,8 @@
 
 	private final DecisionLog log;
 
+	private final Set<VmId> behind = new HashSet<>();
+
 	private long heardAt;
 
 	private long outageAt;
@@ -122,13 +134,46 @@
 		this.outageAt = Math.max(this.outageAt, this.scheduler.nanos() - sinceOutage.toNanos());
 		CopiesTold message = copies(kind, this.kinds.get(kind), from);
 		if (first || message.objects().isEmpty()) {
-			this.network.sendAll(this.routes.firstHand(), message);
+			spread(this.routes.firstHand(), message);
 		}
 		else {
 			this.scheduler.schedule(SECOND_HAND, () -> this.network.sendAll(this.routes.firstHand(), reach()));
 		}
 	}
 
+	private void spread(Collection<VmId> to, CopiesTold message) {
+		List<VmId> keepUp = new ArrayList<>();
+		to.forEach((vm) -> {
+			if (!this.network.congested(vm)) {
+				keepUp.add(vm);
+			}
+			else if (message.objects() != null && !message.objects().isEmpty()) {
+				noteBehind(vm);
+			}
+		});
+		this.network.sendAll(keepUp, message);
+	}
+
+	private void noteBehind(VmId vm) {
+		if (this.behind.isEmpty()) {
+			this.scheduler.schedule(LOOK, this::catchUp);
+		}
+		this.behind.add(vm);
+	}
+
+	/**
+	 * Tells those whose connections have caught up how far the copies reach; they ask for
+	 * what they miss.
+	 */
+	private void catchUp() {
+		List<VmId> again = this.behind.stream().filter((vm) -> !this.network.congested(vm)).toList();
+		again.forEach(this.behind::remove);
+		this.network.sendAll(again, reach());
+		if (!this.behind.isEmpty()) {
+			this.scheduler.schedule(LOOK, this::catchUp);
+		}
+	}
+
 	private CopiesTold copies(String kind, FollowedKind ours, long from) {
 		return new CopiesTold(kind, from, ours.complete(), age(ours), sinceOutage().toMillis(), ours.after(from));
 	}
@@ -167,7 +212,11 @@
 			// What the store said of copies that reach no further holds for ours too.
 			ours.confirm(before(theirs.ageMillis()));
 			boolean older = theirs.ageMillis() - age(ours) > MUCH_OLDER.toMillis();
-			if (ours.lastChange() > theirs.lastChange() || older) {
+			boolean more = ours.lastChange() > theirs.lastChange() || older;
+			if (more && this.network.congested(from.vm())) {
+				noteBehind(from.vm());
+			}
+			else if (more) {
 				this.network.send(from.vm(), copies(theirs.kind(), ours, theirs.lastChange()));
 			}
 		}
@@ -194,7 +243,7 @@
 			this.log.belief("copies", message.kind(), "from", from, "revision", ours.lastChange(), "was", known);
 		}
 		if (changed || fresher) {
-			this.network.sendAll(this.routes.passedOn(from.vm()), message);
+			spread(this.routes.passedOn(from.vm()), message);
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
@@ -16,6 +16,7 @@
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.peer.MessageCatalog;
+import org.bramleyscale.internal.peer.PeerMessage;
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.time.Scheduler;
 
@@ -158,7 +159,18 @@
 		if (this.tellings.size() > REMEMBERED) {
 			this.tellings.removeFirst();
 		}
-		this.network.sendAll(listeners(), message);
+		sendUnlessCongested(listeners(), message);
+	}
+
+	/**
+	 * Sends to those whose connections keep up. Of work only the newest matters: to the
+	 * others it would come late, and keep a configuration waiting behind it. They get the
+	 * next telling, or the next sum of all endpoints.
+	 * @param to the daemons
+	 * @param message a telling or a sum
+	 */
+	private void sendUnlessCongested(Collection<VmId> to, PeerMessage message) {
+		this.network.sendAll(to.stream().filter((vm) -> !this.network.congested(vm)).toList(), message);
 	}
 
 	private Collection<VmId> listeners() {
@@ -234,12 +246,12 @@
 			included.put(vm.value(), told.sequence());
 		});
 		this.toRelays.next(sum, false, Map.of(), Set.of())
-			.ifPresent((message) -> this.network.sendAll(this.routes.remoteRelays(), message));
+			.ifPresent((message) -> sendUnlessCongested(this.routes.remoteRelays(), message));
 		sum.add(this.loads.shares(), this.demands.demands(), 1);
 		this.relays.values().forEach((told) -> sum.add(told.shares(now), told.demands(), 1));
 		this.far.values().forEach((told) -> sum.add(told.shares(now), told.demands(), 1));
 		this.toNear.next(sum, true, included, unheardRelays())
-			.ifPresent((message) -> this.network.sendAll(this.routes.near(), message));
+			.ifPresent((message) -> sendUnlessCongested(this.routes.near(), message));
 	}
 
 	private Set<VmId> unheardRelays() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/ChannelPeerLink.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/ChannelPeerLink.java
@@ -65,6 +65,11 @@
 		return true;
 	}
 
+	@Override
+	public long queued() {
+		return this.queued.get();
+	}
+
 	@Override
 	public void close() {
 		this.channel.close();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Optional;
+import java.util.zip.DataFormatException;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -20,15 +22,22 @@
  * A frame's payload is the array {@code [protocolVersion, code, body]}; the body is the
  * message's components in order. Components may be appended to a message without a new
  * protocol version: a reader ignores what it doesn't know and takes null or zero for what
- * is missing. Immutable and safe for use by multiple threads.
+ * is missing. A large payload travels packed, as {@code [protocolVersion, 0, [length,
+ * packed payload]]}. Immutable and safe for use by multiple threads.
  */
 public final class MessageCodec {
 
 	/** The version of the frames that this code writes and reads. */
 	public static final int PROTOCOL_VERSION = 1;
 
+	/** The longest payload that is unpacked; the longest that is sent. */
+	static final int LARGEST_UNPACKED = TcpPeerSettings.DEFAULT_LARGEST_FRAME;
+
 	private static final int FRAME_PARTS = 3;
 
+	/** No message of the catalog has this code. */
+	private static final int PACKED = 0;
+
 	private final MessageCatalog catalog;
 
 	private final ObjectMapper mapper = PeerMapper.create();
@@ -43,6 +52,27 @@
 	 * @return the payload of one frame, without its length
 	 */
 	public byte[] encode(PeerMessage message) {
+		byte[] payload = encodePlain(message);
+		// What the receiver wouldn't unpack is left as it is, for the sender to refuse.
+		boolean packs = payload.length >= FramePacking.SMALLEST && payload.length <= LARGEST_UNPACKED;
+		return packs ? packed(payload) : payload;
+	}
+
+	private static byte[] packed(byte[] payload) {
+		byte[] packed = FramePacking.pack(payload);
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(FRAME_PARTS).packInt(PROTOCOL_VERSION).packInt(PACKED);
+			packer.packArrayHeader(2).packInt(payload.length);
+			packer.packBinaryHeader(packed.length).writePayload(packed);
+			byte[] frame = packer.toByteArray();
+			return (frame.length < payload.length) ? frame : payload;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("a packed frame can't be written", ex);
+		}
+	}
+
+	private byte[] encodePlain(PeerMessage message) {
 		int code = this.catalog.code(message.getClass());
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		try (JsonGenerator generator = this.mapper.createGenerator(bytes)) {
@@ -67,6 +97,46 @@
 	 */
 	public Optional<PeerMessage> decode(String peer, byte[] payload) throws PeerProtocolException {
 		checkLengths(peer, payload);
+		Optional<byte[]> unpacked = unpacked(peer, payload);
+		if (unpacked.isEmpty()) {
+			return decodePlain(peer, payload);
+		}
+		checkLengths(peer, unpacked.get());
+		return decodePlain(peer, unpacked.get());
+	}
+
+	/**
+	 * Reads a message of a sender that isn't proven yet, which may not make this side
+	 * unpack anything.
+	 * @param peer the sender, for the error
+	 * @param payload the payload of one frame, without its length
+	 * @return the message, or empty if this version doesn't know its code
+	 * @throws PeerProtocolException if the payload isn't a plain frame of this protocol
+	 */
+	Optional<PeerMessage> decodeUnproven(String peer, byte[] payload) throws PeerProtocolException {
+		checkLengths(peer, payload);
+		return decodePlain(peer, payload);
+	}
+
+	private static Optional<byte[]> unpacked(String peer, byte[] payload) throws PeerProtocolException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+			boolean packed = unpacker.unpackArrayHeader() == FRAME_PARTS && unpacker.unpackInt() == PROTOCOL_VERSION
+					&& unpacker.unpackInt() == PACKED;
+			if (!packed) {
+				return Optional.empty();
+			}
+			expect(peer, unpacker.unpackArrayHeader() == 2, "a packed payload must have a length and bytes");
+			int length = unpacker.unpackInt();
+			expect(peer, length > 0 && length <= LARGEST_UNPACKED,
+					"a packed payload must have 1 to " + LARGEST_UNPACKED + " bytes, was " + length);
+			return Optional.of(FramePacking.unpack(unpacker.readPayload(unpacker.unpackBinaryHeader()), length));
+		}
+		catch (IOException | MessagePackException | DataFormatException ex) {
+			throw malformed(peer, ex.toString());
+		}
+	}
+
+	private Optional<PeerMessage> decodePlain(String peer, byte[] payload) throws PeerProtocolException {
 		try (JsonParser parser = this.mapper.createParser(payload)) {
 			expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a frame must be an array");
 			int version = nextInt(peer, parser);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerChannel.java
@@ -66,11 +66,12 @@
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws PeerProtocolException {
 		byte[] payload = ByteBufUtil.getBytes(frame);
 		this.network.counters().received(LENGTH_BYTES + payload.length);
-		Optional<PeerMessage> message = this.network.codec().decode(peer(context), payload);
 		if (!this.greeting.complete()) {
-			greet(context, message);
+			greet(context, this.network.codec().decodeUnproven(peer(context), payload));
+			return;
 		}
-		else if (message.isPresent()) {
+		Optional<PeerMessage> message = this.network.codec().decode(peer(context), payload);
+		if (message.isPresent()) {
 			receive(context, message.get(), payload.length);
 		}
 		else {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerConnections.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerConnections.java
@@ -99,6 +99,20 @@
 		return accepted;
 	}
 
+	/**
+	 * What waits to be sent to a VM.
+	 * @param to the VM
+	 * @return the bytes that the connection in use hasn't taken
+	 */
+	long queued(VmId to) {
+		PeerState state = this.states.get(to);
+		if (state == null) {
+			return 0;
+		}
+		long waiting = state.best(silentBefore(this.clock.nanos())).map(TrackedLink::queued).orElse(0L);
+		return waiting + state.pendingBytes();
+	}
+
 	Set<VmId> connected() {
 		long silentBefore = silentBefore(this.clock.nanos());
 		Set<VmId> result = new TreeSet<>(BY_NAME);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerLink.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerLink.java
@@ -33,6 +33,12 @@
 	 */
 	boolean send(byte[] payload);
 
+	/**
+	 * What was queued and hasn't been taken by the operating system.
+	 * @return the bytes
+	 */
+	long queued();
+
 	/**
 	 * Closes the connection; calling again has no effect.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerNetwork.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerNetwork.java
@@ -33,6 +33,17 @@
 		to.forEach((vm) -> send(vm, message));
 	}
 
+	/**
+	 * Whether what is sent to a daemon now would wait behind much that was sent before.
+	 * Who has newer news of the same kind later should wait with them: what is queued
+	 * can't be taken back, and everything else waits behind it.
+	 * @param to the VM whose daemon would get it
+	 * @return true while its connection doesn't keep up
+	 */
+	default boolean congested(VmId to) {
+		return false;
+	}
+
 	/**
 	 * The daemons with a working connection.
 	 * @return the VMs
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/TcpPeerNetwork.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/TcpPeerNetwork.java
@@ -47,6 +47,17 @@
 
 	private static final int CLOSE_SECONDS = 5;
 
+	/** What a link of 14 Mbit/s sends in 10 ms. */
+	private static final int CONGESTED_BYTES = 16 * 1024;
+
+	/**
+	 * What the kernel may hold of a connection. A relay has some forty; more than this in
+	 * each would be a second of a link of 14 Mbit/s that nobody sees and nothing
+	 * overtakes. It is still what a connection of 10 Mbit/s needs at 25 ms there and
+	 * back.
+	 */
+	private static final int KERNEL_BYTES = 32 * 1024;
+
 	private static final int DUMPED_PEERS = 100;
 
 	private static final int MOST_GREETINGS = 256;
@@ -149,6 +160,11 @@
 		return this.connections.send(to, payload);
 	}
 
+	@Override
+	public boolean congested(VmId to) {
+		return this.connections != null && this.connections.queued(to) >= CONGESTED_BYTES;
+	}
+
 	@Override
 	public Set<VmId> connected() {
 		return (this.connections != null) ? this.connections.connected() : Set.of();
@@ -237,6 +253,7 @@
 			.channel(this.loops.serverChannel())
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.SO_SNDBUF, KERNEL_BYTES)
 			.childHandler(initializer(null, false))
 			.bind(this.settings.listen())
 			.awaitUninterruptibly();
@@ -261,6 +278,7 @@
 			.channel(this.loops.channel())
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_SNDBUF, KERNEL_BYTES)
 			.handler(initializer(vm, replacing))
 			.connect(target)
 			.addListener((done) -> {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/TrackedLink.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/TrackedLink.java
@@ -64,6 +64,10 @@
 		return this.link.send(payload);
 	}
 
+	long queued() {
+		return this.link.queued();
+	}
+
 	void pingIfQuiet(byte[] payload, long nanos, long now) {
 		if (now - this.sentAt >= nanos) {
 			this.sentAt = now;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/FakeWire.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/FakeWire.java
@@ -120,6 +120,11 @@
 	 */
 	final class End implements PeerLink {
 
+		@Override
+		public long queued() {
+			return 0;
+		}
+
 		private final Node owner;
 
 		private final Node other;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/MessageCodecTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/MessageCodecTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class MessageCodecTests {
 
@@ -68,6 +71,39 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 100, 10_000, 1_000_000 })
+	void whatPacksBadlyTakesNoMoreThanPlain(int size) throws PeerProtocolException {
+		byte[] value = new byte[size];
+		new Random(size).nextBytes(value);
+		byte[] payload = this.codec.encode(new Bytes(value));
+		Truth.assertThat(payload.length).isLessThan(size + 20);
+		Truth.assertThat(((Bytes) this.codec.decode(PEER, payload).orElseThrow()).value()).isEqualTo(value);
+	}
+
+	@Test
+	void anUnprovenPeerCannotMakeThisSideUnpack() throws PeerProtocolException {
+		// Symptom: a stranger takes a daemon's memory. Sequence: it sends a frame of 2 KB
+		// before its greeting is complete, which unpacks to megabytes. Cause: packed
+		// frames were taken from anybody.
+		byte[] payload = this.codec.encode(new Bytes(new byte[1_000_000]));
+		Truth.assertThat(payload.length).isLessThan(10_000);
+		Truth.assertThat(this.codec.decodeUnproven(PEER, payload)).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, -1, 999_999, 1_000_100, Integer.MAX_VALUE })
+	void aPackedFrameWhoseLengthIsWrongIsMalformed(int claimed) throws Exception {
+		byte[] plain = new byte[1_000_000];
+		byte[] packed = FramePacking.pack(plain);
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(3).packInt(MessageCodec.PROTOCOL_VERSION).packInt(0);
+			packer.packArrayHeader(2).packInt(claimed);
+			packer.packBinaryHeader(packed.length).writePayload(packed);
+			Truth.assertThat(refusal(packer.toByteArray()).kind()).isEqualTo(PeerProtocolException.Kind.MALFORMED);
+		}
+	}
+
 	@Test
 	void bytesTakeNoMoreThanTheirSizeAndAHeader() {
 		Truth.assertThat(this.codec.encode(new Bytes(new byte[1_000_000])).length).isLessThan(1_000_010);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/TcpPeerNetworkTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/TcpPeerNetworkTests.java
@@ -187,7 +187,9 @@
 		try (RawPeer peer = connect(a)) {
 			a.awaitCount("peer.connections.opened");
 			int accepted = 0;
-			while (a.trySend("b", new Note(accepted, new byte[1_000_000]))) {
+			byte[] unpackable = new byte[1_000_000];
+			new Random(1).nextBytes(unpackable);
+			while (a.trySend("b", new Note(accepted, unpackable))) {
 				accepted++;
 				Truth.assertThat(accepted).isLessThan(100);
 			}
