Let the largest relays watch the store

Cause: relays asked the store in the order of their names. Change: relays of a larger class of size come first. Equal ones keep their order.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
@@ -128,8 +128,9 @@
 
 	/**
 	 * This daemon's place among those that ask the store: relays first, since they reach
-	 * all others in the fewest steps, in an order that is the same for all of them; then
-	 * the others, those of different data centres side by side.
+	 * all others in the fewest steps, the largest of them at the front, in an order that
+	 * is the same for all of them; then the others, those of different data centres side
+	 * by side.
 	 * @return 0 for the first
 	 */
 	int storeRank() {
@@ -137,12 +138,16 @@
 		Set<VmId> relays = byName(this.membership.relays());
 		relays.addAll(this.membership.remoteRelays());
 		if (relays.contains(self)) {
-			return List.copyOf(relays).indexOf(self);
+			return relays.stream().sorted(Comparator.comparingInt(this::sizeClass).reversed()).toList().indexOf(self);
 		}
 		long before = near().stream().filter((vm) -> vm.value().compareTo(self.value()) < 0).count();
 		return relays.size() + (int) before;
 	}
 
+	private int sizeClass(VmId vm) {
+		return this.membership.member(vm).map((member) -> member.capacity().sizeClass()).orElse(0);
+	}
+
 	private static Set<VmId> byName(Collection<VmId> vms) {
 		Set<VmId> sorted = new TreeSet<>(Comparator.comparing(VmId::value));
 		sorted.addAll(vms);
