Let a starting daemon name callers nobody until it has met a large one

Their port for addresses was open a second before they could answer, and a caller waits a second for each of three daemons that it asks. The large ones were idle meanwhile: 10 and 9 requests in seconds 39 and 40, 24 and 18 asked. Ruled out: too little headroom (36 under way, 100 would be too many); the large ones taken for silent (usable was 18 of 18 from s 40.2 on).

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/DaemonRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/DaemonRecord.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.bramleyscale.internal.peer.VmCapacity;
 
 /**
  * What a daemon writes about itself into the platform's store, so that others find it.
@@ -18,8 +19,10 @@
  * @param httpAddress {@code host:port} for callers
  * @param leaving true if it is being taken away
  * @param start the number of its start; see {@link #startAfter}
+ * @param capacity how large its VM is
  */
-record DaemonRecord(String vm, String dataCentre, String peerAddress, String httpAddress, boolean leaving, long start) {
+record DaemonRecord(String vm, String dataCentre, String peerAddress, String httpAddress, boolean leaving, long start,
+		VmCapacity capacity) {
 
 	/** The kind of objects that holds daemons. */
 	static final String KIND = "daemons";
@@ -27,6 +30,10 @@
 	private static final ObjectMapper mapper = new ObjectMapper()
 		.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
+	DaemonRecord {
+		capacity = (capacity != null) ? capacity : VmCapacity.UNKNOWN;
+	}
+
 	static DaemonRecord read(byte[] json) throws IOException {
 		return mapper.readValue(json, DaemonRecord.class);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -3,13 +3,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipView;
 import org.bramleyscale.internal.peer.PeerNetwork;
@@ -45,6 +49,13 @@
 	 */
 	private static final Duration ACQUAINTED = Duration.ofSeconds(1);
 
+	/**
+	 * For so long it names nobody while the list has VMs of a larger size than any that
+	 * it has met. Small daemons meet each other first: those that named only small ones
+	 * kept half of the callers there for three seconds.
+	 */
+	private static final Duration LARGEST_MET = Duration.ofSeconds(2);
+
 	private final Clock clock;
 
 	private final long startedAt;
@@ -55,11 +66,16 @@
 
 	private final FleetKnowledge knowledge;
 
+	private final DecisionLog log;
+
+	private Set<VmId> lastNamed = Set.of();
+
 	private final Map<VmId, Long> lastConnected = new HashMap<>();
 
 	private final Random random = new Random();
 
-	EntryList(Clock clock, MembershipView membership, PeerNetwork network, FleetKnowledge knowledge) {
+	EntryList(Clock clock, MembershipView membership, PeerNetwork network, FleetKnowledge knowledge, DecisionLog log) {
+		this.log = log;
 		this.clock = clock;
 		this.startedAt = clock.nanos();
 		this.membership = membership;
@@ -91,21 +107,58 @@
 				(alive ? sure : others).add(member);
 			}
 		}
-		boolean stranger = sure.isEmpty() && this.knowledge.othersListed()
-				&& this.clock.nanos() - this.startedAt < ACQUAINTED.toNanos();
-		if (!selfLeaves && !stranger && this.knowledge.informed()) {
+		if (!selfLeaves && this.knowledge.informed()) {
 			this.membership.member(self).ifPresent(sure::add);
 		}
+		if (isStranger(sure)) {
+			return List.of();
+		}
 		List<Member> usable = new ArrayList<>(sure.isEmpty() ? others : sure);
-		if (usable.isEmpty() && !stranger) {
+		if (usable.isEmpty()) {
 			this.membership.member(self).ifPresent(usable::add);
 		}
 		return chosen(usable);
 	}
 
+	/**
+	 * Whether this daemon has just started and knows too few others to send callers to.
+	 * @param sure the daemons that it would name
+	 * @return true if others should be asked
+	 */
+	private boolean isStranger(List<Member> sure) {
+		OptionalInt largestListed = this.knowledge.largestListed();
+		long since = this.clock.nanos() - this.startedAt;
+		boolean fresh = since < ACQUAINTED.toNanos();
+		if (largestListed.isEmpty()) {
+			return fresh;
+		}
+		if (largestListed.getAsInt() == FleetKnowledge.NO_OTHER || since >= LARGEST_MET.toNanos()) {
+			return false;
+		}
+		boolean alone = fresh && sure.size() <= 1;
+		int largest = sure.stream().mapToInt((member) -> member.capacity().sizeClass()).max().orElse(0);
+		return alone || largest < largestListed.getAsInt();
+	}
+
+	/**
+	 * Notes whom callers are sent to, when that changes.
+	 * @param entries the daemons chosen
+	 * @param usable those among which they were chosen
+	 */
+	private void note(List<Member> entries, List<Member> usable) {
+		Set<VmId> named = new TreeSet<>(Comparator.comparing(VmId::value));
+		entries.forEach((member) -> named.add(member.vm()));
+		if (!named.equals(this.lastNamed)) {
+			this.lastNamed = named;
+			this.log.belief("entries", named.size(), "named", named, "usable", usable.size(), "known",
+					this.membership.members().size(), "under_way", this.knowledge.underWay());
+		}
+	}
+
 	private List<String> chosen(List<Member> usable) {
 		List<String> chosen = new ArrayList<>();
 		List<Member> entries = this.knowledge.selection().among(usable, this.knowledge.underWay());
+		note(entries, usable);
 		for (Member member : EntrySelection.draw(entries, this.random)) {
 			chosen.add(member.httpAddress());
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetKnowledge.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetKnowledge.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.gateway.node;
 
+import java.util.OptionalInt;
+
 import org.bramleyscale.VmId;
 
 /**
@@ -10,6 +12,9 @@
  */
 interface FleetKnowledge {
 
+	/** The list names no other VM. */
+	int NO_OTHER = -1;
+
 	/**
 	 * Whether this daemon knows the configuration and endpoints.
 	 * @return false for a moment after its start
@@ -17,10 +22,11 @@
 	boolean informed();
 
 	/**
-	 * Whether the platform's list names other VMs, be they alive or not.
-	 * @return false if this daemon is the only one, or the list wasn't read yet
+	 * The class of size of the largest other VM on the platform's list, alive or not.
+	 * @return the class, {@link #NO_OTHER} if the list names no other VM, or empty if it
+	 * wasn't read yet
 	 */
-	boolean othersListed();
+	OptionalInt largestListed();
 
 	/**
 	 * Whether a daemon fell silent, though its connections stay open.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
@@ -108,12 +109,15 @@
 
 	private final FleetStatus status;
 
+	private final RegisteredDaemons daemons;
+
 	private final Registration registration;
 
 	private GatewayNode(GatewaySettings settings, Parts parts, RegisteredDaemons daemons, Registration registration,
 			Runnable ended) {
 		this.settings = settings;
 		this.parts = parts;
+		this.daemons = daemons;
 		this.registration = registration;
 		NettyLoop loop = parts.loop();
 		DecisionLog log = parts.log();
@@ -143,7 +147,7 @@
 				this.directory, log);
 		DemandBoard demands = new DemandBoard(loop);
 		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
-		this.entries = new EntryList(loop, this.membership, this.network, new Knowledge());
+		this.entries = new EntryList(loop, this.membership, this.network, new Knowledge(), log);
 		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
 		PlacementPolicy engines = new EnginePlacement(this.backends, this.health, this.loads, demands, this.random);
 		BackendConnections connections = new BackendConnections(loop, parts.dialect());
@@ -362,8 +366,8 @@
 		}
 
 		@Override
-		public boolean othersListed() {
-			return GatewayNode.this.membership.othersListed();
+		public OptionalInt largestListed() {
+			return GatewayNode.this.daemons.largestOther(GatewayNode.this.self.vm());
 		}
 
 		@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
@@ -3,12 +3,16 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.peer.VmCapacity;
 import org.bramleyscale.internal.platform.ObjectKey;
 import org.bramleyscale.internal.platform.ObjectStore;
 import org.bramleyscale.internal.platform.StoredObject;
@@ -29,6 +33,10 @@
 
 	private final ObjectStore store;
 
+	private final Map<VmId, Integer> sizes = new HashMap<>();
+
+	private boolean listed;
+
 	RegisteredDaemons(ObjectStore store) {
 		this.store = store;
 	}
@@ -71,11 +79,14 @@
 	public CompletableFuture<List<VmRecord>> vms() {
 		return this.store.listCached(DaemonRecord.KIND).thenApply((batch) -> {
 			List<VmRecord> records = new ArrayList<>();
+			this.sizes.clear();
+			this.listed = true;
 			for (StoredObject object : batch.changed()) {
 				try {
 					DaemonRecord record = DaemonRecord.read(object.value());
 					records.add(new VmRecord(new VmId(record.vm()), new DataCentre(record.dataCentre()),
 							record.peerAddress(), record.httpAddress(), record.leaving()));
+					this.sizes.put(new VmId(record.vm()), record.capacity().sizeClass());
 				}
 				catch (IOException | IllegalArgumentException ex) {
 					logger.warnf("The record of daemon %s can't be read: %s", object.key(), ex.getMessage());
@@ -85,6 +96,24 @@
 		});
 	}
 
+	/**
+	 * The class of size of the largest other VM on the list as it was last read.
+	 * @param self the VM that doesn't count
+	 * @return the class, {@link FleetKnowledge#NO_OTHER} if the list names no other VM,
+	 * or empty if it wasn't read yet
+	 */
+	OptionalInt largestOther(VmId self) {
+		if (!this.listed) {
+			return OptionalInt.empty();
+		}
+		return OptionalInt.of(this.sizes.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(self))
+			.mapToInt(Map.Entry::getValue)
+			.max()
+			.orElse(FleetKnowledge.NO_OTHER));
+	}
+
 	/**
 	 * Writes a daemon's record, whatever stands there.
 	 * @param record the record
@@ -109,8 +138,8 @@
 			}
 			catch (IOException ex) {
 				logger.warnf("The own record can't be read and will be replaced: %s", ex.getMessage());
-				return Optional
-					.of(new Registered(new DaemonRecord(vm.value(), "", "", "", false, 0), object.version()));
+				return Optional.of(new Registered(
+						new DaemonRecord(vm.value(), "", "", "", false, 0, VmCapacity.UNKNOWN), object.version()));
 			}
 		}));
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/Registration.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/Registration.java
@@ -76,7 +76,7 @@
 	void register() {
 		DaemonRecord record = new DaemonRecord(this.settings.vm().value(), this.settings.dataCentre().value(),
 				GatewaySettings.text(this.settings.peers()), GatewaySettings.text(this.settings.callers()), false,
-				this.start);
+				this.start, this.settings.capacity());
 		this.daemons.register(record, this.version).whenComplete((written, failure) -> {
 			if (failure == null) {
 				this.version = written;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/MembershipService.java
@@ -54,8 +54,6 @@
 
 	private final Topology topology;
 
-	private final PlatformList list;
-
 	private final ViewCache view;
 
 	private final Heartbeats heartbeats;
@@ -83,11 +81,11 @@
 		this.times = builder.settings.times();
 		DataCentre own = this.identity.dataCentre();
 		VmId self = this.identity.incarnation().vm();
-		this.list = new PlatformList(this.scheduler, this.times, builder.settings.seeds());
+		PlatformList list = new PlatformList(this.scheduler, this.times, builder.settings.seeds());
 		this.table = new MemberTable(this.scheduler);
 		this.silences = new DataCentreSilences(own, this.scheduler);
 		this.relays = new Relays(this.table, self, own);
-		this.topology = new Topology(this.table, this.relays, this.list, builder.settings, this.scheduler);
+		this.topology = new Topology(this.table, this.relays, list, builder.settings, this.scheduler);
 		this.view = new ViewCache(this.table, this.silences, own, this.times.silence());
 		this.heartbeats = new Heartbeats(this.table, this.silences, this.topology, this.relays, builder.network,
 				this.random, this.identity);
@@ -99,8 +97,8 @@
 		Jury jury = new Jury(this.table, self, own, this.random);
 		this.detector = new FailureDetector(this.table, inquiries, jury, this.scheduler, this.times, this.claims,
 				builder.metrics);
-		this.platform = new PlatformPoll(builder.store, this.list, this.table, this.silences, this.relays, this.claims,
-				own, this.times.suspicion(), builder.metrics);
+		this.platform = new PlatformPoll(builder.store, list, this.table, this.silences, this.relays, this.claims, own,
+				this.times.suspicion(), builder.metrics);
 		TableExchange exchange = new TableExchange(this.table, builder.network, this.scheduler, this.times,
 				builder.metrics);
 		new Receiver(this.table, this.claims, this.silences, exchange, this.detector, builder.network, own);
@@ -184,14 +182,6 @@
 		this.view.onChange(listener);
 	}
 
-	/**
-	 * Whether the platform's list names other VMs than this daemon's.
-	 * @return true if it does, whether they answer or not
-	 */
-	public boolean othersListed() {
-		return this.list.namesOthersThan(this.identity.incarnation().vm());
-	}
-
 	/**
 	 * How many daemons there should be, whether they answer or not.
 	 * <p>
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/membership/PlatformList.java
@@ -54,10 +54,6 @@
 		seeds.forEach((seed) -> this.records.put(seed.vm(), seed));
 	}
 
-	boolean namesOthersThan(VmId vm) {
-		return this.records.keySet().stream().anyMatch((listed) -> !listed.equals(vm));
-	}
-
 	/**
 	 * Takes a reading.
 	 * @param list the list
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/DaemonRecordTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/DaemonRecordTests.java
@@ -1,6 +1,9 @@
 package org.bramleyscale.internal.gateway.node;
 
+import java.nio.charset.StandardCharsets;
+
 import com.google.common.truth.Truth;
+import org.bramleyscale.internal.peer.VmCapacity;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -18,13 +21,21 @@
 		// 2.4 s and the daemon is killed and started again. Cause: its number is smaller
 		// than
 		// before, so what it says looks like a message from the past.
-		DaemonRecord record = new DaemonRecord("10.0.0.1", "east", "10.0.0.1:1", "10.0.0.1:2", false, before);
+		DaemonRecord record = new DaemonRecord("10.0.0.1", "east", "10.0.0.1:1", "10.0.0.1:2", false, before,
+				VmCapacity.UNKNOWN);
 		Truth.assertThat(record.startAfter(wallMillis)).isEqualTo(start);
 	}
 
+	@Test
+	void aRecordWithoutASizeIsOfUnknownSize() throws Exception {
+		byte[] json = "{\"vm\":\"10.0.0.1\",\"dataCentre\":\"east\",\"start\":3}".getBytes(StandardCharsets.UTF_8);
+		Truth.assertThat(DaemonRecord.read(json).capacity()).isEqualTo(VmCapacity.UNKNOWN);
+	}
+
 	@Test
 	void readsWhatItWrote() throws Exception {
-		DaemonRecord record = new DaemonRecord("10.0.0.1", "east", "10.0.0.1:1", "10.0.0.1:2", true, 7);
+		DaemonRecord record = new DaemonRecord("10.0.0.1", "east", "10.0.0.1:1", "10.0.0.1:2", true, 7,
+				new VmCapacity(360, 14));
 		Truth.assertThat(DaemonRecord.read(record.write())).isEqualTo(record);
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -13,6 +14,7 @@
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipView;
 import org.bramleyscale.internal.peer.PeerListener;
@@ -34,7 +36,8 @@
 
 	private final Knowledge knowledge = new Knowledge();
 
-	private final EntryList entries = new EntryList(this.scheduler, this.fleet, this.fleet, this.knowledge);
+	private final EntryList entries = new EntryList(this.scheduler, this.fleet, this.fleet, this.knowledge,
+			DecisionLog.NONE);
 
 	@Test
 	void aDaemonWhoseConnectionWasLostIsNotNamed() {
@@ -78,7 +81,31 @@
 			this.fleet.members.removeIf((member) -> !member.vm().equals(vm("a")));
 		}
 		this.knowledge.informed = informed;
-		this.knowledge.othersListed = listed;
+		this.knowledge.largestListed = OptionalInt.of(listed ? 0 : FleetKnowledge.NO_OTHER);
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(String.join(" ", new TreeSet<>(this.entries.addresses(false)))).isEqualTo(named);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "100, ''", "1000, a:80 b:80 c:80" })
+	void aDaemonThatHasNotReadTheListYetNamesNobodyForAMoment(long millis, String named) {
+		// Symptom: callers wait a second for an answer about addresses. Sequence: a small
+		// VM's daemon starts; before it has read the list of VMs it takes itself for the
+		// only one, opens its port and names itself. Cause: a list that wasn't read was
+		// taken for an empty one.
+		this.knowledge.largestListed = OptionalInt.empty();
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(String.join(" ", new TreeSet<>(this.entries.addresses(false)))).isEqualTo(named);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "500, 11, ''", "1500, 11, ''", "2000, 11, a:80 b:80 c:80", "500, 0, a:80 b:80 c:80" })
+	void smallDaemonsThatHaveMetOnlyEachOtherNameNobody(long millis, int largestListed, String named) {
+		// Symptom: half of the callers are served by small VMs for three seconds though
+		// large ones are idle. Sequence: all power is lost; the small VMs' daemons start
+		// last and meet each other before they meet the large ones. Cause: they named
+		// whomever they had met.
+		this.knowledge.largestListed = OptionalInt.of(largestListed);
 		this.scheduler.advance(Duration.ofMillis(millis));
 		Truth.assertThat(String.join(" ", new TreeSet<>(this.entries.addresses(false)))).isEqualTo(named);
 	}
@@ -116,7 +143,7 @@
 
 		private boolean informed = true;
 
-		private boolean othersListed;
+		private OptionalInt largestListed = OptionalInt.of(NO_OTHER);
 
 		@Override
 		public boolean informed() {
@@ -124,8 +151,8 @@
 		}
 
 		@Override
-		public boolean othersListed() {
-			return this.othersListed;
+		public OptionalInt largestListed() {
+			return this.largestListed;
 		}
 
 		@Override
