--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -4,13 +4,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.Incarnation;
-import org.bramleyscale.VmId;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
@@ -109,15 +107,12 @@
 
 	private final FleetStatus status;
 
-	private final RegisteredDaemons daemons;
-
 	private final Registration registration;
 
 	private GatewayNode(GatewaySettings settings, Parts parts, RegisteredDaemons daemons, Registration registration,
 			Runnable ended) {
 		this.settings = settings;
 		this.parts = parts;
-		this.daemons = daemons;
 		this.registration = registration;
 		NettyLoop loop = parts.loop();
 		DecisionLog log = parts.log();
@@ -147,7 +142,9 @@
 				this.directory, log);
 		DemandBoard demands = new DemandBoard(loop);
 		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
-		this.entries = new EntryList(loop, this.membership, this.network, new Knowledge(), log);
+		this.entries = new EntryList(loop, this.membership, this.network,
+				new KnownFleet(settings.vm(), this::informed, daemons, this.loadExchange, this.directory, this.loads),
+				log);
 		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
 		PlacementPolicy engines = new EnginePlacement(this.backends, this.health, this.loads, demands, this.random);
 		BackendConnections connections = new BackendConnections(loop, parts.dialect());
@@ -355,38 +352,6 @@
 
 	}
 
-	/**
-	 * What this daemon knows when callers ask for addresses.
-	 */
-	private final class Knowledge implements FleetKnowledge {
-
-		@Override
-		public boolean informed() {
-			return GatewayNode.this.informed();
-		}
-
-		@Override
-		public OptionalInt largestListed() {
-			return GatewayNode.this.daemons.largestOther(GatewayNode.this.self.vm());
-		}
-
-		@Override
-		public boolean unheard(VmId vm) {
-			return GatewayNode.this.loadExchange.unheard(vm);
-		}
-
-		@Override
-		public EntrySelection selection() {
-			return GatewayNode.this.directory.entries();
-		}
-
-		@Override
-		public int underWay() {
-			return GatewayNode.this.loads.underWay();
-		}
-
-	}
-
 	/**
 	 * What the planned stop does to this daemon.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Allowed.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Allowed.java
@@ -1,10 +1,12 @@
 package org.bramleyscale.internal.gateway.request;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.placement.EnginePlacement;
 
 /**
  * What the catalog allows a request.
@@ -18,4 +20,36 @@
  * @param version the catalog's version
  */
 record Allowed(Route route, Service service, Optional<Account> account, long version) {
+
+	private static final int LAST_PRIORITY = 9;
+
+	/**
+	 * Whether a prompt is kept apart from short ones.
+	 * @param promptTokens its length
+	 * @return true if the service has engines and the prompt is long for them
+	 */
+	boolean isLong(long promptTokens) {
+		return this.service.engine().filter((engine) -> EnginePlacement.isLong(this.service, promptTokens)).isPresent();
+	}
+
+	/**
+	 * How long one engine reads a prompt.
+	 * @param promptTokens its length
+	 * @return ms, 0 if the service has no engines
+	 */
+	double readMillis(long promptTokens) {
+		return this.service.engine().map((engine) -> engine.readMillis(promptTokens)).orElse(0.0);
+	}
+
+	/**
+	 * The priority towards endpoints: the account's rank, or else the route's, and long
+	 * prompts after short ones of the same rank.
+	 * @param longPrompt whether the prompt is a long one
+	 * @return 0 for the most urgent to 9
+	 */
+	int priority(boolean longPrompt) {
+		int rank = this.account.map(Account::priority).orElse(OptionalInt.empty()).orElse(this.route.priority());
+		return Math.min(LAST_PRIORITY, 2 * rank + (longPrompt ? 1 : 0));
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -1,21 +1,16 @@
 package org.bramleyscale.internal.gateway.request;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
-import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
-import org.bramleyscale.internal.gateway.placement.EnginePlacement;
 import org.bramleyscale.internal.gateway.placement.Placement;
 import org.bramleyscale.internal.gateway.placement.PlacementRequest;
 import org.bramleyscale.internal.time.Cancellable;
@@ -32,14 +27,6 @@
  */
 final class RelayedRequest {
 
-	/**
-	 * Endpoints asked for one request at most, those included that couldn't be reached or
-	 * refused. More would keep a caller waiting who could ask another daemon.
-	 */
-	private static final int MOST_ASKED = 4;
-
-	private static final int LAST_PRIORITY = 9;
-
 	private static final int UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -70,11 +57,7 @@
 
 	private final KeptPrompt kept;
 
-	private final Set<EndpointStart> tried = new HashSet<>();
-
-	private int asked;
-
-	private int mayHaveRun;
+	private final Tries tries;
 
 	private boolean begun;
 
@@ -96,12 +79,11 @@
 		this.ended = ended;
 		this.arrived = ports.scheduler().nanos();
 		this.endsAt = this.arrived + request.timeWithin(allowed.route().timeout()).toNanos();
-		this.longPrompt = allowed.service()
-			.engine()
-			.filter((engine) -> EnginePlacement.isLong(allowed.service(), request.promptTokens()))
-			.isPresent();
+		this.longPrompt = allowed.isLong(request.promptTokens());
+		this.tries = new Tries(ports.retries(), allowed);
 		this.lastEventId = request.lastEventId().orElse(null);
-		this.kept = new KeptPrompt(ports, request.id(), allowed.service().name(), readMillis());
+		this.kept = new KeptPrompt(ports, request.id(), allowed.service().name(),
+				allowed.readMillis(request.promptTokens()));
 	}
 
 	void start() {
@@ -131,8 +113,7 @@
 		}
 		Placement placement = this.ports.placement()
 			.place(new PlacementRequest(route, this.allowed.service(), this.request.promptTokens(),
-					this.request.outputTokens(), callerStays(), waited(), Set.copyOf(this.tried),
-					this.ports.dataCentre()));
+					this.request.outputTokens(), callerStays(), waited(), this.tries.tried(), this.ports.dataCentre()));
 		if (placement.waits()) {
 			this.kept.keep(placement, left(), this::send);
 			return;
@@ -143,26 +124,21 @@
 			return;
 		}
 		Backend target = placement.target().get();
-		this.asked++;
-		this.tried.add(target.start());
+		this.tries.asks(target.start());
 		this.ports.log()
 			.request(this.request.id(), "sent", "endpoint", target.id(), "reason", placement.reason(), "helpers",
 					names(placement.helpers()), "predicted_ms", Math.round(placement.firstMillis()), "asked",
-					this.asked, "left_ms", left().toMillis(), "catalog", this.allowed.version(), "after_event",
+					this.tries.asked(), "left_ms", left().toMillis(), "catalog", this.allowed.version(), "after_event",
 					this.lastEventId);
 		this.attempt = new Attempt(this, target, placement, this.ports);
 		this.attempt.send((helpers) -> new OutgoingRequest(this.request, this.allowed.account().map(Account::id),
-				left(), Optional.ofNullable(this.lastEventId), helpers, priority(), !route.repeatable()));
+				left(), Optional.ofNullable(this.lastEventId), helpers, this.allowed.priority(this.longPrompt),
+				!route.repeatable()));
 		if (this.longPrompt) {
 			this.ports.longSent().run();
 		}
 	}
 
-	private double readMillis() {
-		long tokens = this.request.promptTokens();
-		return this.allowed.service().engine().map((engine) -> engine.readMillis(tokens)).orElse(0.0);
-	}
-
 	private Duration waited() {
 		return Duration.ofNanos(this.ports.scheduler().nanos() - this.arrived);
 	}
@@ -171,18 +147,18 @@
 		if (head.notRun()) {
 			refusedBy(from, head);
 		}
-		else if (head.failure() && mayRunAgain(this.mayHaveRun + 1) && takeFromBudget()) {
-			this.mayHaveRun++;
+		else if (head.failure() && this.tries.takeRun(1)) {
+			this.tries.mayHaveRun();
 			this.ports.health().failed(from.target().start());
 			again(from, "failed with " + head.status());
 		}
 		else if (head.success() && !head.genuine()) {
-			this.mayHaveRun++;
+			this.tries.mayHaveRun();
 			this.ports.health().failed(from.target().start());
 			brokenOff(from, "answer without signature");
 		}
 		else {
-			this.mayHaveRun++;
+			this.tries.mayHaveRun();
 			noteOutcome(from, head);
 			this.reply.whole(head.status(), head.headers(), body);
 			this.ports.metrics().answered(waited().toNanos());
@@ -232,7 +208,7 @@
 	 * @param rest bytes after the last whole event
 	 */
 	void streamComplete(Attempt from, BackendHead head, byte[] rest) {
-		this.mayHaveRun++;
+		this.tries.mayHaveRun();
 		if (!this.begun) {
 			this.begun = true;
 			this.reply.begin(head.status(), head.headers());
@@ -259,7 +235,7 @@
 			retryOr(false, cause);
 			return;
 		}
-		this.mayHaveRun++;
+		this.tries.mayHaveRun();
 		this.ports.health().failed(from.target().start());
 		brokenOff(from, cause);
 	}
@@ -269,10 +245,10 @@
 	 * @param from the attempt
 	 */
 	void silent(Attempt from) {
-		if (!mayRunAgain(this.mayHaveRun + 1) || !takeFromBudget()) {
+		if (!this.tries.takeRun(1)) {
 			return;
 		}
-		this.mayHaveRun++;
+		this.tries.mayHaveRun();
 		this.ports.health().unreachable(from.target().start(), "silent");
 		this.ports.health().failed(from.target().start());
 		this.ports.metrics().again("silent");
@@ -322,19 +298,6 @@
 		return (!this.begun && patience.compareTo(left()) < 0) ? patience : left();
 	}
 
-	/**
-	 * The priority towards endpoints: the account's rank, or else the route's, and long
-	 * prompts after short ones of the same rank.
-	 * @return 0 for the most urgent to 9
-	 */
-	private int priority() {
-		int rank = this.allowed.account()
-			.map(Account::priority)
-			.orElse(OptionalInt.empty())
-			.orElse(this.allowed.route().priority());
-		return Math.min(LAST_PRIORITY, 2 * rank + (this.longPrompt ? 1 : 0));
-	}
-
 	private static String names(List<Backend> engines) {
 		return engines.stream().map((engine) -> engine.id().value()).collect(Collectors.joining(" "));
 	}
@@ -358,7 +321,7 @@
 	}
 
 	private void brokenOff(Attempt from, String cause) {
-		if (mayRunAgain(this.mayHaveRun) && takeFromBudget()) {
+		if (this.tries.takeRun(0)) {
 			again(from, cause);
 			return;
 		}
@@ -367,8 +330,7 @@
 	}
 
 	private void retryOr(boolean arrived, String reason) {
-		boolean more = this.asked < MOST_ASKED && (!arrived || takeFromBudget());
-		if (more) {
+		if (this.tries.takeTry(arrived)) {
 			send();
 		}
 		else {
@@ -376,20 +338,6 @@
 		}
 	}
 
-	/**
-	 * Whether the request may run once more.
-	 * @param runs on how many endpoints it may have run
-	 * @return true if its route says so and allows another attempt
-	 */
-	private boolean mayRunAgain(int runs) {
-		return this.allowed.route().repeatable() && runs < this.allowed.route().maxAttempts()
-				&& this.asked < MOST_ASKED;
-	}
-
-	private boolean takeFromBudget() {
-		return this.ports.retries().repeat(this.allowed.service().name());
-	}
-
 	private void timeOver() {
 		if (this.over) {
 			return;
@@ -414,12 +362,12 @@
 			this.reply.own(said, reason, retryAfter);
 		}
 		finish(ran ? "failed" : "refused", ran ? "failed" : "refused", "status", said, "reason", reason, "ran",
-				ran ? "unknown" : "no", "retry_after_ms", retryAfter.toMillis(), "asked", this.asked, "begun",
+				ran ? "unknown" : "no", "retry_after_ms", retryAfter.toMillis(), "asked", this.tries.asked(), "begun",
 				this.begun);
 	}
 
 	private boolean ran() {
-		return this.mayHaveRun > 0 || (this.attempt != null && this.attempt.mayRun());
+		return this.tries.anyMayHaveRun() || (this.attempt != null && this.attempt.mayRun());
 	}
 
 	private void noteOutcome(Attempt from, BackendHead head) {
