Name all alike while one daemon's size is unknown; bound a log line

Read in the diff: with one daemon of unknown size all are named, but the draw by size would have left that one out of nearly every answer, and a fleet that is brought to this version one daemon at a time would send nobody to the daemons that are still on the old one. EntrySelectionTests fails without the change. The choice no longer ranks all members where the relays carry the load, and a line names sixteen daemons at the most. With sizes known the choice is meant to be the same (its tests pass unchanged).

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -37,6 +37,9 @@
 	/** The most addresses in an answer: what callers take. */
 	static final int MOST = 64;
 
+	/** Names in a line of the log; a fleet may have 1,700 daemons. */
+	private static final int MOST_LOGGED = 16;
+
 	/** A connection that is replaced by another is missing for less than this. */
 	private static final Duration REPLACED = Duration.ofMillis(400);
 
@@ -150,8 +153,8 @@
 		entries.forEach((member) -> named.add(member.vm()));
 		if (!named.equals(this.lastNamed)) {
 			this.lastNamed = named;
-			this.log.belief("entries", named.size(), "named", named, "usable", usable.size(), "known",
-					this.membership.members().size(), "under_way", this.knowledge.underWay());
+			this.log.belief("entries", named.size(), "named", named.stream().limit(MOST_LOGGED).toList(), "usable",
+					usable.size(), "known", this.membership.members().size(), "under_way", this.knowledge.underWay());
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntrySelection.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntrySelection.java
@@ -65,39 +65,54 @@
 	 * @return the daemons to name; all if the size of one isn't known
 	 */
 	List<Member> among(Collection<Member> usable, int underWay) {
-		if (usable.stream().anyMatch((member) -> !member.capacity().known())) {
+		if (!allKnown(usable)) {
 			return List.copyOf(usable);
 		}
-		List<Member> ordered = new ArrayList<>(HASH.ranked(KEY, usable));
-		ordered.sort(Comparator.comparing(this::isFirstChoice, Comparator.reverseOrder())
-			.thenComparing((member) -> member.capacity().sizeClass(), Comparator.reverseOrder()));
 		long needed = (long) underWay * MILLICORES_PER_REQUEST * HEADROOM;
 		List<Member> chosen = new ArrayList<>();
-		long cores = 0;
-		for (Member member : ordered) {
-			boolean enough = chosen.size() >= LEAST && cores >= needed;
-			if (enough && !belongsWith(chosen.get(0), member)) {
-				break;
+		for (Member member : ranked(usable.stream().filter(this::isFirstChoice).toList())) {
+			// One of the largest size is named with all others of it.
+			if (!enough(chosen, needed) || sizeClass(member) == sizeClass(chosen.get(0))) {
+				chosen.add(member);
+			}
+		}
+		if (enough(chosen, needed)) {
+			return chosen;
+		}
+		for (Member member : ranked(usable.stream().filter((any) -> !isFirstChoice(any)).toList())) {
+			if (!enough(chosen, needed)) {
+				chosen.add(member);
 			}
-			chosen.add(member);
-			cores += member.capacity().millicores();
 		}
 		return chosen;
 	}
 
+	private static boolean allKnown(Collection<Member> members) {
+		return members.stream().allMatch((member) -> member.capacity().known());
+	}
+
 	private boolean isFirstChoice(Member member) {
-		return !this.flat && this.relays.contains(member.vm());
+		return this.flat || this.relays.contains(member.vm());
 	}
 
 	/**
-	 * Whether one daemon is named because another is.
-	 * @param first the first that is named
-	 * @param next the next in order
-	 * @return true for relays, and for all of the largest size in a small fleet
+	 * Sorts by size, and by a hash among those of a size.
+	 * @param members the daemons
+	 * @return the daemons, the largest at the front
 	 */
-	private boolean belongsWith(Member first, Member next) {
-		boolean sameSize = first.capacity().sizeClass() == next.capacity().sizeClass();
-		return sameSize && (this.flat || isFirstChoice(next));
+	private static List<Member> ranked(Collection<Member> members) {
+		List<Member> ranked = new ArrayList<>(HASH.ranked(KEY, members));
+		ranked.sort(Comparator.comparingInt(EntrySelection::sizeClass).reversed());
+		return ranked;
+	}
+
+	private static int sizeClass(Member member) {
+		return member.capacity().sizeClass();
+	}
+
+	private static boolean enough(List<Member> chosen, long needed) {
+		return chosen.size() >= LEAST
+				&& chosen.stream().mapToLong((member) -> member.capacity().millicores()).sum() >= needed;
 	}
 
 	/**
@@ -106,13 +121,14 @@
 	 * cores.
 	 * @param chosen the daemons chosen
 	 * @param random draws
-	 * @return some of them, the largest among them
+	 * @return some of them, the largest among them; all if the size of one isn't known
 	 */
 	static List<Member> draw(List<Member> chosen, RandomGenerator random) {
 		int largest = chosen.stream().mapToInt((member) -> member.capacity().millicores()).max().orElse(0);
-		return chosen.stream()
-			.filter((member) -> random.nextInt(Math.max(1, largest)) < Math.max(1, member.capacity().millicores()))
-			.toList();
+		if (!allKnown(chosen)) {
+			return chosen;
+		}
+		return chosen.stream().filter((member) -> random.nextInt(largest) < member.capacity().millicores()).toList();
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntrySelectionTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntrySelectionTests.java
@@ -77,7 +77,10 @@
 	void namesAllIfTheSizeOfOneIsNotKnown() {
 		List<Member> fleet = new ArrayList<>(fleet(6, 85));
 		fleet.add(member("old", VmCapacity.UNKNOWN));
-		Truth.assertThat(new EntrySelection(false, relays(fleet)).among(fleet, 0)).hasSize(92);
+		List<Member> chosen = new EntrySelection(false, relays(fleet)).among(fleet, 0);
+		Truth.assertThat(chosen).hasSize(92);
+		Truth.assertThat(EntrySelection.draw(chosen, new Random(1))).hasSize(92);
+		Truth.assertThat(EntrySelection.draw(List.of(), new Random(1))).isEmpty();
 	}
 
 	@Test
