--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/load/LoadExchange.java
@@ -59,12 +59,6 @@
 	 */
 	public static final Duration PAUSE = Duration.ofMillis(300);
 
-	/**
-	 * A relay, or any daemon in a small fleet, that tells nothing for three pauses is
-	 * frozen, cut off or without power. Its connections don't show that for seconds.
-	 */
-	static final Duration UNHEARD = PAUSE.multipliedBy(3).plus(GATHER);
-
 	/** Tellings that may still be in a sum. */
 	private static final int REMEMBERED = (int) LoadBoard.PEER_KEPT.dividedBy(GATHER);
 
@@ -88,13 +82,7 @@
 
 	private final Map<String, ToldWork> far = new HashMap<>();
 
-	private final Map<VmId, Long> lastTold = new HashMap<>();
-
-	private Set<VmId> unheardByRelay = Set.of();
-
-	private long summedAt;
-
-	private long toldAt;
+	private final PeerSilence silence;
 
 	private final Deque<LoadTold> tellings = new ArrayDeque<>();
 
@@ -123,6 +111,7 @@
 		this.routes = routes;
 		this.loads = loads;
 		this.demands = demands;
+		this.silence = new PeerSilence(scheduler);
 		network.listen(LoadTold.class, this::told);
 		network.listen(LoadSummed.class, this::summed);
 	}
@@ -153,7 +142,7 @@
 	 */
 	public void tell() {
 		this.tellingSoon = false;
-		forgiveOwnPause();
+		this.silence.forgiveOwnPause();
 		LoadTold message = new LoadTold(++this.sequence, this.loads.shares(), this.demands.demands());
 		this.tellings.addLast(message);
 		if (this.tellings.size() > REMEMBERED) {
@@ -187,43 +176,12 @@
 	}
 
 	/**
-	 * Whether a daemon that should be heard directly isn't, or a relay says so.
+	 * Whether a daemon that should be heard isn't, here or by a relay.
 	 * @param vm the daemon's VM
 	 * @return true if it told something and then fell silent
 	 */
 	public boolean unheard(VmId vm) {
-		long since = this.scheduler.nanos() - UNHEARD.toNanos();
-		Long last = this.lastTold.get(vm);
-		boolean relaySaysSo = this.summedAt > since && this.unheardByRelay.contains(vm);
-		return relaySaysSo || (last != null && last < since);
-	}
-
-	/**
-	 * Takes a pause of this process for what it is: what peers told meanwhile hasn't been
-	 * read yet, and a daemon that took them all for silent would name only itself to
-	 * callers.
-	 */
-	private void forgiveOwnPause() {
-		long now = this.scheduler.nanos();
-		if (now - this.toldAt > 2 * PAUSE.toNanos()) {
-			this.lastTold.replaceAll((vm, last) -> now);
-		}
-		this.toldAt = now;
-	}
-
-	/**
-	 * Drops what was heard of daemons that don't tell this one any more because relays
-	 * changed, not because they are silent.
-	 */
-	private void forgetOthers() {
-		if (this.routes.flat()) {
-			return;
-		}
-		Set<VmId> direct = new TreeSet<>(Comparator.comparing(VmId::value));
-		if (this.routes.isRelay()) {
-			direct.addAll(otherRelays());
-		}
-		this.lastTold.keySet().retainAll(direct);
+		return this.silence.silent(vm);
 	}
 
 	/**
@@ -232,8 +190,11 @@
 	 * took 4 in 100 of a core at 172 endpoints.
 	 */
 	private void sum() {
-		forgetOthers();
-		if (this.routes.flat() || !this.routes.isRelay()) {
+		if (this.routes.flat()) {
+			return;
+		}
+		this.silence.expectOnly(this.routes.isRelay() ? otherRelays() : List.of());
+		if (!this.routes.isRelay()) {
 			return;
 		}
 		long now = this.scheduler.nanos();
@@ -297,7 +258,7 @@
 		List<LoadTold.Share> shares = orEmpty(message.shares());
 		List<LoadTold.Demand> toldDemands = orEmpty(message.demands());
 		if (this.routes.flat() || this.routes.isRelay()) {
-			this.lastTold.put(from.vm(), this.scheduler.nanos());
+			this.silence.heard(from.vm());
 			boolean relay = isRelay(from.vm());
 			(relay ? this.near : this.relays).remove(from.vm());
 			(relay ? this.relays : this.near).computeIfAbsent(from.vm(), (vm) -> new ToldWork())
@@ -338,8 +299,7 @@
 			this.loads.toldMore(source, others);
 		}
 		this.demands.told(source, otherDemands);
-		this.unheardByRelay = (message.unheard() != null) ? message.unheard() : Set.of();
-		this.summedAt = this.scheduler.nanos();
+		this.silence.relaySays((message.unheard() != null) ? message.unheard() : Set.of());
 	}
 
 	private static <T> List<T> orEmpty(List<T> list) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -44,18 +44,18 @@
 	private static final Duration REPLACED = Duration.ofMillis(400);
 
 	/**
-	 * For so long a daemon that has just started doesn't name itself while it has met
-	 * nobody though others are listed. After a loss of all power the small VMs of a fleet
-	 * came back two seconds after the large ones; each named only itself to who asked it,
-	 * and 12 of 19 callers of the next two seconds had their first event after 1.3 s in
-	 * the middle.
+	 * For so long a daemon that has just started names nobody while it hasn't read the
+	 * list of VMs, or has met none of those on it. After a loss of all power the small
+	 * VMs of a fleet came back two seconds after the large ones; each named only itself
+	 * to who asked it, and 12 of 19 callers of the next two seconds had their first event
+	 * after 1.3 s in the middle.
 	 */
 	private static final Duration ACQUAINTED = Duration.ofSeconds(1);
 
 	/**
-	 * For so long it names nobody while the list has VMs of a larger size than any that
-	 * it has met. Small daemons meet each other first: those that named only small ones
-	 * kept half of the callers there for three seconds.
+	 * For so long it names nobody either while the list has VMs of a larger size than any
+	 * that it has met. Small daemons meet each other first: those that named only small
+	 * ones kept half of the callers there for three seconds.
 	 */
 	private static final Duration LARGEST_MET = Duration.ofSeconds(2);
 
@@ -78,12 +78,12 @@
 	private final Random random = new Random();
 
 	EntryList(Clock clock, MembershipView membership, PeerNetwork network, FleetKnowledge knowledge, DecisionLog log) {
-		this.log = log;
 		this.clock = clock;
 		this.startedAt = clock.nanos();
 		this.membership = membership;
 		this.network = network;
 		this.knowledge = knowledge;
+		this.log = log;
 	}
 
 	/**
