Keep the wait for the first addresses in the product

platform/ only translates; when the port for addresses opens is a decision. The set of all relays is worked out in one place. Behaviour is meant to be the same; PlatformProgramTests pass unchanged.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -57,7 +57,7 @@
 	 * that it has met. Small daemons meet each other first: those that named only small
 	 * ones kept half of the callers there for three seconds.
 	 */
-	private static final Duration LARGEST_MET = Duration.ofSeconds(2);
+	static final Duration LARGEST_MET = Duration.ofSeconds(2);
 
 	private final Clock clock;
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
@@ -121,9 +121,13 @@
 	 * @return the choice, given who relays now
 	 */
 	EntrySelection entries() {
+		return new EntrySelection(flat(), allRelays());
+	}
+
+	private Set<VmId> allRelays() {
 		Set<VmId> relays = byName(this.membership.relays());
 		relays.addAll(this.membership.remoteRelays());
-		return new EntrySelection(flat(), relays);
+		return relays;
 	}
 
 	/**
@@ -135,8 +139,7 @@
 	 */
 	int storeRank() {
 		VmId self = this.membership.self().vm();
-		Set<VmId> relays = byName(this.membership.relays());
-		relays.addAll(this.membership.remoteRelays());
+		Set<VmId> relays = allRelays();
 		if (relays.contains(self)) {
 			return relays.stream().sorted(Comparator.comparingInt(this::sizeClass).reversed()).toList().indexOf(self);
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -235,6 +235,14 @@
 		return this.entries.addresses(this.leave.begun());
 	}
 
+	/**
+	 * Waits until this daemon has somebody to name to callers.
+	 * @return the wait, not begun
+	 */
+	public FirstAddresses firstAddresses() {
+		return new FirstAddresses(this.parts.loop(), this::addresses);
+	}
+
 	/**
 	 * What this daemon believes, for people; on the loop's thread only.
 	 * @return the state by slice
