Read a frame once; let the JDK carry results from the loop

Each frame between daemons was taken apart by a second unpacker, just to see whether it is packed, though its code is read anyway: MessageCodec now decides there, and unpacks after the outer parser is closed. Three places carried a result or an error from the loop's thread by hand (two in GatewayNode, one new in FirstAddresses); CompletableFuture.supplyAsync and runAsync do that, and pass on errors that aren't exceptions too.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FirstAddresses.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FirstAddresses.java
@@ -49,16 +49,7 @@
 	}
 
 	private boolean known() throws InterruptedException, ExecutionException {
-		CompletableFuture<Boolean> known = new CompletableFuture<>();
-		this.scheduler.execute(() -> {
-			try {
-				known.complete(!this.addresses.get().isEmpty());
-			}
-			catch (RuntimeException ex) {
-				known.completeExceptionally(ex);
-			}
-		});
-		return known.get();
+		return CompletableFuture.supplyAsync(() -> !this.addresses.get().isEmpty(), this.scheduler::execute).get();
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -176,16 +176,9 @@
 	public static GatewayNode create(GatewaySettings settings, Parts parts, Runnable ended) {
 		RegisteredDaemons daemons = new RegisteredDaemons(parts.store());
 		Registration registration = Registration.after(settings, parts, daemons);
-		CompletableFuture<GatewayNode> made = new CompletableFuture<>();
-		parts.loop().execute(() -> {
-			try {
-				made.complete(new GatewayNode(settings, parts, daemons, registration, ended));
-			}
-			catch (RuntimeException ex) {
-				made.completeExceptionally(ex);
-			}
-		});
-		return made.join();
+		return CompletableFuture
+			.supplyAsync(() -> new GatewayNode(settings, parts, daemons, registration, ended), parts.loop()::execute)
+			.join();
 	}
 
 	/**
@@ -195,17 +188,7 @@
 	public void start() throws Exception {
 		this.callers.listen(this.settings.callers());
 		this.network.start(this.directory);
-		CompletableFuture<Void> done = new CompletableFuture<>();
-		this.parts.loop().execute(() -> {
-			try {
-				startSlices();
-				done.complete(null);
-			}
-			catch (RuntimeException ex) {
-				done.completeExceptionally(ex);
-			}
-		});
-		done.get();
+		CompletableFuture.runAsync(this::startSlices, this.parts.loop()::execute).get();
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/MessageCodec.java
@@ -96,13 +96,7 @@
 	 * @throws PeerProtocolException if the payload isn't a frame of this protocol
 	 */
 	public Optional<PeerMessage> decode(String peer, byte[] payload) throws PeerProtocolException {
-		checkLengths(peer, payload);
-		Optional<byte[]> unpacked = unpacked(peer, payload);
-		if (unpacked.isEmpty()) {
-			return decodePlain(peer, payload);
-		}
-		checkLengths(peer, unpacked.get());
-		return decodePlain(peer, unpacked.get());
+		return decode(peer, payload, true);
 	}
 
 	/**
@@ -114,46 +108,61 @@
 	 * @throws PeerProtocolException if the payload isn't a plain frame of this protocol
 	 */
 	Optional<PeerMessage> decodeUnproven(String peer, byte[] payload) throws PeerProtocolException {
-		checkLengths(peer, payload);
-		return decodePlain(peer, payload);
+		return decode(peer, payload, false);
 	}
 
-	private static Optional<byte[]> unpacked(String peer, byte[] payload) throws PeerProtocolException {
-		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
-			boolean packed = unpacker.unpackArrayHeader() == FRAME_PARTS && unpacker.unpackInt() == PROTOCOL_VERSION
-					&& unpacker.unpackInt() == PACKED;
-			if (!packed) {
-				return Optional.empty();
+	private Optional<PeerMessage> decode(String peer, byte[] payload, boolean unpacks) throws PeerProtocolException {
+		checkLengths(peer, payload);
+		byte[] inner;
+		try (JsonParser parser = this.mapper.createParser(payload)) {
+			int code = code(peer, parser);
+			if (code != PACKED || !unpacks) {
+				return message(peer, parser, code);
 			}
-			expect(peer, unpacker.unpackArrayHeader() == 2, "a packed payload must have a length and bytes");
-			int length = unpacker.unpackInt();
-			expect(peer, length > 0 && length <= LARGEST_UNPACKED,
-					"a packed payload must have 1 to " + LARGEST_UNPACKED + " bytes, was " + length);
-			return Optional.of(FramePacking.unpack(unpacker.readPayload(unpacker.unpackBinaryHeader()), length));
+			inner = unpacked(peer, parser);
 		}
-		catch (IOException | MessagePackException | DataFormatException ex) {
+		catch (IOException | RuntimeException ex) {
 			throw malformed(peer, ex.toString());
 		}
+		// Not before the parser is closed: those of one thread share their buffers.
+		return decode(peer, inner, false);
 	}
 
-	private Optional<PeerMessage> decodePlain(String peer, byte[] payload) throws PeerProtocolException {
-		try (JsonParser parser = this.mapper.createParser(payload)) {
-			expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a frame must be an array");
-			int version = nextInt(peer, parser);
-			if (version != PROTOCOL_VERSION) {
-				throw new PeerProtocolException(PeerProtocolException.Kind.WRONG_VERSION, peer,
-						"protocol version must be " + PROTOCOL_VERSION + ", was " + version);
-			}
-			Optional<Class<? extends PeerMessage>> type = this.catalog.type(nextInt(peer, parser));
-			if (type.isEmpty()) {
-				return Optional.empty();
-			}
-			expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a message must be an array");
-			PeerMessage message = this.mapper.readValue(parser, type.get());
-			expect(peer, parser.nextToken() == JsonToken.END_ARRAY, "a frame must have three parts");
-			return Optional.of(message);
+	private static int code(String peer, JsonParser parser) throws IOException, PeerProtocolException {
+		expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a frame must be an array");
+		int version = nextInt(peer, parser);
+		if (version != PROTOCOL_VERSION) {
+			throw new PeerProtocolException(PeerProtocolException.Kind.WRONG_VERSION, peer,
+					"protocol version must be " + PROTOCOL_VERSION + ", was " + version);
 		}
-		catch (IOException | RuntimeException ex) {
+		return nextInt(peer, parser);
+	}
+
+	private Optional<PeerMessage> message(String peer, JsonParser parser, int code)
+			throws IOException, PeerProtocolException {
+		Optional<Class<? extends PeerMessage>> type = this.catalog.type(code);
+		if (type.isEmpty()) {
+			return Optional.empty();
+		}
+		expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a message must be an array");
+		PeerMessage message = this.mapper.readValue(parser, type.get());
+		expect(peer, parser.nextToken() == JsonToken.END_ARRAY, "a frame must have three parts");
+		return Optional.of(message);
+	}
+
+	private static byte[] unpacked(String peer, JsonParser parser) throws IOException, PeerProtocolException {
+		expect(peer, parser.nextToken() == JsonToken.START_ARRAY, "a packed payload must be an array");
+		int length = nextInt(peer, parser);
+		expect(peer, length > 0 && length <= LARGEST_UNPACKED,
+				"a packed payload must have 1 to " + LARGEST_UNPACKED + " bytes, was " + length);
+		expect(peer, parser.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT, "a packed payload must have bytes");
+		byte[] packed = parser.getBinaryValue();
+		expect(peer, parser.nextToken() == JsonToken.END_ARRAY, "a packed payload must have a length and bytes");
+		expect(peer, parser.nextToken() == JsonToken.END_ARRAY, "a frame must have three parts");
+		try {
+			return FramePacking.unpack(packed, length);
+		}
+		catch (DataFormatException ex) {
 			throw malformed(peer, ex.toString());
 		}
 	}
