--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
@@ -0,0 +1,453 @@
+package org.bramleyscale.internal.gateway.follow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.peer.PeerListener;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.platform.ObjectKey;
+import org.bramleyscale.internal.platform.ObjectStore;
+import org.bramleyscale.internal.platform.PlatformException;
+import org.bramleyscale.internal.platform.StoredObject;
+import org.bramleyscale.internal.platform.VmRecord;
+import org.bramleyscale.internal.platform.WatchBatch;
+import org.bramleyscale.internal.time.Cancellable;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * A fleet of daemons that follow one store, on a manual clock.
+ *
+ * <p>
+ * Each daemon is a real follower with a real exchange of copies; the store and the
+ * connections are played. The daemons are in ranked order. Messages between two daemons
+ * arrive in the order of sending. Confined to the test's thread.
+ */
+final class FakeFleet {
+
+	private static final String KIND = "servers";
+
+	/** Daemons don't start in step; if they did, their rounds would meet for ever. */
+	private static final Duration START_GAP = Duration.ofMillis(17);
+
+	private final ManualScheduler scheduler;
+
+	private final FollowTimes times;
+
+	private final List<Daemon> daemons = new ArrayList<>();
+
+	private final Map<String, StoredObject> stored = new TreeMap<>();
+
+	private final List<Waiting> waiting = new ArrayList<>();
+
+	private Topology topology = new AllWithAll();
+
+	private long revision = 1;
+
+	private int calls;
+
+	private int copiesSent;
+
+	/**
+	 * Makes a fleet without daemons.
+	 * @param scheduler the clock of the store and of all daemons
+	 * @param within the time within which a change must be in force
+	 */
+	FakeFleet(ManualScheduler scheduler, Duration within) {
+		this.scheduler = scheduler;
+		this.times = FollowTimes.within(within);
+	}
+
+	/**
+	 * Starts daemons one after the other.
+	 * @param count how many
+	 */
+	void start(int count) {
+		for (int i = 0; i < count; i++) {
+			this.daemons.add(new Daemon(this.daemons.size()));
+		}
+		for (Daemon daemon : this.daemons) {
+			daemon.start();
+			this.scheduler.advance(START_GAP);
+		}
+	}
+
+	/**
+	 * Adds a daemon after all others and starts it.
+	 * @return the daemon
+	 */
+	Daemon startOneMore() {
+		Daemon daemon = new Daemon(this.daemons.size());
+		this.daemons.add(daemon);
+		daemon.start();
+		return daemon;
+	}
+
+	void topology(Topology newTopology) {
+		this.topology = newTopology;
+	}
+
+	List<Daemon> daemons() {
+		return this.daemons;
+	}
+
+	/**
+	 * Calls to the store.
+	 * @return how many were made since the start
+	 */
+	int calls() {
+		return this.calls;
+	}
+
+	/**
+	 * Messages with copies in them.
+	 * @return how many daemons sent to each other since the start
+	 */
+	int copiesSent() {
+		return this.copiesSent;
+	}
+
+	/**
+	 * Writes an object, which answers the watches that wait.
+	 * @param name the object's name
+	 */
+	void change(String name) {
+		this.revision++;
+		StoredObject object = new StoredObject(new ObjectKey(KIND, name), this.revision, new byte[1]);
+		this.stored.put(name, object);
+		List<Waiting> answered = this.waiting.stream().filter((call) -> !call.deaf).toList();
+		this.waiting.removeAll(answered);
+		answered.forEach((call) -> call.answer(new WatchBatch(this.revision, false, List.of(object))));
+	}
+
+	/** Makes every connection on which a watch waits silent. */
+	void deafen() {
+		this.waiting.forEach((call) -> call.deaf = true);
+	}
+
+	/**
+	 * What becomes of a daemon's calls to the store.
+	 */
+	enum Link {
+
+		WORKS, REFUSED, SILENT
+
+	}
+
+	/**
+	 * Who is connected with whom, and who passes on what.
+	 */
+	interface Topology {
+
+		/**
+		 * The daemons with which one has connections.
+		 * @param rank its rank
+		 * @return their ranks
+		 */
+		Set<Integer> connected(int rank);
+
+		/**
+		 * Whom a daemon tells what it read from the store.
+		 * @param rank its rank
+		 * @return their ranks
+		 */
+		Set<Integer> firstHand(int rank);
+
+		/**
+		 * Whom a daemon tells what a peer told.
+		 * @param rank its rank
+		 * @param from the peer's rank
+		 * @return their ranks
+		 */
+		Set<Integer> passedOn(int rank, int from);
+
+	}
+
+	/**
+	 * All daemons are connected with all, as in a small fleet.
+	 */
+	private final class AllWithAll implements Topology {
+
+		@Override
+		public Set<Integer> connected(int rank) {
+			Set<Integer> others = new TreeSet<>();
+			FakeFleet.this.daemons.stream()
+				.filter((daemon) -> daemon.rank != rank)
+				.forEach((daemon) -> others.add(daemon.rank));
+			return others;
+		}
+
+		@Override
+		public Set<Integer> firstHand(int rank) {
+			return connected(rank);
+		}
+
+		@Override
+		public Set<Integer> passedOn(int rank, int from) {
+			return Set.of();
+		}
+
+	}
+
+	/**
+	 * A watch that the store holds.
+	 */
+	private final class Waiting {
+
+		private final CompletableFuture<WatchBatch> call;
+
+		private final Cancellable end;
+
+		private boolean deaf;
+
+		private Waiting(CompletableFuture<WatchBatch> call, Duration wait) {
+			this.call = call;
+			this.end = FakeFleet.this.scheduler.schedule(wait, this::expire);
+			FakeFleet.this.scheduler.schedule(wait.plusMillis(1_200), () -> call
+				.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "late")));
+		}
+
+		private void expire() {
+			if (!this.deaf) {
+				FakeFleet.this.waiting.remove(this);
+				this.call.complete(new WatchBatch(FakeFleet.this.revision, false, List.of()));
+			}
+		}
+
+		private void answer(WatchBatch batch) {
+			this.end.cancel();
+			this.call.complete(batch);
+		}
+
+	}
+
+	/**
+	 * One daemon's end of the store and of the connections with its peers.
+	 */
+	final class Daemon implements PeerNetwork, NewsRoutes, FollowOrder, ObjectStore {
+
+		/** What a message between two daemons takes on a link that isn't busy. */
+		private static final Duration TRAVEL = Duration.ofMillis(1);
+
+		private final int rank;
+
+		private final Incarnation self;
+
+		private final Map<Class<?>, PeerListener<?>> listeners = new HashMap<>();
+
+		private final FollowedKind copies = new FollowedKind((object) -> {
+		});
+
+		private final PeerCopies exchange;
+
+		private final StoreFollower follower;
+
+		private Link store = Link.WORKS;
+
+		private CompletableFuture<WatchBatch> watch;
+
+		private boolean peers = true;
+
+		private Duration queued = Duration.ZERO;
+
+		private long arrivesAt;
+
+		private int ownCalls;
+
+		private Daemon(int rank) {
+			this.rank = rank;
+			this.self = new Incarnation(new VmId("d" + rank), 1);
+			ManualScheduler clock = FakeFleet.this.scheduler;
+			this.exchange = new PeerCopies(clock, this, Map.of(KIND, this.copies), this, DecisionLog.NONE);
+			this.follower = new StoreFollower(KIND, clock, new Random(rank), this, this.copies, this,
+					FakeFleet.this.times, DecisionLog.NONE);
+			this.follower.onNews((from) -> this.exchange.push(KIND, from, this.follower.sinceOutage(), rank == 0));
+		}
+
+		private void start() {
+			this.follower.start();
+			this.exchange.start();
+		}
+
+		int ownCalls() {
+			return this.ownCalls;
+		}
+
+		Link store() {
+			return this.store;
+		}
+
+		boolean hearsPeers() {
+			return this.peers;
+		}
+
+		/** Ends the daemon's connections with its peers. */
+		void losePeers() {
+			this.peers = false;
+		}
+
+		/** Ends all that the daemon hears, without an error. */
+		void cutOff() {
+			losePeers();
+			store(Link.SILENT);
+		}
+
+		/**
+		 * Changes what becomes of the daemon's calls, the one under way included.
+		 * @param link what becomes of them
+		 */
+		void store(Link link) {
+			this.store = link;
+			FakeFleet.this.waiting.stream()
+				.filter((call) -> call.call == this.watch)
+				.forEach((call) -> call.deaf = true);
+		}
+
+		/**
+		 * Sets how long what the daemon sends from now on waits before it travels.
+		 * @param time the time in queues
+		 */
+		void queued(Duration time) {
+			this.queued = time;
+		}
+
+		boolean knows(String name) {
+			return this.copies.after(0).stream().anyMatch((copy) -> copy.name().equals(name));
+		}
+
+		private CompletableFuture<WatchBatch> call() {
+			FakeFleet.this.calls++;
+			this.ownCalls++;
+			CompletableFuture<WatchBatch> call = new CompletableFuture<>();
+			if (this.store != Link.WORKS) {
+				Duration delay = (this.store == Link.REFUSED) ? Duration.ofMillis(4) : Duration.ofMillis(1_200);
+				FakeFleet.this.scheduler.schedule(delay, () -> call
+					.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "away")));
+			}
+			return call;
+		}
+
+		@Override
+		public CompletableFuture<WatchBatch> list(String kind) {
+			CompletableFuture<WatchBatch> call = call();
+			if (this.store == Link.WORKS) {
+				call.complete(
+						new WatchBatch(FakeFleet.this.revision, false, List.copyOf(FakeFleet.this.stored.values())));
+			}
+			return call;
+		}
+
+		@Override
+		public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
+			CompletableFuture<WatchBatch> call = call();
+			this.watch = call;
+			if (this.store != Link.WORKS) {
+				return call;
+			}
+			List<StoredObject> changed = FakeFleet.this.stored.values()
+				.stream()
+				.filter((object) -> object.version() > after)
+				.toList();
+			if (!changed.isEmpty()) {
+				call.complete(new WatchBatch(FakeFleet.this.revision, false, changed));
+			}
+			else {
+				FakeFleet.this.waiting.add(new Waiting(call, wait));
+			}
+			return call;
+		}
+
+		@Override
+		public boolean send(VmId to, PeerMessage message) {
+			if (message instanceof CopiesTold told && !told.objects().isEmpty()) {
+				FakeFleet.this.copiesSent++;
+			}
+			long now = FakeFleet.this.scheduler.nanos();
+			this.arrivesAt = Math.max(this.arrivesAt, now + this.queued.plus(TRAVEL).toNanos());
+			for (Daemon other : FakeFleet.this.daemons) {
+				if (other.self.vm().equals(to) && this.peers && other.peers) {
+					FakeFleet.this.scheduler.schedule(Duration.ofNanos(this.arrivesAt - now),
+							() -> other.received(this, message));
+				}
+			}
+			return true;
+		}
+
+		@SuppressWarnings("unchecked")
+		private void received(Daemon from, PeerMessage message) {
+			((PeerListener<PeerMessage>) this.listeners.get(message.getClass())).received(from.self, message);
+		}
+
+		@Override
+		public Set<VmId> connected() {
+			return vms(FakeFleet.this.topology.connected(this.rank));
+		}
+
+		@Override
+		public <M extends PeerMessage> void listen(Class<M> type, PeerListener<M> listener) {
+			this.listeners.put(type, listener);
+		}
+
+		@Override
+		public Collection<VmId> firstHand() {
+			return vms(FakeFleet.this.topology.firstHand(this.rank));
+		}
+
+		@Override
+		public Collection<VmId> passedOn(VmId from) {
+			return vms(FakeFleet.this.topology.passedOn(this.rank, Integer.parseInt(from.value().substring(1))));
+		}
+
+		private static Set<VmId> vms(Set<Integer> ranks) {
+			Set<VmId> sorted = new TreeSet<>(Comparator.comparing(VmId::value));
+			ranks.forEach((rank) -> sorted.add(new VmId("d" + rank)));
+			return sorted;
+		}
+
+		@Override
+		public int rank() {
+			return this.rank;
+		}
+
+		@Override
+		public boolean alone() {
+			return this.exchange.alone();
+		}
+
+		@Override
+		public CompletableFuture<Optional<StoredObject>> read(ObjectKey key) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> delete(ObjectKey key, long expected) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<List<VmRecord>> vms() {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
