A test of news that queue, which fails: a change isn't in force in time

Symptom: a route is unknown three seconds after the store confirmed it, on daemons that could have asked the store at any time. Two relays of one data centre watch, two of another pass on to 24 daemons there. What relays send waits 1.6 to 8 s; 20 changes at drawn moments. No logic is changed.

--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/QueuedNewsTests.java
@@ -0,0 +1,143 @@
+package org.bramleyscale.internal.gateway.follow;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Plays a large fleet whose relays' messages wait for seconds before they leave.
+ *
+ * <p>
+ * Two relays of one data centre watch the store; two relays of another pass on what they
+ * tell to the daemons there, which know each other and their relays. The store answers
+ * everybody. A change must be in force within {@link #WITHIN}.
+ */
+class QueuedNewsTests {
+
+	private static final Duration WITHIN = Duration.ofSeconds(3);
+
+	private static final int RELAYS = 4;
+
+	private static final int NEAR = 24;
+
+	/** Each comes at another moment between the daemons' checks. */
+	private static final int CHANGES = 20;
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final FakeFleet fleet = new FakeFleet(this.scheduler, WITHIN);
+
+	@BeforeEach
+	void start() {
+		this.fleet.topology(new TwoDataCentres());
+		this.fleet.change("first");
+		this.fleet.start(RELAYS + NEAR);
+		this.scheduler.advance(Duration.ofSeconds(10));
+	}
+
+	@Tag("known-red")
+	@ParameterizedTest
+	@CsvSource({
+			// ms that wait: what the watching relays send, what the passing ones send
+			"4000, 0", "0, 4000", "8000, 0", "0, 8000", "2000, 2000", "1600, 1600" })
+	void aChangeIsInForceInTimeThoughNewsQueue(int watching, int passing) {
+		// Symptom: a route is unknown three seconds after the store confirmed it, on
+		// daemons that could have asked the store at any time. Sequence: a relay's queue
+		// grows to some seconds and stays there; the document changes a few times; the
+		// daemons behind that relay go
+		// on hearing, seconds late, that nothing is new.
+		queueGrowsTo(Duration.ofMillis(watching), Duration.ofMillis(passing));
+		Random phases = new Random(1);
+		for (int change = 1; change <= CHANGES; change++) {
+			String name = "change-" + change;
+			this.fleet.change(name);
+			this.scheduler.advance(WITHIN);
+			Truth.assertWithMessage("ranks without " + name).that(ranksWithout(name)).isEmpty();
+			this.scheduler.advance(Duration.ofMillis(phases.nextInt(5_000)));
+		}
+	}
+
+	private List<Integer> ranksWithout(String name) {
+		return this.fleet.daemons()
+			.stream()
+			.filter((daemon) -> !daemon.knows(name))
+			.map(FakeFleet.Daemon::rank)
+			.toList();
+	}
+
+	private void queueGrowsTo(Duration watching, Duration passing) {
+		int steps = 80;
+		for (int step = 1; step <= steps; step++) {
+			for (int rank = 0; rank < RELAYS; rank++) {
+				Duration most = (rank < 2) ? watching : passing;
+				this.fleet.daemons().get(rank).queued(most.multipliedBy(step).dividedBy(steps));
+			}
+			this.scheduler.advance(Duration.ofMillis(250));
+		}
+	}
+
+	/**
+	 * Ranks 0 and 1 relay for the data centre of the watchers, 2 and 3 for the other one,
+	 * in which all others are.
+	 */
+	private static final class TwoDataCentres implements FakeFleet.Topology {
+
+		private static final Set<Integer> WATCHING = Set.of(0, 1);
+
+		private static final Set<Integer> PASSING = Set.of(2, 3);
+
+		@Override
+		public Set<Integer> connected(int rank) {
+			if (rank >= RELAYS) {
+				int place = rank - RELAYS;
+				return Set.of(2, 3, RELAYS + (place + 1) % NEAR, RELAYS + (place + 5) % NEAR);
+			}
+			return firstHand(rank);
+		}
+
+		@Override
+		public Set<Integer> firstHand(int rank) {
+			Set<Integer> told = new HashSet<>(PASSING);
+			if (rank < RELAYS) {
+				told.addAll(WATCHING);
+			}
+			if (PASSING.contains(rank)) {
+				told.addAll(near());
+			}
+			told.remove(rank);
+			return told;
+		}
+
+		@Override
+		public Set<Integer> passedOn(int rank, int from) {
+			if (!PASSING.contains(rank)) {
+				return Set.of();
+			}
+			Set<Integer> told = near();
+			if (from >= RELAYS) {
+				told.addAll(WATCHING);
+			}
+			told.remove(from);
+			return told;
+		}
+
+		private static Set<Integer> near() {
+			Set<Integer> near = new HashSet<>();
+			for (int rank = RELAYS; rank < RELAYS + NEAR; rank++) {
+				near.add(rank);
+			}
+			return near;
+		}
+
+	}
+
+}
