Measure how long news of the store wait on their way, and say so

From a daemon's lines nobody could tell a document that was pushed late from one that waited in the link's queue: a line on new copies named the peer and the revision only. Messages of copies now carry the sender's monotonic time. The receiver compares the difference between its clock and the sender's with the smallest of the last one or two minutes; what exceeds it, the message waited. Lines on copies tell the age that the peer gave and the time waited, and one line each says when a peer's news begin and cease to queue (1 s, 0.2 s).

Ways weighed: an echo of the receiver's own time (needs a question and an answer for each pair, and no message encoded once for all any more); the product's own way, age counted from the question (the same); this one (chosen: no message more, eight bytes each). Its limit: if all messages of two minutes waited, the least of that isn't seen.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/CopiesTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/CopiesTold.java
@@ -15,7 +15,9 @@
  * @param outageMillis how long ago the store was last away for somebody who read it, ms;
  * entries that lapsed meanwhile may be back soon
  * @param objects the copies
+ * @param sentMillis when it was sent, by the sender's {@link QueueingDelays}; 0 if the
+ * sender doesn't tell
  */
 public record CopiesTold(String kind, long from, long to, long ageMillis, long outageMillis,
-		List<FollowedObject> objects) implements PeerMessage {
+		List<FollowedObject> objects, long sentMillis) implements PeerMessage {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -61,6 +61,8 @@
 
 	private final DecisionLog log;
 
+	private final QueueingDelays delays;
+
 	private final Set<VmId> behind = new HashSet<>();
 
 	private long heardAt;
@@ -84,6 +86,8 @@
 		this.kinds = Map.copyOf(kinds);
 		this.routes = routes;
 		this.log = log;
+		this.delays = new QueueingDelays(scheduler, (peer, queue, waitedMillis) -> log.belief("copies", "news", "queue",
+				queue, "from", peer, "waited_ms", waitedMillis));
 		this.heardAt = scheduler.nanos();
 		this.outageAt = scheduler.nanos() - Duration.ofDays(1).toNanos();
 		network.listen(CopiesHeld.class, this::held);
@@ -175,7 +179,8 @@
 	}
 
 	private CopiesTold copies(String kind, FollowedKind ours, long from) {
-		return new CopiesTold(kind, from, ours.complete(), age(ours), sinceOutage().toMillis(), ours.after(from));
+		return new CopiesTold(kind, from, ours.complete(), age(ours), sinceOutage().toMillis(), ours.after(from),
+				this.delays.sendingMillis());
 	}
 
 	private long age(FollowedKind ours) {
@@ -190,8 +195,11 @@
 	}
 
 	private CopiesHeld reach() {
-		return new CopiesHeld(
-				this.kinds.entrySet().stream().map((entry) -> reach(entry.getKey(), entry.getValue())).toList());
+		return reach(this.kinds.entrySet().stream().map((entry) -> reach(entry.getKey(), entry.getValue())).toList());
+	}
+
+	private CopiesHeld reach(List<CopiesHeld.Held> reached) {
+		return new CopiesHeld(reached, this.delays.sendingMillis());
 	}
 
 	private CopiesHeld.Held reach(String kind, FollowedKind ours) {
@@ -200,13 +208,14 @@
 
 	private void held(Incarnation from, CopiesHeld message) {
 		this.heardAt = this.scheduler.nanos();
+		this.delays.waitedMillis(from, message.sentMillis());
 		for (CopiesHeld.Held theirs : message.kinds()) {
 			FollowedKind ours = this.kinds.get(theirs.kind());
 			if (ours == null) {
 				continue;
 			}
 			if (ours.lastChange() < theirs.lastChange()) {
-				this.network.send(from.vm(), new CopiesHeld(List.of(reach(theirs.kind(), ours))));
+				this.network.send(from.vm(), reach(List.of(reach(theirs.kind(), ours))));
 				continue;
 			}
 			// What the store said of copies that reach no further holds for ours too.
@@ -224,6 +233,7 @@
 
 	private void told(Incarnation from, CopiesTold message) {
 		this.heardAt = this.scheduler.nanos();
+		long waited = this.delays.waitedMillis(from, message.sentMillis());
 		FollowedKind ours = this.kinds.get(message.kind());
 		if (ours == null) {
 			return;
@@ -240,7 +250,8 @@
 		ours.confirm(confirmed);
 		boolean changed = ours.lastChange() > known;
 		if (changed) {
-			this.log.belief("copies", message.kind(), "from", from, "revision", ours.lastChange(), "was", known);
+			this.log.belief("copies", message.kind(), "from", from, "revision", ours.lastChange(), "was", known,
+					"age_ms", message.ageMillis(), "waited_ms", waited);
 		}
 		if (changed || fresher) {
 			spread(this.routes.passedOn(from.vm()), message);
