--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/CopiesOnTheWireTests.java
@@ -0,0 +1,71 @@
+package org.bramleyscale.internal.gateway.follow;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.peer.MessageCatalog;
+import org.bramleyscale.internal.peer.MessageCodec;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerProtocolException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Messages of copies, written and read by the codec of the peer protocol.
+ */
+class CopiesOnTheWireTests {
+
+	private static final String PEER = "peer";
+
+	static Stream<PeerMessage> messages() {
+		SendingTimes toOne = new SendingTimes(900, new Incarnation(new VmId("10.1.0.26"), 77), 800, 40);
+		SendingTimes toMany = new SendingTimes(900, null, 0, 0);
+		return Stream.of(toOne, toMany)
+			.flatMap((times) -> Stream.of(new CopiesHeld(List.of(new CopiesHeld.Held("config", 7, 9, 120)), times),
+					new CopiesTold("config", 7, 9, 120, 86_400_000, List.of(), times)));
+	}
+
+	@ParameterizedTest
+	@MethodSource("messages")
+	void arriveAsTheyWereSent(PeerMessage message) throws PeerProtocolException {
+		MessageCodec codec = codec(CopiesHeld.class, CopiesTold.class);
+		Truth.assertThat(codec.decode(PEER, codec.encode(message))).hasValue(message);
+	}
+
+	@Test
+	void fromAVersionThatTellsNoTimesAreRead() throws PeerProtocolException {
+		MessageCodec earlier = codec(HeldWithoutTimes.class, ToldWithoutTimes.class);
+		MessageCodec now = codec(CopiesHeld.class, CopiesTold.class);
+		Truth.assertThat(now.decode(PEER, earlier.encode(new HeldWithoutTimes(List.of()))))
+			.hasValue(new CopiesHeld(List.of(), null));
+		Truth.assertThat(now.decode(PEER, earlier.encode(new ToldWithoutTimes("config", 7, 9, 120, 5, List.of()))))
+			.hasValue(new CopiesTold("config", 7, 9, 120, 5, List.of(), null));
+	}
+
+	@Test
+	void areReadByAVersionThatKnowsNoTimes() throws PeerProtocolException {
+		MessageCodec earlier = codec(HeldWithoutTimes.class, ToldWithoutTimes.class);
+		MessageCodec now = codec(CopiesHeld.class, CopiesTold.class);
+		SendingTimes times = new SendingTimes(900, null, 0, 0);
+		Truth.assertThat(earlier.decode(PEER, now.encode(new CopiesHeld(List.of(), times))))
+			.hasValue(new HeldWithoutTimes(List.of()));
+		Truth.assertThat(earlier.decode(PEER, now.encode(new CopiesTold("config", 7, 9, 120, 5, List.of(), times))))
+			.hasValue(new ToldWithoutTimes("config", 7, 9, 120, 5, List.of()));
+	}
+
+	private static MessageCodec codec(Class<? extends PeerMessage> held, Class<? extends PeerMessage> told) {
+		return new MessageCodec(MessageCatalog.builder().add(101, held).add(102, told).build());
+	}
+
+	private record HeldWithoutTimes(List<CopiesHeld.Held> kinds) implements PeerMessage {
+	}
+
+	private record ToldWithoutTimes(String kind, long from, long to, long ageMillis, long outageMillis,
+			List<FollowedObject> objects) implements PeerMessage {
+	}
+
+}
