--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -111,8 +111,8 @@
 
 	public void start() {
 		this.heardAt = this.scheduler.nanos();
-		this.scheduler.repeat(PAUSE, this::tell);
-		tell();
+		this.scheduler.repeat(PAUSE, this::tellNext);
+		tellNext();
 	}
 
 	/**
@@ -194,7 +194,7 @@
 		return Duration.ofNanos(this.scheduler.nanos() - ours.confirmedAt()).toMillis();
 	}
 
-	private void tell() {
+	private void tellNext() {
 		List<VmId> peers = List.copyOf(this.network.connected());
 		for (int i = 0; i < Math.min(TOLD_AT_ONCE, peers.size()); i++) {
 			tell(peers.get(this.next++ % peers.size()));
