--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
@@ -7,12 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
@@ -20,13 +17,6 @@
 import org.bramleyscale.internal.peer.PeerListener;
 import org.bramleyscale.internal.peer.PeerMessage;
 import org.bramleyscale.internal.peer.PeerNetwork;
-import org.bramleyscale.internal.platform.ObjectKey;
-import org.bramleyscale.internal.platform.ObjectStore;
-import org.bramleyscale.internal.platform.PlatformException;
-import org.bramleyscale.internal.platform.StoredObject;
-import org.bramleyscale.internal.platform.VmRecord;
-import org.bramleyscale.internal.platform.WatchBatch;
-import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.ManualScheduler;
 
 /**
@@ -39,27 +29,19 @@
  */
 final class FakeFleet {
 
-	private static final String KIND = "servers";
-
 	/** Daemons don't start in step; if they did, their rounds would meet for ever. */
 	private static final Duration START_GAP = Duration.ofMillis(17);
 
 	private final ManualScheduler scheduler;
 
+	private final PlayedStore store;
+
 	private final FollowTimes times;
 
 	private final List<Daemon> daemons = new ArrayList<>();
 
-	private final Map<String, StoredObject> stored = new TreeMap<>();
-
-	private final List<Waiting> waiting = new ArrayList<>();
-
 	private Topology topology = new AllWithAll();
 
-	private long revision = 1;
-
-	private int calls;
-
 	private int copiesSent;
 
 	private boolean tooLarge;
@@ -71,6 +53,7 @@
 	 */
 	FakeFleet(ManualScheduler scheduler, Duration within) {
 		this.scheduler = scheduler;
+		this.store = new PlayedStore(scheduler);
 		this.times = FollowTimes.within(within);
 	}
 
@@ -107,12 +90,8 @@
 		return this.daemons;
 	}
 
-	/**
-	 * Calls to the store.
-	 * @return how many were made since the start
-	 */
-	int calls() {
-		return this.calls;
+	PlayedStore store() {
+		return this.store;
 	}
 
 	/**
@@ -123,38 +102,11 @@
 		return this.copiesSent;
 	}
 
-	/**
-	 * Writes an object, which answers the watches that wait.
-	 * @param name the object's name
-	 */
-	void change(String name) {
-		this.revision++;
-		StoredObject object = new StoredObject(new ObjectKey(KIND, name), this.revision, new byte[1]);
-		this.stored.put(name, object);
-		List<Waiting> answered = this.waiting.stream().filter((call) -> !call.deaf).toList();
-		this.waiting.removeAll(answered);
-		answered.forEach((call) -> call.answer(new WatchBatch(this.revision, false, List.of(object))));
-	}
-
 	/** From now on objects are too large to be sent from daemon to daemon. */
 	void refuseCopies() {
 		this.tooLarge = true;
 	}
 
-	/** Makes every connection on which a watch waits silent. */
-	void deafen() {
-		this.waiting.forEach((call) -> call.deaf = true);
-	}
-
-	/**
-	 * What becomes of a daemon's calls to the store.
-	 */
-	enum Link {
-
-		WORKS, REFUSED, SILENT
-
-	}
-
 	/**
 	 * Who is connected with whom, and who passes on what.
 	 */
@@ -211,41 +163,9 @@
 	}
 
 	/**
-	 * A watch that the store holds.
-	 */
-	private final class Waiting {
-
-		private final CompletableFuture<WatchBatch> call;
-
-		private final Cancellable end;
-
-		private boolean deaf;
-
-		private Waiting(CompletableFuture<WatchBatch> call, Duration wait) {
-			this.call = call;
-			this.end = FakeFleet.this.scheduler.schedule(wait, this::expire);
-			FakeFleet.this.scheduler.schedule(wait.plusMillis(1_200), () -> call
-				.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "late")));
-		}
-
-		private void expire() {
-			if (!this.deaf) {
-				FakeFleet.this.waiting.remove(this);
-				this.call.complete(new WatchBatch(FakeFleet.this.revision, false, List.of()));
-			}
-		}
-
-		private void answer(WatchBatch batch) {
-			this.end.cancel();
-			this.call.complete(batch);
-		}
-
-	}
-
-	/**
-	 * One daemon's end of the store and of the connections with its peers.
+	 * One daemon, with its end of the connections with its peers.
 	 */
-	final class Daemon implements PeerNetwork, NewsRoutes, FollowOrder, ObjectStore {
+	final class Daemon implements PeerNetwork, NewsRoutes, FollowOrder {
 
 		/** What a message between two daemons takes on a link that isn't busy. */
 		private static final Duration TRAVEL = Duration.ofMillis(1);
@@ -259,30 +179,28 @@
 		private final FollowedKind copies = new FollowedKind((object) -> {
 		});
 
+		private final PlayedStore.Access store = FakeFleet.this.store.new Access();
+
 		private final PeerCopies exchange;
 
 		private final StoreFollower follower;
 
-		private Link store = Link.WORKS;
-
-		private CompletableFuture<WatchBatch> watch;
-
 		private boolean peers = true;
 
 		private Duration queued = Duration.ZERO;
 
 		private long arrivesAt;
 
-		private int ownCalls;
-
 		private Daemon(int rank) {
 			this.rank = rank;
 			this.self = new Incarnation(new VmId("d" + rank), 1);
 			ManualScheduler clock = FakeFleet.this.scheduler;
-			this.exchange = new PeerCopies(this.self, clock, this, Map.of(KIND, this.copies), this, DecisionLog.NONE);
-			this.follower = new StoreFollower(KIND, clock, new Random(rank), this, this.copies, this,
+			this.exchange = new PeerCopies(this.self, clock, this, Map.of(PlayedStore.KIND, this.copies), this,
+					DecisionLog.NONE);
+			this.follower = new StoreFollower(PlayedStore.KIND, clock, new Random(rank), this.store, this.copies, this,
 					FakeFleet.this.times, DecisionLog.NONE);
-			this.follower.onNews((from) -> this.exchange.push(KIND, from, this.follower.sinceOutage(), rank == 0));
+			this.follower
+				.onNews((from) -> this.exchange.push(PlayedStore.KIND, from, this.follower.sinceOutage(), rank == 0));
 		}
 
 		private void start() {
@@ -290,11 +208,7 @@
 			this.exchange.start();
 		}
 
-		int ownCalls() {
-			return this.ownCalls;
-		}
-
-		Link store() {
+		PlayedStore.Access store() {
 			return this.store;
 		}
 
@@ -310,18 +224,7 @@
 		/** Ends all that the daemon hears, without an error. */
 		void cutOff() {
 			losePeers();
-			store(Link.SILENT);
-		}
-
-		/**
-		 * Changes what becomes of the daemon's calls, the one under way included.
-		 * @param link what becomes of them
-		 */
-		void store(Link link) {
-			this.store = link;
-			FakeFleet.this.waiting.stream()
-				.filter((call) -> call.call == this.watch)
-				.forEach((call) -> call.deaf = true);
+			this.store.link(PlayedStore.Link.SILENT);
 		}
 
 		/**
@@ -336,48 +239,6 @@
 			return this.copies.after(0).stream().anyMatch((copy) -> copy.name().equals(name));
 		}
 
-		private CompletableFuture<WatchBatch> call() {
-			FakeFleet.this.calls++;
-			this.ownCalls++;
-			CompletableFuture<WatchBatch> call = new CompletableFuture<>();
-			if (this.store != Link.WORKS) {
-				Duration delay = (this.store == Link.REFUSED) ? Duration.ofMillis(4) : Duration.ofMillis(1_200);
-				FakeFleet.this.scheduler.schedule(delay, () -> call
-					.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "away")));
-			}
-			return call;
-		}
-
-		@Override
-		public CompletableFuture<WatchBatch> list(String kind) {
-			CompletableFuture<WatchBatch> call = call();
-			if (this.store == Link.WORKS) {
-				call.complete(
-						new WatchBatch(FakeFleet.this.revision, false, List.copyOf(FakeFleet.this.stored.values())));
-			}
-			return call;
-		}
-
-		@Override
-		public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
-			CompletableFuture<WatchBatch> call = call();
-			this.watch = call;
-			if (this.store != Link.WORKS) {
-				return call;
-			}
-			List<StoredObject> changed = FakeFleet.this.stored.values()
-				.stream()
-				.filter((object) -> object.version() > after)
-				.toList();
-			if (!changed.isEmpty()) {
-				call.complete(new WatchBatch(FakeFleet.this.revision, false, changed));
-			}
-			else {
-				FakeFleet.this.waiting.add(new Waiting(call, wait));
-			}
-			return call;
-		}
-
 		@Override
 		public boolean send(VmId to, PeerMessage message) {
 			if (message instanceof CopiesTold told && !told.objects().isEmpty()) {
@@ -438,26 +299,6 @@
 			return this.exchange.alone();
 		}
 
-		@Override
-		public CompletableFuture<Optional<StoredObject>> read(ObjectKey key) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> delete(ObjectKey key, long expected) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<List<VmRecord>> vms() {
-			throw new UnsupportedOperationException();
-		}
-
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
@@ -3,20 +3,17 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import org.bramleyscale.internal.platform.ObjectKey;
-import org.bramleyscale.internal.platform.ObjectStore;
+import org.bramleyscale.internal.platform.PartialStore;
 import org.bramleyscale.internal.platform.StoredObject;
-import org.bramleyscale.internal.platform.VmRecord;
 import org.bramleyscale.internal.platform.WatchBatch;
 
 /**
  * A store whose answers a test gives one by one.
  */
-final class FakeStore implements ObjectStore {
+final class FakeStore implements PartialStore {
 
 	final Deque<CompletableFuture<WatchBatch>> lists = new ArrayDeque<>();
 
@@ -26,11 +23,6 @@
 
 	long watchedFrom = -1;
 
-	@Override
-	public CompletableFuture<Optional<StoredObject>> read(ObjectKey key) {
-		throw new UnsupportedOperationException();
-	}
-
 	@Override
 	public CompletableFuture<WatchBatch> list(String kind) {
 		CompletableFuture<WatchBatch> call = new CompletableFuture<>();
@@ -45,16 +37,6 @@
 		return call;
 	}
 
-	@Override
-	public CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
-		throw new UnsupportedOperationException();
-	}
-
-	@Override
-	public CompletableFuture<Void> delete(ObjectKey key, long expected) {
-		throw new UnsupportedOperationException();
-	}
-
 	@Override
 	public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
 		this.watchedFrom = after;
@@ -63,11 +45,6 @@
 		return call;
 	}
 
-	@Override
-	public CompletableFuture<List<VmRecord>> vms() {
-		throw new UnsupportedOperationException();
-	}
-
 	static StoredObject object(String name, long revision) {
 		return new StoredObject(new ObjectKey("servers", name), revision, new byte[] { (byte) revision });
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FollowFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FollowFaultsTests.java
@@ -49,7 +49,7 @@
 		// drawn. Cause: what the daemon hears from others keeps it from asking itself.
 		Random random = new Random(seed);
 		this.fleet.topology(new RelayedTopology(NEAR));
-		this.fleet.change("first");
+		this.fleet.store().change("first");
 		this.fleet.start(RelayedTopology.RELAYS + NEAR);
 		this.fleet.daemons().forEach((daemon) -> this.worksSince.put(daemon.rank(), this.scheduler.nanos()));
 		this.scheduler.advance(Duration.ofSeconds(10));
@@ -66,16 +66,16 @@
 		switch (random.nextInt(4)) {
 			case 0 -> daemon.queued(Duration.ofMillis(random.nextInt(8_000)));
 			case 1 -> daemon.queued(Duration.ZERO);
-			case 2 -> store(daemon, random.nextBoolean() ? FakeFleet.Link.REFUSED : FakeFleet.Link.SILENT);
-			default -> this.fleet.daemons().forEach((other) -> store(other, FakeFleet.Link.WORKS));
+			case 2 -> store(daemon, random.nextBoolean() ? PlayedStore.Link.REFUSED : PlayedStore.Link.SILENT);
+			default -> this.fleet.daemons().forEach((other) -> store(other, PlayedStore.Link.WORKS));
 		}
 	}
 
-	private void store(FakeFleet.Daemon daemon, FakeFleet.Link link) {
-		if (daemon.store() != link) {
-			daemon.store(link);
+	private void store(FakeFleet.Daemon daemon, PlayedStore.Link link) {
+		if (daemon.store().link() != link) {
+			daemon.store().link(link);
 			this.worksSince.put(daemon.rank(),
-					(link == FakeFleet.Link.WORKS) ? this.scheduler.nanos() : Long.MAX_VALUE);
+					(link == PlayedStore.Link.WORKS) ? this.scheduler.nanos() : Long.MAX_VALUE);
 		}
 	}
 
@@ -85,7 +85,7 @@
 			.stream()
 			.filter((daemon) -> this.worksSince.get(daemon.rank()) <= inTouchSince)
 			.toList();
-		this.fleet.change(name);
+		this.fleet.store().change(name);
 		this.scheduler.advance(WITHIN);
 		List<Integer> unaware = inTouch.stream()
 			.filter((daemon) -> !daemon.knows(name))
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FollowFleetTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FollowFleetTests.java
@@ -31,7 +31,7 @@
 
 	@BeforeEach
 	void start() {
-		this.fleet.change("first");
+		this.fleet.store().change("first");
 		this.fleet.start(DAEMONS);
 		this.scheduler.advance(Duration.ofSeconds(10));
 	}
@@ -41,21 +41,21 @@
 		// Symptom: 21 calls a daemon and kind in 53 s in which nothing changed. Cause:
 		// every daemon watched, and each watch was short so that a silent connection was
 		// noticed.
-		int before = this.fleet.calls();
+		int before = this.fleet.store().calls();
 		this.scheduler.advance(Duration.ofMinutes(1));
 		FollowTimes times = FollowTimes.within(WITHIN);
 		long checks = Duration.ofMinutes(1).dividedBy(times.checkAfter());
 		long watches = StoreFollower.WATCHERS * Duration.ofMinutes(1).dividedBy(times.watch());
-		Truth.assertThat((long) this.fleet.calls() - before).isAtMost(checks + watches);
+		Truth.assertThat((long) this.fleet.store().calls() - before).isAtMost(checks + watches);
 	}
 
 	@Test
 	void aChangeCostsACallOfEachWatcher() {
 		this.scheduler.advance(Duration.ofMillis(10));
-		int before = this.fleet.calls();
-		this.fleet.change("second");
+		int before = this.fleet.store().calls();
+		this.fleet.store().change("second");
 		this.scheduler.advance(Duration.ofMillis(300));
-		Truth.assertThat(this.fleet.calls() - before).isAtMost(StoreFollower.WATCHERS + 1);
+		Truth.assertThat(this.fleet.store().calls() - before).isAtMost(StoreFollower.WATCHERS + 1);
 		this.fleet.daemons().forEach((daemon) -> Truth.assertThat(daemon.knows("second")).isTrue());
 	}
 
@@ -65,7 +65,7 @@
 		// both watchers read it at the same moment, and each sent it to everybody.
 		this.scheduler.advance(Duration.ofMillis(37));
 		int before = this.fleet.copiesSent();
-		this.fleet.change("second");
+		this.fleet.store().change("second");
 		this.scheduler.advance(Duration.ofSeconds(1));
 		Truth.assertThat(this.fleet.copiesSent() - before).isEqualTo(DAEMONS - 1);
 	}
@@ -75,10 +75,10 @@
 		// Symptom: each change takes a second, for as long as the watchers are turned
 		// away. Sequence: the store turns both watchers away; two changes. Cause: who
 		// only checks now and then is late each time.
-		this.fleet.daemons().subList(0, 2).forEach((daemon) -> daemon.store(FakeFleet.Link.REFUSED));
-		this.fleet.change("second");
+		this.fleet.daemons().subList(0, 2).forEach((daemon) -> daemon.store().link(PlayedStore.Link.REFUSED));
+		this.fleet.store().change("second");
 		this.scheduler.advance(WITHIN);
-		this.fleet.change("third");
+		this.fleet.store().change("third");
 		this.scheduler.advance(Duration.ofMillis(300));
 		this.fleet.daemons().forEach((daemon) -> Truth.assertThat(daemon.knows("third")).isTrue());
 	}
@@ -92,10 +92,10 @@
 	@EnumSource(Trouble.class)
 	void aChangeIsKnownInTimeByAllThatCanHearOfIt(Trouble trouble) {
 		trouble.strike(this.fleet.daemons());
-		this.fleet.change("second");
+		this.fleet.store().change("second");
 		this.scheduler.advance(WITHIN);
 		for (FakeFleet.Daemon daemon : this.fleet.daemons()) {
-			if (daemon.store() == FakeFleet.Link.WORKS || daemon.hearsPeers()) {
+			if (daemon.store().link() == PlayedStore.Link.WORKS || daemon.hearsPeers()) {
 				Truth.assertWithMessage("rank " + daemon.rank()).that(daemon.knows("second")).isTrue();
 			}
 		}
@@ -106,8 +106,8 @@
 		// Symptom: a key that was taken away is accepted for the rest of a watch.
 		// Sequence: every open connection to the store goes silent, new ones work; the
 		// document changes. Cause: no error is ever reported on them.
-		this.fleet.deafen();
-		this.fleet.change("second");
+		this.fleet.store().deafen();
+		this.fleet.store().change("second");
 		this.scheduler.advance(WITHIN);
 		this.fleet.daemons().forEach((daemon) -> Truth.assertThat(daemon.knows("second")).isTrue());
 	}
@@ -120,36 +120,36 @@
 		// answer to a question arrives. What prevents it: hearing that a peer knows more
 		// doesn't make news fresh, so each daemon asks the store itself.
 		this.fleet.refuseCopies();
-		this.fleet.change("second");
+		this.fleet.store().change("second");
 		this.scheduler.advance(WITHIN);
 		this.fleet.daemons().forEach((daemon) -> Truth.assertThat(daemon.knows("second")).isTrue());
 	}
 
 	@ParameterizedTest
 	@CsvSource({ "REFUSED, 260", "SILENT, 110" })
-	void aStoreThatIsAwayIsAskedByFewAndIsBackForAllAtOnce(FakeFleet.Link link, int most) {
+	void aStoreThatIsAwayIsAskedByFewAndIsBackForAllAtOnce(PlayedStore.Link link, int most) {
 		// Symptom: hundreds of calls a second at a store that is away. Sequence: nobody
 		// hears the store for ten seconds; it comes back, changed. Cause: every daemon
 		// asks until it is answered.
-		int before = this.fleet.calls();
-		this.fleet.daemons().forEach((daemon) -> daemon.store(link));
-		this.fleet.deafen();
+		int before = this.fleet.store().calls();
+		this.fleet.daemons().forEach((daemon) -> daemon.store().link(link));
+		this.fleet.store().deafen();
 		this.scheduler.advance(Duration.ofSeconds(10));
-		Truth.assertThat(this.fleet.calls() - before).isAtMost(most);
-		this.fleet.change("second");
-		this.fleet.daemons().forEach((daemon) -> daemon.store(FakeFleet.Link.WORKS));
+		Truth.assertThat(this.fleet.store().calls() - before).isAtMost(most);
+		this.fleet.store().change("second");
+		this.fleet.daemons().forEach((daemon) -> daemon.store().link(PlayedStore.Link.WORKS));
 		this.scheduler.advance(WITHIN);
 		this.fleet.daemons().forEach((daemon) -> Truth.assertThat(daemon.knows("second")).isTrue());
 	}
 
 	@Test
 	void aDaemonThatStartsTakesCopiesFromItsPeers() {
-		int before = this.fleet.calls();
+		int before = this.fleet.store().calls();
 		FakeFleet.Daemon late = this.fleet.startOneMore();
 		this.scheduler.advance(Duration.ofMillis(900));
 		Truth.assertThat(late.knows("first")).isTrue();
-		Truth.assertThat(late.ownCalls()).isEqualTo(1);
-		Truth.assertThat(this.fleet.calls() - before).isAtMost(4);
+		Truth.assertThat(late.store().calls()).isEqualTo(1);
+		Truth.assertThat(this.fleet.store().calls() - before).isAtMost(4);
 	}
 
 	/**
@@ -173,14 +173,14 @@
 		WATCHERS_TURNED_AWAY {
 			@Override
 			void strike(List<FakeFleet.Daemon> fleet) {
-				fleet.subList(0, 2).forEach((daemon) -> daemon.store(FakeFleet.Link.REFUSED));
+				fleet.subList(0, 2).forEach((daemon) -> daemon.store().link(PlayedStore.Link.REFUSED));
 			}
 		},
 
 		WATCHERS_HEAR_SILENCE {
 			@Override
 			void strike(List<FakeFleet.Daemon> fleet) {
-				fleet.subList(0, 2).forEach((daemon) -> daemon.store(FakeFleet.Link.SILENT));
+				fleet.subList(0, 2).forEach((daemon) -> daemon.store().link(PlayedStore.Link.SILENT));
 			}
 		},
 
@@ -194,7 +194,7 @@
 		HALF_OF_THE_FLEET_TURNED_AWAY {
 			@Override
 			void strike(List<FakeFleet.Daemon> fleet) {
-				fleet.subList(0, DAEMONS / 2).forEach((daemon) -> daemon.store(FakeFleet.Link.REFUSED));
+				fleet.subList(0, DAEMONS / 2).forEach((daemon) -> daemon.store().link(PlayedStore.Link.REFUSED));
 			}
 		},
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/QueuedNewsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/QueuedNewsTests.java
@@ -34,7 +34,7 @@
 	@BeforeEach
 	void start() {
 		this.fleet.topology(new RelayedTopology(NEAR));
-		this.fleet.change("first");
+		this.fleet.store().change("first");
 		this.fleet.start(RelayedTopology.RELAYS + NEAR);
 		this.scheduler.advance(Duration.ofSeconds(10));
 	}
@@ -57,7 +57,7 @@
 		Random phases = new Random(1);
 		for (int change = 1; change <= CHANGES; change++) {
 			String name = "change-" + change;
-			this.fleet.change(name);
+			this.fleet.store().change(name);
 			this.scheduler.advance(WITHIN);
 			Truth.assertWithMessage("ranks without " + name).that(ranksWithout(name)).isEmpty();
 			this.scheduler.advance(Duration.ofMillis(phases.nextInt(5_000)));
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/platform/PartialStore.java
@@ -0,0 +1,44 @@
+package org.bramleyscale.internal.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A store of which a test plays a part. The other calls fail, since the code under test
+ * must not make them.
+ */
+public interface PartialStore extends ObjectStore {
+
+	@Override
+	default CompletableFuture<Optional<StoredObject>> read(ObjectKey key) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	default CompletableFuture<WatchBatch> list(String kind) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	default CompletableFuture<StoredObject> write(ObjectKey key, byte[] value, long expected) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	default CompletableFuture<Void> delete(ObjectKey key, long expected) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	default CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	default CompletableFuture<List<VmRecord>> vms() {
+		throw new UnsupportedOperationException();
+	}
+
+}
