--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/QueueingDelays.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/QueueingDelays.java
@@ -85,7 +85,7 @@
 	}
 
 	/**
-	 * Whether a peer hasn't heard this daemon yet when it sent a message for it alone.
+	 * Whether a peer hadn't heard this daemon when it sent a message for it alone.
 	 * @param times the times in the message, null from a peer that doesn't tell any
 	 * @return true if it can't know how long messages of this daemon wait
 	 */
@@ -111,7 +111,7 @@
 			this.peers.put(from.vm(), peer);
 		}
 		OptionalLong waited = peer.heard(nowMillis(), times, this.self.equals(times.heard()));
-		if (waited.isPresent() && peer.queueBeginsOrEnds(waited.getAsLong())) {
+		if (waited.isPresent() && peer.noteQueue(waited.getAsLong())) {
 			this.listener.queues(from, peer.queues, waited.getAsLong());
 		}
 		return waited;
@@ -165,11 +165,7 @@
 		private OptionalLong heard(long now, SendingTimes times, boolean answers) {
 			this.sentMillis = times.sentMillis();
 			this.heardAt = now;
-			if (now >= this.spanEndsAt) {
-				this.behindInSpanBefore = this.behind;
-				this.behind = UNKNOWN;
-				this.spanEndsAt = now + SPAN.toMillis();
-			}
+			turnSpan(now);
 			long difference = now - times.sentMillis();
 			if (difference < bound()) {
 				// No message arrives before it is sent: a clock stood still since.
@@ -184,11 +180,24 @@
 			return (bound != UNKNOWN) ? OptionalLong.of(difference - bound) : OptionalLong.empty();
 		}
 
+		private void turnSpan(long now) {
+			if (now >= this.spanEndsAt) {
+				this.behindInSpanBefore = this.behind;
+				this.behind = UNKNOWN;
+				this.spanEndsAt = now + SPAN.toMillis();
+			}
+		}
+
 		private long bound() {
 			return Math.max(this.behind, this.behindInSpanBefore);
 		}
 
-		private boolean queueBeginsOrEnds(long waited) {
+		/**
+		 * Notes whether messages queue.
+		 * @param waited how long the last one waited, ms
+		 * @return true if a queue began or ended with it
+		 */
+		private boolean noteQueue(long waited) {
 			boolean before = this.queues;
 			this.queues = waited >= (before ? QUEUES_NO_MORE : QUEUES).toMillis();
 			return this.queues != before;
