Collect copies only for those who get them

Found on re-reading: since a relay passes on its own view in place of the message, every daemon collected the copies for each fresher word, though in a large fleet all but the relays pass on nothing; collecting looks at each entry. Besides, what a peer's word confirms was written twice, and so was the message that tells how far copies reach; each stands once now. The check whether a peer answers this daemon uses the one that says it didn't. Behaviour is meant to be the same, no test is changed.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -202,10 +202,11 @@
 	}
 
 	private void tell(VmId vm) {
-		this.network.send(vm,
-				new CopiesHeld(
-						this.kinds.entrySet().stream().map((entry) -> reach(entry.getKey(), entry.getValue())).toList(),
-						this.delays.to(vm)));
+		tell(vm, this.kinds.entrySet().stream().map((entry) -> reach(entry.getKey(), entry.getValue())).toList());
+	}
+
+	private void tell(VmId vm, List<CopiesHeld.Held> reached) {
+		this.network.send(vm, new CopiesHeld(reached, this.delays.to(vm)));
 	}
 
 	private CopiesHeld.Held reach(String kind, FollowedKind ours) {
@@ -224,12 +225,11 @@
 				continue;
 			}
 			if (ours.lastChange() < theirs.lastChange()) {
-				this.network.send(from.vm(),
-						new CopiesHeld(List.of(reach(theirs.kind(), ours)), this.delays.to(from.vm())));
+				tell(from.vm(), List.of(reach(theirs.kind(), ours)));
 				continue;
 			}
 			// What the store said of copies that reach no further holds for ours too.
-			waited.ifPresent((millis) -> ours.confirm(before(theirs.ageMillis() + millis)));
+			confirm(ours, theirs.ageMillis(), waited);
 			boolean older = theirs.ageMillis() - age(ours) > MUCH_OLDER.toMillis();
 			boolean more = ours.lastChange() > theirs.lastChange() || older;
 			if (more && this.network.congested(from.vm())) {
@@ -257,18 +257,24 @@
 			return;
 		}
 		long confirmedBefore = ours.confirmedAt();
-		waited.ifPresent((millis) -> ours.confirm(before(message.ageMillis() + millis)));
+		confirm(ours, message.ageMillis(), waited);
 		boolean fresher = ours.confirmedAt() - confirmedBefore > FRESHER.toNanos();
 		boolean changed = ours.lastChange() > known;
 		if (changed) {
 			this.log.belief("copies", message.kind(), "from", from, "revision", ours.lastChange(), "was", known,
 					"age_ms", message.ageMillis(), "waited_ms", waited.isPresent() ? waited.getAsLong() : null);
 		}
-		if (changed || fresher) {
-			spread(this.routes.passedOn(from.vm()), copies(message.kind(), ours, message.from(), this.delays.toMany()));
+		// Most daemons of a large fleet pass on nothing; collecting copies looks at each.
+		Collection<VmId> others = (changed || fresher) ? this.routes.passedOn(from.vm()) : List.of();
+		if (!others.isEmpty()) {
+			spread(others, copies(message.kind(), ours, message.from(), this.delays.toMany()));
 		}
 	}
 
+	private void confirm(FollowedKind ours, long ageMillis, OptionalLong waited) {
+		waited.ifPresent((millis) -> ours.confirm(before(ageMillis + millis)));
+	}
+
 	private long before(long millis) {
 		return this.scheduler.nanos() - Duration.ofMillis(millis).toNanos();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/QueueingDelays.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/QueueingDelays.java
@@ -110,7 +110,7 @@
 			peer = new Peer(from);
 			this.peers.put(from.vm(), peer);
 		}
-		OptionalLong waited = peer.heard(nowMillis(), times, this.self.equals(times.heard()));
+		OptionalLong waited = peer.heard(nowMillis(), times, !unheard(times));
 		if (waited.isPresent() && peer.noteQueue(waited.getAsLong())) {
 			this.listener.queues(from, peer.queues, waited.getAsLong());
 		}
