Name in the lines which request is sent, and which falls with its endpoint

Cause: lines name attempts only; a request that comes again has another id each time, so lines can't tell one request that is at every crash from many. Change: a digest of path, caller and body in the lines sent and fell. Result: no decision reads it. RequestDigestTests.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.crash.RequestDigest;
 import org.bramleyscale.internal.gateway.placement.Placement;
 import org.bramleyscale.internal.gateway.placement.PlacementRequest;
 import org.bramleyscale.internal.time.Cancellable;
@@ -57,6 +58,8 @@
 
 	private final KeptPrompt kept;
 
+	private final RequestDigest digest;
+
 	private final Tries tries;
 
 	private boolean begun;
@@ -84,6 +87,8 @@
 		this.lastEventId = request.lastEventId().orElse(null);
 		this.kept = new KeptPrompt(ports, request.id(), allowed.service().name(),
 				allowed.readMillis(request.promptTokens()));
+		this.digest = RequestDigest.of(request.target(),
+				allowed.account().map((account) -> account.id().value()).orElse(""), request.body());
 	}
 
 	void start() {
@@ -129,7 +134,7 @@
 			.request(this.request.id(), "sent", "endpoint", target.id(), "reason", placement.reason(), "helpers",
 					names(placement.helpers()), "predicted_ms", Math.round(placement.firstMillis()), "asked",
 					this.tries.asked(), "left_ms", left().toMillis(), "catalog", this.allowed.version(), "after_event",
-					this.lastEventId);
+					this.lastEventId, "digest", this.digest);
 		this.attempt = new Attempt(this, target, placement, this.ports);
 		this.attempt.send((helpers) -> new OutgoingRequest(this.request, this.allowed.account().map(Account::id),
 				left(), Optional.ofNullable(this.lastEventId), helpers, this.allowed.priority(this.longPrompt),
@@ -237,6 +242,9 @@
 		}
 		this.tries.mayHaveRun();
 		this.ports.health().failed(from.target().start());
+		this.ports.log()
+			.request(this.request.id(), "fell", "endpoint", from.target().id(), "cause", cause, "digest", this.digest,
+					"after_event", this.lastEventId);
 		brokenOff(from, cause);
 	}
 
