--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFleet.java
@@ -0,0 +1,426 @@
+package org.bramleyscale.internal.gateway.crash;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.net.HostAndPort;
+import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.DataCentre;
+import org.bramleyscale.ServiceName;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendHealth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.catalog.Account;
+import org.bramleyscale.internal.gateway.catalog.Catalog;
+import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.catalog.Route;
+import org.bramleyscale.internal.gateway.hold.EngineOrders;
+import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.request.BackendClient;
+import org.bramleyscale.internal.gateway.request.BackendHead;
+import org.bramleyscale.internal.gateway.request.BackendListener;
+import org.bramleyscale.internal.gateway.request.CallerReply;
+import org.bramleyscale.internal.gateway.request.CallerRequest;
+import org.bramleyscale.internal.gateway.request.GatewayMetrics;
+import org.bramleyscale.internal.gateway.request.GatewayPorts;
+import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.Header;
+import org.bramleyscale.internal.gateway.request.OutgoingRequest;
+import org.bramleyscale.internal.gateway.retry.RetryWindow;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * Daemons in front of the same endpoints, some of which end, on a manual clock.
+ *
+ * <p>
+ * An endpoint that ends closes its connections and refuses new ones; after {@link #DOWN}
+ * it is back as another one, and {@link #LISTED} after its end its entry is off the list.
+ * Confined to the test's thread.
+ */
+final class CrashFleet {
+
+	static final Duration DOWN = Duration.ofSeconds(2);
+
+	static final Duration LISTED = Duration.ofMillis(2_700);
+
+	private static final ServiceName SERVICE = new ServiceName("quotes");
+
+	private static final DataCentre DATA_CENTRE = new DataCentre("east");
+
+	private static final Duration TRAVEL = Duration.ofMillis(1);
+
+	/** How long an endpoint works on a request that ends well. */
+	private static final Duration WORK = Duration.ofMillis(200);
+
+	/** How long an endpoint works on a request until that ends it. */
+	private static final Duration UNTIL_CRASH = Duration.ofMillis(90);
+
+	private static final Duration REFUSAL = Duration.ofMillis(2);
+
+	private static final int SLOTS = 11;
+
+	final ManualScheduler scheduler = new ManualScheduler();
+
+	final List<Daemon> daemons = new ArrayList<>();
+
+	final List<Arrival> arrivals = new ArrayList<>();
+
+	private final Map<EndpointStart, Endpoint> endpoints = new HashMap<>();
+
+	private final Random random;
+
+	private int started;
+
+	private int requests;
+
+	/**
+	 * Starts a fleet.
+	 * @param size how many daemons
+	 * @param endpoints how many endpoints
+	 * @param seed for all that is drawn
+	 */
+	CrashFleet(int size, int endpoints, long seed) {
+		this.random = new Random(seed);
+		for (int i = 0; i < size; i++) {
+			this.daemons.add(new Daemon(i));
+		}
+		for (int i = 0; i < endpoints; i++) {
+			startEndpoint();
+		}
+	}
+
+	/**
+	 * Sends a request to a daemon.
+	 * @param daemon the daemon's place
+	 * @param text the request's body; one that contains {@link Endpoint#DEADLY} ends each
+	 * endpoint that runs it
+	 * @return what becomes of it
+	 */
+	Caller call(int daemon, String text) {
+		Caller caller = new Caller();
+		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", "/log/1", "hire.example", List.of(),
+				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty());
+		this.daemons.get(daemon).service.take(request, caller);
+		return caller;
+	}
+
+	Caller call(String text) {
+		return call(this.random.nextInt(this.daemons.size()), text);
+	}
+
+	/**
+	 * Starts all daemons anew, with nothing in memory, a moment after they were killed.
+	 */
+	void restartAll() {
+		for (int i = 0; i < this.daemons.size(); i++) {
+			restart(i);
+		}
+	}
+
+	void restart(int place) {
+		Daemon fresh = new Daemon(place);
+		this.daemons.set(place, fresh);
+		this.endpoints.values().stream().filter((endpoint) -> endpoint.alive).forEach(fresh::lists);
+	}
+
+	/**
+	 * Ends the endpoints on which a request runs, for another reason than the request.
+	 * @param text the request's body
+	 * @return whether there was one
+	 */
+	boolean endWhatRuns(String text) {
+		List<Endpoint> running = this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.running.stream().anyMatch((sent) -> sent.text().equals(text)))
+			.toList();
+		running.forEach(Endpoint::end);
+		return !running.isEmpty();
+	}
+
+	/**
+	 * Resets the connections on which a request runs; its endpoint lives.
+	 * @param text the request's body
+	 */
+	void resetWhatRuns(String text) {
+		for (Endpoint endpoint : this.endpoints.values()) {
+			endpoint.running.stream()
+				.filter((sent) -> sent.text().equals(text))
+				.toList()
+				.forEach((sent) -> sent.listener.failed(true, "reset"));
+			endpoint.running.removeIf((sent) -> sent.text().equals(text));
+		}
+	}
+
+	/**
+	 * When a request arrived at endpoints.
+	 * @param text its body
+	 * @return the times, in ms
+	 */
+	List<Long> arrivals(String text) {
+		return this.arrivals.stream().filter((arrival) -> arrival.text.equals(text)).map(Arrival::millis).toList();
+	}
+
+	int ended() {
+		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
+	}
+
+	private void startEndpoint() {
+		Endpoint endpoint = new Endpoint(new Backend(EndpointStart.untold("e" + ++this.started), SERVICE,
+				HostAndPort.fromParts("10.0.0." + this.started % 200, 80), DATA_CENTRE, SLOTS, false));
+		this.endpoints.put(endpoint.backend.start(), endpoint);
+		this.daemons.forEach((daemon) -> daemon.lists(endpoint));
+	}
+
+	/**
+	 * A request that reached an endpoint.
+	 *
+	 * @param text its body
+	 * @param millis when
+	 */
+	record Arrival(String text, long millis) {
+	}
+
+	/**
+	 * One start of an endpoint.
+	 */
+	final class Endpoint {
+
+		static final String DEADLY = "deadly";
+
+		private final Backend backend;
+
+		private final List<Sent> running = new ArrayList<>();
+
+		private boolean alive = true;
+
+		private Endpoint(Backend backend) {
+			this.backend = backend;
+		}
+
+		private void arrives(Sent sent) {
+			if (!this.alive) {
+				CrashFleet.this.scheduler.schedule(REFUSAL, () -> sent.fails(false, "connect: Connection refused"));
+				return;
+			}
+			CrashFleet.this.arrivals.add(new Arrival(sent.text(), CrashFleet.this.scheduler.nanos() / 1_000_000));
+			this.running.add(sent);
+			if (sent.text().contains(DEADLY)) {
+				CrashFleet.this.scheduler.schedule(UNTIL_CRASH, () -> {
+					if (this.running.contains(sent)) {
+						end();
+					}
+				});
+			}
+			else {
+				CrashFleet.this.scheduler.schedule(WORK, () -> {
+					if (this.running.remove(sent)) {
+						sent.answers();
+					}
+				});
+			}
+		}
+
+		private void end() {
+			if (!this.alive) {
+				return;
+			}
+			this.alive = false;
+			List<Sent> fallen = List.copyOf(this.running);
+			this.running.clear();
+			fallen.forEach((sent) -> sent.fails(true, "connection closed by the endpoint"));
+			CrashFleet.this.scheduler.schedule(DOWN, CrashFleet.this::startEndpoint);
+			CrashFleet.this.scheduler.schedule(LISTED,
+					() -> CrashFleet.this.daemons.forEach((daemon) -> daemon.offList(this.backend)));
+		}
+
+	}
+
+	/**
+	 * A request that a daemon sent to an endpoint.
+	 */
+	private final class Sent implements BackendClient.BackendExchange {
+
+		private final Endpoint to;
+
+		private final OutgoingRequest request;
+
+		private final BackendListener listener;
+
+		private boolean cancelled;
+
+		private Sent(Endpoint to, OutgoingRequest request, BackendListener listener) {
+			this.to = to;
+			this.request = request;
+			this.listener = listener;
+		}
+
+		private String text() {
+			return new String(this.request.original().body());
+		}
+
+		private void fails(boolean sent, String cause) {
+			if (!this.cancelled) {
+				this.listener.failed(sent, cause);
+			}
+		}
+
+		private void answers() {
+			if (!this.cancelled) {
+				this.listener.head(new BackendHead(200, List.of(), false, true, false, Optional.empty()));
+				this.listener.complete();
+			}
+		}
+
+		@Override
+		public void cancel() {
+			this.cancelled = true;
+			this.to.running.remove(this);
+		}
+
+		@Override
+		public void reading(boolean on) {
+			// The endpoints of these tests answer at once.
+		}
+
+	}
+
+	/**
+	 * One start of a daemon.
+	 */
+	final class Daemon {
+
+		private final BackendTable backends = new BackendTable(CrashFleet.this.scheduler, DecisionLog.NONE);
+
+		private final GatewayService service;
+
+		private Daemon(int place) {
+			ManualScheduler clock = CrashFleet.this.scheduler;
+			BackendHealth health = new BackendHealth(clock, DecisionLog.NONE);
+			LoadBoard loads = new LoadBoard(clock);
+			CatalogHolder catalogs = new CatalogHolder();
+			catalogs.offer(Catalog.builder(1)
+				.account(new Account(new ClientAccountId("hule"), OptionalInt.empty()), List.of("key"))
+				.route(Route.builder("log", "hire.example", "/log/")
+					.service(SERVICE.value())
+					.timeout(Duration.ofSeconds(10))
+					.targetLatency(Duration.ofMillis(300))
+					.idempotent(true)
+					.maxAttempts(2)
+					.build())
+				.build());
+			GatewayPorts ports = new GatewayPorts(clock, DATA_CENTRE, this::send,
+					new PlainPlacement(this.backends, health, loads, CrashFleet.this.random), health, loads,
+					new DemandBoard(clock), new RetryWindow(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1),
+					new MemoryHolds(clock, new NoOrders(), this.backends::startedAgain, "d" + place, DecisionLog.NONE),
+					() -> {
+					}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
+			this.service = new GatewayService(ports, catalogs, (left) -> true, CrashFleet.this.random);
+		}
+
+		private void lists(Endpoint endpoint) {
+			this.backends.put(endpoint.backend);
+		}
+
+		private void offList(Backend backend) {
+			this.backends.remove(backend.id(), false);
+		}
+
+		private BackendClient.BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
+			Endpoint endpoint = CrashFleet.this.endpoints.get(to.start());
+			Sent sent = new Sent(endpoint, request, listener);
+			CrashFleet.this.scheduler.schedule(TRAVEL, () -> {
+				if (!sent.cancelled) {
+					endpoint.arrives(sent);
+				}
+			});
+			return sent;
+		}
+
+	}
+
+	/**
+	 * A caller that notes what it gets.
+	 */
+	static final class Caller implements CallerReply {
+
+		private String got = "";
+
+		private Duration retryAfter = Duration.ZERO;
+
+		String got() {
+			return this.got;
+		}
+
+		Duration retryAfter() {
+			return this.retryAfter;
+		}
+
+		@Override
+		public void whole(int status, List<Header> headers, byte[] body) {
+			this.got += status;
+		}
+
+		@Override
+		public void own(int status, String reason, Duration pause) {
+			this.got += "own " + status;
+			this.retryAfter = pause;
+		}
+
+		@Override
+		public void begin(int status, List<Header> headers) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public boolean write(byte[] data) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void onReadsAgain(Runnable task) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void end() {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void abort() {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+	/**
+	 * Endpoints that take no orders.
+	 */
+	private static final class NoOrders implements EngineOrders {
+
+		@Override
+		public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> release(Backend engine, String id) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
