Tell back what a peer doesn't know of a crashing request

Cause: a daemon that missed a crash, or started after it, counted fewer. Change: news of a crash tell all that is known of the request, and who knows more answers with the rest.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashLedger.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashLedger.java
@@ -149,6 +149,15 @@
 		return (record != null) ? Math.max(told, record.record().crashes()) : told;
 	}
 
+	/**
+	 * The endpoints that have ended under a request, as far as told.
+	 * @param request the request
+	 * @return a copy
+	 */
+	Set<EndpointStart> endpoints(RequestDigest request) {
+		return Set.copyOf(this.crashes.getOrDefault(request, Set.of()));
+	}
+
 	/**
 	 * Judges a request.
 	 * @param request the request
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashNews.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashNews.java
@@ -2,7 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
@@ -59,9 +63,13 @@
 		builder.add(105, CrashesTold.class);
 	}
 
-	void crashed(RequestDigest request, EndpointStart endpoint) {
-		tell(new CrashesTold(List.of(new CrashesTold.Crash(request.value(), endpoint.toString())), List.of(),
-				List.of()));
+	/**
+	 * Tells all that is known of a request, since others may have missed what was told
+	 * before.
+	 * @param request the request
+	 */
+	void crashed(RequestDigest request) {
+		tell(new CrashesTold(crashes(request, this.ledger.endpoints(request)), List.of(), List.of()));
 	}
 
 	void cleared(RequestDigest request, long version) {
@@ -90,6 +98,7 @@
 	 * @param message what it tells
 	 */
 	private void told(Incarnation from, CrashesTold message) {
+		tellBack(from, orEmpty(message.crashes()));
 		List<CrashesTold.Crash> crashes = new ArrayList<>(orEmpty(message.crashes()));
 		crashes.removeIf((crash) -> !this.ledger.crashed(new RequestDigest(crash.request()),
 				EndpointStart.parse(crash.endpoint())));
@@ -102,6 +111,31 @@
 		}
 	}
 
+	/**
+	 * Tells a peer what it doesn't know of requests that it speaks of.
+	 * @param from the peer
+	 * @param told the crashes that it knows
+	 */
+	private void tellBack(Incarnation from, List<CrashesTold.Crash> told) {
+		Map<RequestDigest, Set<EndpointStart>> missing = new LinkedHashMap<>();
+		for (CrashesTold.Crash crash : told) {
+			RequestDigest request = new RequestDigest(crash.request());
+			missing.computeIfAbsent(request, (key) -> new HashSet<>(this.ledger.endpoints(key)))
+				.remove(EndpointStart.parse(crash.endpoint()));
+		}
+		List<CrashesTold.Crash> crashes = new ArrayList<>();
+		missing.forEach((request, endpoints) -> crashes.addAll(crashes(request, endpoints)));
+		if (!crashes.isEmpty()) {
+			this.network.send(from.vm(), new CrashesTold(crashes, List.of(), List.of()));
+		}
+	}
+
+	private static List<CrashesTold.Crash> crashes(RequestDigest request, Set<EndpointStart> endpoints) {
+		return endpoints.stream()
+			.map((endpoint) -> new CrashesTold.Crash(request.value(), endpoint.toString()))
+			.toList();
+	}
+
 	private static <T> List<T> orEmpty(List<T> list) {
 		return (list != null) ? list : List.of();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -135,7 +135,7 @@
 		}
 		this.metrics.counter("gateway.crashes.seen").inc();
 		this.log.belief("request", request, "crashed", endpoint, "crashes", this.ledger.crashes(request));
-		this.news.crashed(request, endpoint);
+		this.news.crashed(request);
 		if (this.ledger.crashes(request) >= CrashLedger.ACCUSED) {
 			this.records.accuse(request);
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFleet.java
@@ -66,6 +66,12 @@
 
 	static final Duration LISTED = Duration.ofMillis(2_700);
 
+	/** Crashes after which a request is known to be deadly. */
+	static final int KNOWN = 3;
+
+	/** A daemon is in touch if it has run and heard the store for so long. */
+	static final Duration CONTACT = Duration.ofSeconds(3);
+
 	private static final ServiceName SERVICE = new ServiceName("quotes");
 
 	private static final DataCentre DATA_CENTRE = new DataCentre("east");
@@ -97,6 +103,8 @@
 
 	private final Random random;
 
+	private double lost;
+
 	private int started;
 
 	private int requests;
@@ -137,6 +145,14 @@
 		return call(this.random.nextInt(this.daemons.size()), text);
 	}
 
+	/**
+	 * Sets how many of the messages between daemons get lost.
+	 * @param share the share of them
+	 */
+	void loses(double share) {
+		this.lost = share;
+	}
+
 	/**
 	 * Starts all daemons anew, with nothing in memory, a moment after they were killed.
 	 */
@@ -203,6 +219,24 @@
 		return this.arrivals.stream().filter((arrival) -> arrival.text.equals(text)).map(Arrival::millis).toList();
 	}
 
+	/**
+	 * How often a request arrived at endpoints later than all daemons must know that it
+	 * ends them, from daemons in touch: those that ran, and heard the store, for
+	 * {@link #CONTACT}.
+	 * @param text its body
+	 * @return how often
+	 */
+	int arrivedTooLate(String text) {
+		List<Long> all = arrivals(text);
+		if (all.size() < KNOWN) {
+			return 0;
+		}
+		long known = all.get(KNOWN - 1) + CONTACT.toMillis();
+		return (int) this.arrivals.stream()
+			.filter((arrival) -> arrival.text.equals(text) && arrival.inTouch && arrival.millis > known)
+			.count();
+	}
+
 	int ended() {
 		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
 	}
@@ -219,8 +253,9 @@
 	 *
 	 * @param text its body
 	 * @param millis when
+	 * @param inTouch whether it came from a daemon in touch
 	 */
-	record Arrival(String text, long millis) {
+	record Arrival(String text, long millis, boolean inTouch) {
 	}
 
 	/**
@@ -245,7 +280,8 @@
 				CrashFleet.this.scheduler.schedule(REFUSAL, () -> sent.fails(false, "connect: Connection refused"));
 				return;
 			}
-			CrashFleet.this.arrivals.add(new Arrival(sent.text(), CrashFleet.this.scheduler.nanos() / 1_000_000));
+			CrashFleet.this.arrivals
+				.add(new Arrival(sent.text(), CrashFleet.this.scheduler.nanos() / 1_000_000, sent.from.inTouch()));
 			this.running.add(sent);
 			if (sent.text().contains(DEADLY)) {
 				CrashFleet.this.scheduler.schedule(UNTIL_CRASH, () -> {
@@ -283,6 +319,8 @@
 	 */
 	private final class Sent implements BackendClient.BackendExchange {
 
+		private final Daemon from;
+
 		private final Endpoint to;
 
 		private final OutgoingRequest request;
@@ -291,7 +329,8 @@
 
 		private boolean cancelled;
 
-		private Sent(Endpoint to, OutgoingRequest request, BackendListener listener) {
+		private Sent(Daemon from, Endpoint to, OutgoingRequest request, BackendListener listener) {
+			this.from = from;
 			this.to = to;
 			this.request = request;
 			this.listener = listener;
@@ -342,6 +381,8 @@
 
 		private PeerListener<CrashesTold> listener;
 
+		private final long startedAt = CrashFleet.this.scheduler.nanos();
+
 		private boolean killed;
 
 		private Daemon(int place) {
@@ -383,6 +424,9 @@
 
 		@Override
 		public boolean send(VmId to, PeerMessage message) {
+			if (CrashFleet.this.random.nextDouble() < CrashFleet.this.lost) {
+				return true;
+			}
 			CrashFleet.this.scheduler.schedule(NEWS,
 					() -> CrashFleet.this.daemons.stream()
 						.filter((daemon) -> daemon.vm.equals(to) && !this.killed)
@@ -390,6 +434,11 @@
 			return true;
 		}
 
+		private boolean inTouch() {
+			boolean ran = CrashFleet.this.scheduler.nanos() - this.startedAt > CONTACT.toNanos();
+			return ran && CrashFleet.this.store.stableFor(CONTACT);
+		}
+
 		private void received(Daemon from, PeerMessage message) {
 			if (message instanceof CrashesTold told) {
 				this.listener.received(new Incarnation(from.vm, 1), told);
@@ -432,7 +481,7 @@
 
 		private BackendClient.BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
 			Endpoint endpoint = CrashFleet.this.endpoints.get(to.start());
-			Sent sent = new Sent(endpoint, request, listener);
+			Sent sent = new Sent(this, endpoint, request, listener);
 			CrashFleet.this.scheduler.schedule(TRAVEL, () -> {
 				if (!sent.cancelled) {
 					endpoint.arrives(sent);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/RecordStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/RecordStore.java
@@ -36,6 +36,8 @@
 
 	private boolean away;
 
+	private long changedAt = Long.MIN_VALUE / 2;
+
 	RecordStore(ManualScheduler scheduler) {
 		this.scheduler = scheduler;
 	}
@@ -46,6 +48,11 @@
 
 	void away(boolean nowAway) {
 		this.away = nowAway;
+		this.changedAt = this.scheduler.nanos();
+	}
+
+	boolean stableFor(Duration time) {
+		return !this.away && this.scheduler.nanos() - this.changedAt > time.toNanos();
 	}
 
 	List<FollowedObject> all() {
