Keep a request clear once it has run to an answer, whatever records say

Cause: an answer cleared the record's version that its daemon knew. A second trial claimed at the same moment left a newer record, and the request counted as deadly. Change: an answer clears all crashes and records of before, and keeps the request clear for 15 s; the daemon that saw it deletes records written meanwhile, and peers that speak of older crashes are told.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashLedger.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashLedger.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.gateway.crash;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -19,10 +20,11 @@
  *
  * <p>
  * Whatever runs on an endpoint falls with it, so one crash names many requests and proves
- * nothing. Invariants: an answer clears a request of all crashes before it; crashes are
- * counted by endpoint, however many daemons tell of them; what is remembered is bounded,
- * and of requests without a record those go first that fell least, the oldest of them
- * before the others. Confined to the scheduler's thread.
+ * nothing. Invariants: an answer clears a request of all crashes and records before it,
+ * and keeps it clear for {@link #PROOF_KEPT}; crashes are counted by endpoint, however
+ * many daemons tell of them; what is remembered is bounded, and of requests without a
+ * record those go first that fell least, the oldest of them before the others. Confined
+ * to the scheduler's thread.
  */
 final class CrashLedger {
 
@@ -38,8 +40,11 @@
 	/** Requests without a record that are remembered; 200 bytes each. */
 	static final int MOST_SUSPECTS = 1_000;
 
-	/** Requests remembered as cleared, for crashes that are told late. */
-	private static final int MOST_CLEARED = 1_000;
+	/** Crashes and records of before an answer have come by then. */
+	static final Duration PROOF_KEPT = Duration.ofSeconds(15);
+
+	/** Requests that are remembered as cleared, for crashes that are told late. */
+	private static final int MOST_PROOFS = 1_000;
 
 	private final Clock clock;
 
@@ -47,13 +52,13 @@
 
 	private final Map<RequestDigest, Recorded> records = new HashMap<>();
 
-	private final Map<RequestDigest, Cleared> cleared = new LinkedHashMap<>() {
+	private final Map<RequestDigest, Proof> proofs = new LinkedHashMap<>() {
 
 		private static final long serialVersionUID = 1L;
 
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<RequestDigest, Cleared> eldest) {
-			return size() > MOST_CLEARED;
+		protected boolean removeEldestEntry(Map.Entry<RequestDigest, Proof> eldest) {
+			return size() > MOST_PROOFS;
 		}
 
 	};
@@ -69,8 +74,7 @@
 	 * @return false if that was known, or is cleared
 	 */
 	boolean crashed(RequestDigest request, EndpointStart endpoint) {
-		Cleared before = this.cleared.get(request);
-		if (before != null && before.endpoints().contains(endpoint)) {
+		if (cleared(request, endpoint)) {
 			return false;
 		}
 		Set<EndpointStart> ended = this.crashes.get(request);
@@ -83,22 +87,43 @@
 	}
 
 	/**
-	 * Clears a request of all that is known of it.
+	 * Clears a request, which has run to an answer.
 	 * @param request the request
-	 * @param version the version of its record that is cleared, or 0 if it has none
-	 * @return false if nothing was known of it
+	 * @return false if nothing was known of it but that it is clear
 	 */
-	boolean clear(RequestDigest request, long version) {
+	boolean clear(RequestDigest request) {
 		Set<EndpointStart> ended = this.crashes.remove(request);
-		Recorded record = this.records.get(request);
-		boolean recorded = record != null && record.version() <= version;
-		if (recorded) {
-			this.records.remove(request);
-		}
-		if (ended != null || recorded) {
-			this.cleared.put(request, new Cleared((ended != null) ? ended : Set.of(), version));
+		Recorded record = this.records.remove(request);
+		Proof before = this.proofs.get(request);
+		if (ended != null || record != null || before != null) {
+			Set<EndpointStart> all = (ended != null) ? ended : new HashSet<>();
+			if (before != null) {
+				all.addAll(before.endpoints());
+			}
+			this.proofs.put(request, new Proof(all, this.clock.nanos()));
 		}
-		return ended != null || recorded;
+		return ended != null || record != null;
+	}
+
+	/**
+	 * Whether a crash was before an answer.
+	 * @param request the request
+	 * @param endpoint the endpoint that ended
+	 * @return true if it doesn't count any more
+	 */
+	boolean cleared(RequestDigest request, EndpointStart endpoint) {
+		Proof proof = this.proofs.get(request);
+		return proof != null && proof.endpoints().contains(endpoint);
+	}
+
+	/**
+	 * Whether a request has just run to an answer.
+	 * @param request the request
+	 * @return true if it is clear whatever else is said of it
+	 */
+	boolean proven(RequestDigest request) {
+		Proof proof = this.proofs.get(request);
+		return proof != null && this.clock.nanos() - proof.at() < PROOF_KEPT.toNanos();
 	}
 
 	/**
@@ -122,10 +147,8 @@
 	 * @param version its version
 	 */
 	void recorded(RequestDigest request, CrashRecord record, long version) {
-		Cleared before = this.cleared.get(request);
 		Recorded known = this.records.get(request);
-		boolean old = (before != null && version <= before.version()) || (known != null && version <= known.version());
-		if (!old) {
+		if (known == null || version > known.version()) {
 			this.records.put(request, new Recorded(record, version, this.clock.nanos()));
 		}
 	}
@@ -165,6 +188,9 @@
 	 * @return the verdict
 	 */
 	Verdict verdict(RequestDigest request, int unsettled) {
+		if (proven(request)) {
+			return Verdict.CLEAR;
+		}
 		int known = crashes(request);
 		Recorded record = this.records.get(request);
 		if (record == null && known + unsettled < ACCUSED) {
@@ -219,12 +245,12 @@
 	}
 
 	/**
-	 * What a request was cleared of.
+	 * That a request has run to an answer.
 	 *
-	 * @param endpoints endpoints that had ended under it
-	 * @param version the version of its record, or 0
+	 * @param endpoints endpoints that had ended under it before
+	 * @param at when this daemon learnt of it
 	 */
-	private record Cleared(Set<EndpointStart> endpoints, long version) {
+	private record Proof(Set<EndpointStart> endpoints, long at) {
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashNews.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashNews.java
@@ -72,8 +72,8 @@
 		tell(new CrashesTold(crashes(request, this.ledger.endpoints(request)), List.of(), List.of()));
 	}
 
-	void cleared(RequestDigest request, long version) {
-		tell(new CrashesTold(List.of(), List.of(new CrashesTold.Cleared(request.value(), version)), List.of()));
+	void cleared(RequestDigest request) {
+		tell(new CrashesTold(List.of(), List.of(request.value()), List.of()));
 	}
 
 	void lives(EndpointStart endpoint) {
@@ -102,8 +102,8 @@
 		List<CrashesTold.Crash> crashes = new ArrayList<>(orEmpty(message.crashes()));
 		crashes.removeIf((crash) -> !this.ledger.crashed(new RequestDigest(crash.request()),
 				EndpointStart.parse(crash.endpoint())));
-		List<CrashesTold.Cleared> cleared = new ArrayList<>(orEmpty(message.cleared()));
-		cleared.removeIf((each) -> !this.ledger.clear(new RequestDigest(each.request()), each.version()));
+		List<String> cleared = new ArrayList<>(orEmpty(message.cleared()));
+		cleared.removeIf((request) -> !this.ledger.clear(new RequestDigest(request)));
 		List<String> living = new ArrayList<>(orEmpty(message.living()));
 		living.removeIf((endpoint) -> !this.ledger.lives(EndpointStart.parse(endpoint)));
 		if (!crashes.isEmpty() || !cleared.isEmpty() || !living.isEmpty()) {
@@ -112,21 +112,26 @@
 	}
 
 	/**
-	 * Tells a peer what it doesn't know of requests that it speaks of.
+	 * Tells a peer what it doesn't know of requests that it speaks of: further crashes,
+	 * or that an answer came after those that it tells.
 	 * @param from the peer
 	 * @param told the crashes that it knows
 	 */
 	private void tellBack(Incarnation from, List<CrashesTold.Crash> told) {
 		Map<RequestDigest, Set<EndpointStart>> missing = new LinkedHashMap<>();
+		Set<String> cleared = new HashSet<>();
 		for (CrashesTold.Crash crash : told) {
 			RequestDigest request = new RequestDigest(crash.request());
+			if (this.ledger.cleared(request, EndpointStart.parse(crash.endpoint()))) {
+				cleared.add(crash.request());
+			}
 			missing.computeIfAbsent(request, (key) -> new HashSet<>(this.ledger.endpoints(key)))
 				.remove(EndpointStart.parse(crash.endpoint()));
 		}
 		List<CrashesTold.Crash> crashes = new ArrayList<>();
 		missing.forEach((request, endpoints) -> crashes.addAll(crashes(request, endpoints)));
-		if (!crashes.isEmpty()) {
-			this.network.send(from.vm(), new CrashesTold(crashes, List.of(), List.of()));
+		if (!crashes.isEmpty() || !cleared.isEmpty()) {
+			this.network.send(from.vm(), new CrashesTold(crashes, List.copyOf(cleared), List.of()));
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
@@ -37,7 +37,7 @@
 	/** A store that is away for longer is cleaned up later. */
 	private static final int MOST_DELETIONS = 5;
 
-	/** The daemon that cleans up, and only it, keeps the store at so many records. */
+	/** The store is kept at so many records. */
 	static final int MOST_RECORDS = 5_000;
 
 	private final Scheduler scheduler;
@@ -46,7 +46,7 @@
 
 	private final CrashLedger ledger;
 
-	private final BooleanSupplier cleansUp;
+	private final BooleanSupplier tidies;
 
 	private final DecisionLog log;
 
@@ -54,20 +54,22 @@
 
 	private final Set<RequestDigest> writing = new HashSet<>();
 
+	private final Set<RequestDigest> provenHere = new HashSet<>();
+
 	/**
 	 * Makes the records.
 	 * @param scheduler the daemon's scheduler
 	 * @param store the store
 	 * @param ledger gets what is read and written
-	 * @param cleansUp whether this daemon removes the oldest of too many records
+	 * @param tidies whether this daemon writes missing records and removes the oldest of
+	 * too many
 	 * @param log takes what is decided
 	 */
-	CrashRecords(Scheduler scheduler, ObjectStore store, CrashLedger ledger, BooleanSupplier cleansUp,
-			DecisionLog log) {
+	CrashRecords(Scheduler scheduler, ObjectStore store, CrashLedger ledger, BooleanSupplier tidies, DecisionLog log) {
 		this.scheduler = scheduler;
 		this.store = store;
 		this.ledger = ledger;
-		this.cleansUp = cleansUp;
+		this.tidies = tidies;
 		this.log = log;
 	}
 
@@ -83,6 +85,10 @@
 		}
 		try {
 			CrashRecord record = CrashRecord.read(object.value());
+			if (this.provenHere.contains(request) && this.ledger.proven(request)) {
+				// Another daemon wrote it before it heard of the answer here.
+				delete(request, object.revision(), 1);
+			}
 			this.ledger.recorded(request, record, object.revision());
 			this.log.belief("request", request, "crashes", record.crashes(), "trials", record.trials(), "trying",
 					record.trying(), "revision", object.revision());
@@ -135,12 +141,17 @@
 	}
 
 	/**
-	 * Deletes a request's record once it is cleared.
+	 * Deletes the record of a request that has run to an answer here, and those that
+	 * others write meanwhile.
 	 * @param request the request
-	 * @param version the record's version
+	 * @param version the record's version, or 0 if none is known
 	 */
-	void delete(RequestDigest request, long version) {
-		delete(request, version, 1);
+	void clear(RequestDigest request, long version) {
+		this.provenHere.removeIf((known) -> !this.ledger.proven(known));
+		this.provenHere.add(request);
+		if (version > 0) {
+			delete(request, version, 1);
+		}
 	}
 
 	private void delete(RequestDigest request, long version, int tried) {
@@ -184,7 +195,7 @@
 	}
 
 	private void removeOldest() {
-		if (this.ledger.recordedRequests().size() <= MOST_RECORDS || !this.cleansUp.getAsBoolean()) {
+		if (this.ledger.recordedRequests().size() <= MOST_RECORDS || !this.tidies.getAsBoolean()) {
 			return;
 		}
 		RequestDigest oldest = null;
@@ -196,7 +207,7 @@
 				version = known;
 			}
 		}
-		delete(oldest, version);
+		delete(oldest, version, 1);
 	}
 
 	private static ObjectKey key(RequestDigest request) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashesTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashesTold.java
@@ -8,10 +8,10 @@
  * What a daemon knows of requests under which endpoints ended.
  *
  * @param crashes endpoints that ended, each with a request that was there
- * @param cleared requests that ran to an answer
+ * @param cleared digests of requests that ran to an answer
  * @param living endpoints that answered after they were said to have ended
  */
-public record CrashesTold(List<Crash> crashes, List<Cleared> cleared, List<String> living) implements PeerMessage {
+public record CrashesTold(List<Crash> crashes, List<String> cleared, List<String> living) implements PeerMessage {
 
 	/**
 	 * A request that was at an endpoint when that ended.
@@ -22,13 +22,4 @@
 	public record Crash(String request, String endpoint) {
 	}
 
-	/**
-	 * A request that ran to an answer.
-	 *
-	 * @param request the request's digest
-	 * @param version the version of its record then, or 0
-	 */
-	public record Cleared(String request, long version) {
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -50,15 +50,15 @@
 	 * @param ports what it uses of the daemon
 	 * @param check tries to connect to endpoints
 	 * @param listed whether an endpoint is on the platform's list and doesn't drain
-	 * @param cleansUp whether this daemon removes the oldest of too many records
+	 * @param tidies whether this daemon, of all, keeps the records in order
 	 */
-	public FleetCrashGuard(Ports ports, EndpointCheck check, Predicate<Backend> listed, BooleanSupplier cleansUp) {
+	public FleetCrashGuard(Ports ports, EndpointCheck check, Predicate<Backend> listed, BooleanSupplier tidies) {
 		this.log = ports.log();
 		this.metrics = ports.metrics();
 		this.ledger = new CrashLedger(ports.scheduler());
 		this.evidence = new CrashEvidence(ports.scheduler(), check, listed, this);
 		this.news = new CrashNews(ports.scheduler(), ports.network(), ports.routes(), this.ledger);
-		this.records = new CrashRecords(ports.scheduler(), ports.store(), this.ledger, cleansUp, this.log);
+		this.records = new CrashRecords(ports.scheduler(), ports.store(), this.ledger, tidies, this.log);
 		this.metrics.gauge("gateway.crashes.suspects", () -> this.ledger::suspects);
 		this.metrics.gauge("gateway.crashes.recorded", () -> () -> this.ledger.recordedRequests().size());
 	}
@@ -112,14 +112,12 @@
 
 	@Override
 	public void survived(RequestDigest request) {
-		long version = this.ledger.record(request).map(CrashLedger.Recorded::version).orElse(0L);
 		int crashes = this.ledger.crashes(request);
-		if (this.ledger.clear(request, version)) {
-			this.log.belief("request", request, "cleared", true, "crashes", crashes, "record", version);
-			this.news.cleared(request, version);
-			if (version > 0) {
-				this.records.delete(request, version);
-			}
+		long version = this.ledger.record(request).map(CrashLedger.Recorded::version).orElse(0L);
+		if (this.ledger.clear(request)) {
+			this.log.belief("request", request, "cleared", true, "crashes", crashes);
+			this.news.cleared(request);
+			this.records.clear(request, version);
 		}
 	}
 
