Share the fleet of daemons before endpoints among tests

Cause: a test of named limits needs the same daemons and endpoints. Change: CrashFleet is GatewayFleet, in a package of its own. No check changes.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
@@ -7,6 +7,7 @@
 import java.util.stream.LongStream;
 
 import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -29,16 +30,16 @@
 	@MethodSource("seeds")
 	void deadlyRequestsReachFewEndpointsAndOthersAreNotSuspected(long seed) {
 		Random random = new Random(seed);
-		CrashFleet fleet = new CrashFleet(1 + random.nextInt(40), 8 + random.nextInt(30), seed);
+		GatewayFleet fleet = new GatewayFleet(1 + random.nextInt(40), 8 + random.nextInt(30), seed);
 		int deadly = 1 + random.nextInt(3);
 		int pause = 100 + random.nextInt(1_500);
 		boolean restarts = random.nextBoolean();
 		boolean outages = random.nextBoolean();
 		fleet.loses(random.nextBoolean() ? 0.3 : 0);
-		List<CrashFleet.Caller> others = new ArrayList<>();
+		List<GatewayFleet.Caller> others = new ArrayList<>();
 		for (int millis = 0; millis < 60_000; millis += 20) {
 			if (random.nextInt(pause / 20) == 0) {
-				fleet.call(CrashFleet.Endpoint.DEADLY + random.nextInt(deadly));
+				fleet.call(GatewayFleet.Endpoint.DEADLY + random.nextInt(deadly));
 			}
 			others.add(fleet.call((random.nextInt(3) == 0) ? "popular" : "other " + millis));
 			if (restarts && random.nextInt(100) == 0) {
@@ -53,9 +54,9 @@
 			fleet.scheduler.advance(Duration.ofMillis(20));
 		}
 		for (int i = 0; i < deadly; i++) {
-			Truth.assertThat(fleet.arrivedTooLate(CrashFleet.Endpoint.DEADLY + i)).isAtMost(MORE);
+			Truth.assertThat(fleet.arrivedTooLate(GatewayFleet.Endpoint.DEADLY + i)).isAtMost(MORE);
 		}
-		Truth.assertThat(others.stream().filter(CrashFleet.Caller::suspected).count()).isEqualTo(0);
+		Truth.assertThat(others.stream().filter(GatewayFleet.Caller::suspected).count()).isEqualTo(0);
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -15,26 +16,21 @@
  */
 class CrashingRequestTests {
 
-	private static final String DEADLY = CrashFleet.Endpoint.DEADLY;
+	private static final String DEADLY = GatewayFleet.Endpoint.DEADLY;
 
 	private static final String INNOCENT = "innocent";
 
 	private static final int ENDPOINTS = 14;
 
-	/** Crashes after which a request is known to be deadly. */
-	private static final int KNOWN = 3;
-
 	/** Sendings that may follow once all daemons must know it. */
 	private static final int MORE = 3;
 
-	private static final long CONTACT_MILLIS = 3_000;
-
 	/** Guards against endpoints that end one after the other under one request. */
 	@ParameterizedTest
 	@CsvSource({ "1, 400, NONE, 1", "3, 400, NONE, 2", "9, 250, NONE, 3", "9, 700, NONE, 4", "9, 400, ONE_BY_ONE, 5",
 			"9, 400, ALL, 6", "100, 250, NONE, 7" })
 	void aRequestThatCrashesEndpointsReachesAFewOnly(int daemons, int pauseMillis, Restarts restarts, long seed) {
-		CrashFleet fleet = new CrashFleet(daemons, ENDPOINTS, seed);
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
 		Random random = new Random(seed);
 		for (int millis = 0; millis < 60_000; millis += 50) {
 			if (millis % pauseMillis == 0) {
@@ -47,20 +43,20 @@
 			fleet.scheduler.advance(Duration.ofMillis(50));
 		}
 		List<Long> arrivals = fleet.arrivals(DEADLY);
-		long known = arrivals.get(KNOWN - 1) + CONTACT_MILLIS;
+		long known = arrivals.get(GatewayFleet.KNOWN - 1) + GatewayFleet.CONTACT.toMillis();
 		Truth.assertThat(arrivals.stream().filter((millis) -> millis > known).count()).isAtMost(MORE);
 	}
 
 	/** Guards against a known request that callers wait for, or are asked to repeat. */
 	@Test
 	void aKnownRequestIsRefusedAtOnceAndNotAskedBack() {
-		CrashFleet fleet = new CrashFleet(9, ENDPOINTS, 1);
+		GatewayFleet fleet = new GatewayFleet(9, ENDPOINTS, 1);
 		for (int i = 0; i < 20; i++) {
 			fleet.call(DEADLY);
 			fleet.scheduler.advance(Duration.ofSeconds(1));
 		}
 		int arrived = fleet.arrivals(DEADLY).size();
-		CrashFleet.Caller caller = fleet.call(DEADLY);
+		GatewayFleet.Caller caller = fleet.call(DEADLY);
 		Truth.assertThat(caller.got()).isEqualTo("own 503");
 		Truth.assertThat(caller.retryAfter()).isAtLeast(Duration.ofSeconds(30));
 		fleet.scheduler.advance(Duration.ofSeconds(5));
@@ -70,14 +66,14 @@
 	/** Guards against trials that nobody counts while the store is away. */
 	@Test
 	void aSuspectIsNotTriedWhileTheStoreIsAway() {
-		CrashFleet fleet = new CrashFleet(9, ENDPOINTS, 2);
+		GatewayFleet fleet = new GatewayFleet(9, ENDPOINTS, 2);
 		fleet.store.away(true);
 		for (int i = 0; i < 100; i++) {
 			fleet.call(DEADLY);
 			fleet.scheduler.advance(Duration.ofMillis(300));
 		}
 		List<Long> arrivals = fleet.arrivals(DEADLY);
-		long known = arrivals.get(KNOWN - 1) + CONTACT_MILLIS;
+		long known = arrivals.get(GatewayFleet.KNOWN - 1) + GatewayFleet.CONTACT.toMillis();
 		Truth.assertThat(arrivals.stream().filter((millis) -> millis > known).count()).isEqualTo(0);
 	}
 
@@ -85,7 +81,7 @@
 	@ParameterizedTest
 	@CsvSource({ "1, 1", "2, 1", "3, 1", "4, 1", "2, 9", "3, 9", "4, 9" })
 	void aRequestThatFellWithOthersIsServedWhenItComesAgain(int falls, int daemons) {
-		CrashFleet fleet = new CrashFleet(daemons, ENDPOINTS, falls);
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, falls);
 		int fallen = 0;
 		for (int i = 0; fallen < falls; i++) {
 			fleet.call(INNOCENT);
@@ -96,7 +92,7 @@
 			Truth.assertThat(i).isLessThan(20);
 		}
 		fleet.scheduler.advance(Duration.ofSeconds(3));
-		CrashFleet.Caller caller = fleet.call(INNOCENT);
+		GatewayFleet.Caller caller = fleet.call(INNOCENT);
 		fleet.scheduler.advance(Duration.ofSeconds(1));
 		Truth.assertThat(caller.got()).isEqualTo("200");
 		Truth.assertThat(fleet.store.all()).isEmpty();
@@ -106,8 +102,8 @@
 	@ParameterizedTest
 	@CsvSource({ "1, 1", "9, 2", "30, 3" })
 	void aPopularRequestIsServedThroughASeriesOfCrashes(int daemons, long seed) {
-		CrashFleet fleet = new CrashFleet(daemons, ENDPOINTS, seed);
-		List<CrashFleet.Caller> callers = new ArrayList<>();
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		List<GatewayFleet.Caller> callers = new ArrayList<>();
 		for (int millis = 0; millis < 10_000; millis += 20) {
 			callers.add(fleet.call(INNOCENT));
 			if (millis % 400 == 200) {
@@ -116,15 +112,15 @@
 			fleet.scheduler.advance(Duration.ofMillis(20));
 		}
 		fleet.scheduler.advance(Duration.ofSeconds(3));
-		Truth.assertThat(callers.stream().map(CrashFleet.Caller::got).filter("200"::equals).count())
+		Truth.assertThat(callers.stream().map(GatewayFleet.Caller::got).filter("200"::equals).count())
 			.isAtLeast(callers.size() * 97L / 100);
-		Truth.assertThat(callers.stream().filter(CrashFleet.Caller::suspected).count()).isEqualTo(0);
+		Truth.assertThat(callers.stream().filter(GatewayFleet.Caller::suspected).count()).isEqualTo(0);
 	}
 
 	/** Guards against taking reset connections for endpoints that ended. */
 	@Test
 	void resetsAreNoCrashes() {
-		CrashFleet fleet = new CrashFleet(9, ENDPOINTS, 4);
+		GatewayFleet fleet = new GatewayFleet(9, ENDPOINTS, 4);
 		for (int i = 0; i < 20; i++) {
 			fleet.call(INNOCENT);
 			fleet.scheduler.advance(Duration.ofMillis(30));
@@ -134,7 +130,7 @@
 			fleet.scheduler.advance(Duration.ofMillis(400));
 		}
 		Truth.assertThat(fleet.store.all()).isEmpty();
-		CrashFleet.Caller caller = fleet.call(INNOCENT);
+		GatewayFleet.Caller caller = fleet.call(INNOCENT);
 		fleet.scheduler.advance(Duration.ofMillis(300));
 		Truth.assertThat(caller.got()).isEqualTo("200");
 	}
@@ -147,7 +143,7 @@
 		NONE {
 
 			@Override
-			void at(int millis, CrashFleet fleet) {
+			void at(int millis, GatewayFleet fleet) {
 				// All daemons stay.
 			}
 
@@ -156,7 +152,7 @@
 		ONE_BY_ONE {
 
 			@Override
-			void at(int millis, CrashFleet fleet) {
+			void at(int millis, GatewayFleet fleet) {
 				if (millis % 2_000 == 1_000) {
 					fleet.restart(millis / 2_000 % fleet.daemons.size());
 				}
@@ -167,7 +163,7 @@
 		ALL {
 
 			@Override
-			void at(int millis, CrashFleet fleet) {
+			void at(int millis, GatewayFleet fleet) {
 				if (millis == 30_000) {
 					fleet.restartAll();
 				}
@@ -175,7 +171,7 @@
 
 		};
 
-		abstract void at(int millis, CrashFleet fleet);
+		abstract void at(int millis, GatewayFleet fleet);
 
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -1,4 +1,4 @@
-package org.bramleyscale.internal.gateway.crash;
+package org.bramleyscale.internal.gateway.fleet;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -29,6 +29,9 @@
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
 import org.bramleyscale.internal.gateway.catalog.Route;
+import org.bramleyscale.internal.gateway.crash.CrashesTold;
+import org.bramleyscale.internal.gateway.crash.EndpointCheck;
+import org.bramleyscale.internal.gateway.crash.FleetCrashGuard;
 import org.bramleyscale.internal.gateway.follow.NewsRoutes;
 import org.bramleyscale.internal.gateway.hold.EngineOrders;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
@@ -60,17 +63,17 @@
  * it is back as another one, and {@link #LISTED} after its end its entry is off the list.
  * Confined to the test's thread.
  */
-final class CrashFleet {
+public final class GatewayFleet {
 
 	static final Duration DOWN = Duration.ofSeconds(2);
 
 	static final Duration LISTED = Duration.ofMillis(2_700);
 
 	/** Crashes after which a request is known to be deadly. */
-	static final int KNOWN = 3;
+	public static final int KNOWN = 3;
 
 	/** A daemon is in touch if it has run and heard the store for so long. */
-	static final Duration CONTACT = Duration.ofSeconds(3);
+	public static final Duration CONTACT = Duration.ofSeconds(3);
 
 	private static final ServiceName SERVICE = new ServiceName("quotes");
 
@@ -91,13 +94,13 @@
 
 	private static final int SLOTS = 11;
 
-	final ManualScheduler scheduler = new ManualScheduler();
+	public final ManualScheduler scheduler = new ManualScheduler();
 
-	final List<Daemon> daemons = new ArrayList<>();
+	public final List<Daemon> daemons = new ArrayList<>();
 
 	final List<Arrival> arrivals = new ArrayList<>();
 
-	final RecordStore store = new RecordStore(this.scheduler);
+	public final RecordStore store = new RecordStore(this.scheduler);
 
 	private final Map<EndpointStart, Endpoint> endpoints = new HashMap<>();
 
@@ -115,7 +118,7 @@
 	 * @param endpoints how many endpoints
 	 * @param seed for all that is drawn
 	 */
-	CrashFleet(int size, int endpoints, long seed) {
+	public GatewayFleet(int size, int endpoints, long seed) {
 		this.random = new Random(seed);
 		for (int i = 0; i < size; i++) {
 			this.daemons.add(new Daemon(i));
@@ -133,7 +136,7 @@
 	 * endpoint that runs it
 	 * @return what becomes of it
 	 */
-	Caller call(int daemon, String text) {
+	public Caller call(int daemon, String text) {
 		Caller caller = new Caller();
 		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", "/log/1", "hire.example", List.of(),
 				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty());
@@ -141,7 +144,7 @@
 		return caller;
 	}
 
-	Caller call(String text) {
+	public Caller call(String text) {
 		return call(this.random.nextInt(this.daemons.size()), text);
 	}
 
@@ -149,20 +152,20 @@
 	 * Sets how many of the messages between daemons get lost.
 	 * @param share the share of them
 	 */
-	void loses(double share) {
+	public void loses(double share) {
 		this.lost = share;
 	}
 
 	/**
 	 * Starts all daemons anew, with nothing in memory, a moment after they were killed.
 	 */
-	void restartAll() {
+	public void restartAll() {
 		for (int i = 0; i < this.daemons.size(); i++) {
 			restart(i);
 		}
 	}
 
-	void restart(int place) {
+	public void restart(int place) {
 		this.daemons.get(place).killed = true;
 		Daemon fresh = new Daemon(place);
 		this.daemons.set(place, fresh);
@@ -175,7 +178,7 @@
 	 * @param text the request's body
 	 * @return whether there was one
 	 */
-	boolean endWhatRuns(String text) {
+	public boolean endWhatRuns(String text) {
 		List<Endpoint> running = this.endpoints.values()
 			.stream()
 			.filter((endpoint) -> endpoint.running.stream().anyMatch((sent) -> sent.text().equals(text)))
@@ -188,7 +191,7 @@
 	 * Ends one of the endpoints on which a request runs.
 	 * @param text the request's body
 	 */
-	void endOneOf(String text) {
+	public void endOneOf(String text) {
 		this.endpoints.values()
 			.stream()
 			.filter((endpoint) -> endpoint.running.stream().anyMatch((sent) -> sent.text().equals(text)))
@@ -200,7 +203,7 @@
 	 * Resets the connections on which a request runs; its endpoint lives.
 	 * @param text the request's body
 	 */
-	void resetWhatRuns(String text) {
+	public void resetWhatRuns(String text) {
 		for (Endpoint endpoint : this.endpoints.values()) {
 			endpoint.running.stream()
 				.filter((sent) -> sent.text().equals(text))
@@ -215,7 +218,7 @@
 	 * @param text its body
 	 * @return the times, in ms
 	 */
-	List<Long> arrivals(String text) {
+	public List<Long> arrivals(String text) {
 		return this.arrivals.stream().filter((arrival) -> arrival.text.equals(text)).map(Arrival::millis).toList();
 	}
 
@@ -226,7 +229,7 @@
 	 * @param text its body
 	 * @return how often
 	 */
-	int arrivedTooLate(String text) {
+	public int arrivedTooLate(String text) {
 		List<Long> all = arrivals(text);
 		if (all.size() < KNOWN) {
 			return 0;
@@ -237,7 +240,7 @@
 			.count();
 	}
 
-	int ended() {
+	public int ended() {
 		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
 	}
 
@@ -255,15 +258,15 @@
 	 * @param millis when
 	 * @param inTouch whether it came from a daemon in touch
 	 */
-	record Arrival(String text, long millis, boolean inTouch) {
+	public record Arrival(String text, long millis, boolean inTouch) {
 	}
 
 	/**
 	 * One start of an endpoint.
 	 */
-	final class Endpoint {
+	public final class Endpoint {
 
-		static final String DEADLY = "deadly";
+		public static final String DEADLY = "deadly";
 
 		private final Backend backend;
 
@@ -277,21 +280,21 @@
 
 		private void arrives(Sent sent) {
 			if (!this.alive) {
-				CrashFleet.this.scheduler.schedule(REFUSAL, () -> sent.fails(false, "connect: Connection refused"));
+				GatewayFleet.this.scheduler.schedule(REFUSAL, () -> sent.fails(false, "connect: Connection refused"));
 				return;
 			}
-			CrashFleet.this.arrivals
-				.add(new Arrival(sent.text(), CrashFleet.this.scheduler.nanos() / 1_000_000, sent.from.inTouch()));
+			GatewayFleet.this.arrivals
+				.add(new Arrival(sent.text(), GatewayFleet.this.scheduler.nanos() / 1_000_000, sent.from.inTouch()));
 			this.running.add(sent);
 			if (sent.text().contains(DEADLY)) {
-				CrashFleet.this.scheduler.schedule(UNTIL_CRASH, () -> {
+				GatewayFleet.this.scheduler.schedule(UNTIL_CRASH, () -> {
 					if (this.running.contains(sent)) {
 						end();
 					}
 				});
 			}
 			else {
-				CrashFleet.this.scheduler.schedule(WORK, () -> {
+				GatewayFleet.this.scheduler.schedule(WORK, () -> {
 					if (this.running.remove(sent)) {
 						sent.answers();
 					}
@@ -307,9 +310,9 @@
 			List<Sent> fallen = List.copyOf(this.running);
 			this.running.clear();
 			fallen.forEach((sent) -> sent.fails(true, "connection closed by the endpoint"));
-			CrashFleet.this.scheduler.schedule(DOWN, CrashFleet.this::startEndpoint);
-			CrashFleet.this.scheduler.schedule(LISTED,
-					() -> CrashFleet.this.daemons.forEach((daemon) -> daemon.offList(this.backend)));
+			GatewayFleet.this.scheduler.schedule(DOWN, GatewayFleet.this::startEndpoint);
+			GatewayFleet.this.scheduler.schedule(LISTED,
+					() -> GatewayFleet.this.daemons.forEach((daemon) -> daemon.offList(this.backend)));
 		}
 
 	}
@@ -369,11 +372,11 @@
 	/**
 	 * One start of a daemon.
 	 */
-	final class Daemon implements PeerNetwork, NewsRoutes, EndpointCheck {
+	public final class Daemon implements PeerNetwork, NewsRoutes, EndpointCheck {
 
 		private final VmId vm;
 
-		private final BackendTable backends = new BackendTable(CrashFleet.this.scheduler, DecisionLog.NONE);
+		private final BackendTable backends = new BackendTable(GatewayFleet.this.scheduler, DecisionLog.NONE);
 
 		private final FleetCrashGuard crashes;
 
@@ -381,14 +384,14 @@
 
 		private PeerListener<CrashesTold> listener;
 
-		private final long startedAt = CrashFleet.this.scheduler.nanos();
+		private final long startedAt = GatewayFleet.this.scheduler.nanos();
 
 		private boolean killed;
 
 		private Daemon(int place) {
 			this.vm = new VmId("d" + place);
-			ManualScheduler clock = CrashFleet.this.scheduler;
-			this.crashes = new FleetCrashGuard(new FleetCrashGuard.Ports(clock, this, this, CrashFleet.this.store,
+			ManualScheduler clock = GatewayFleet.this.scheduler;
+			this.crashes = new FleetCrashGuard(new FleetCrashGuard.Ports(clock, this, this, GatewayFleet.this.store,
 					DecisionLog.NONE, new MetricRegistry()), this, this.backends::offers, () -> place == 0);
 			this.backends.onEnd(this.crashes::gone);
 			BackendHealth health = new BackendHealth(clock, DecisionLog.NONE);
@@ -405,38 +408,38 @@
 					.build())
 				.build());
 			GatewayPorts ports = new GatewayPorts(clock, DATA_CENTRE, this::send,
-					new PlainPlacement(this.backends, health, loads, CrashFleet.this.random), health, loads,
+					new PlainPlacement(this.backends, health, loads, GatewayFleet.this.random), health, loads,
 					new DemandBoard(clock), new RetryWindow(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1),
 					this.crashes,
 					new MemoryHolds(clock, new NoOrders(), this.backends::startedAgain, "d" + place, DecisionLog.NONE),
 					() -> {
 					}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
-			this.service = new GatewayService(ports, catalogs, (left) -> true, CrashFleet.this.random);
+			this.service = new GatewayService(ports, catalogs, (left) -> true, GatewayFleet.this.random);
 		}
 
 		@Override
 		public CompletableFuture<Boolean> refuses(Backend endpoint) {
 			CompletableFuture<Boolean> result = new CompletableFuture<>();
-			CrashFleet.this.scheduler.schedule(REFUSAL,
-					() -> result.complete(!CrashFleet.this.endpoints.get(endpoint.start()).alive));
+			GatewayFleet.this.scheduler.schedule(REFUSAL,
+					() -> result.complete(!GatewayFleet.this.endpoints.get(endpoint.start()).alive));
 			return result;
 		}
 
 		@Override
 		public boolean send(VmId to, PeerMessage message) {
-			if (CrashFleet.this.random.nextDouble() < CrashFleet.this.lost) {
+			if (GatewayFleet.this.random.nextDouble() < GatewayFleet.this.lost) {
 				return true;
 			}
-			CrashFleet.this.scheduler.schedule(NEWS,
-					() -> CrashFleet.this.daemons.stream()
+			GatewayFleet.this.scheduler.schedule(NEWS,
+					() -> GatewayFleet.this.daemons.stream()
 						.filter((daemon) -> daemon.vm.equals(to) && !this.killed)
 						.forEach((daemon) -> daemon.received(this, message)));
 			return true;
 		}
 
 		private boolean inTouch() {
-			boolean ran = CrashFleet.this.scheduler.nanos() - this.startedAt > CONTACT.toNanos();
-			return ran && CrashFleet.this.store.stableFor(CONTACT);
+			boolean ran = GatewayFleet.this.scheduler.nanos() - this.startedAt > CONTACT.toNanos();
+			return ran && GatewayFleet.this.store.stableFor(CONTACT);
 		}
 
 		private void received(Daemon from, PeerMessage message) {
@@ -448,7 +451,7 @@
 		@Override
 		public Set<VmId> connected() {
 			Set<VmId> others = new TreeSet<>(Comparator.comparing(VmId::value));
-			CrashFleet.this.daemons.stream()
+			GatewayFleet.this.daemons.stream()
 				.map((daemon) -> daemon.vm)
 				.filter((other) -> !other.equals(this.vm))
 				.forEach(others::add);
@@ -480,9 +483,9 @@
 		}
 
 		private BackendClient.BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
-			Endpoint endpoint = CrashFleet.this.endpoints.get(to.start());
+			Endpoint endpoint = GatewayFleet.this.endpoints.get(to.start());
 			Sent sent = new Sent(this, endpoint, request, listener);
-			CrashFleet.this.scheduler.schedule(TRAVEL, () -> {
+			GatewayFleet.this.scheduler.schedule(TRAVEL, () -> {
 				if (!sent.cancelled) {
 					endpoint.arrives(sent);
 				}
@@ -495,7 +498,7 @@
 	/**
 	 * A caller that notes what it gets.
 	 */
-	static final class Caller implements CallerReply {
+	public static final class Caller implements CallerReply {
 
 		private String got = "";
 
@@ -503,11 +506,11 @@
 
 		private Duration retryAfter = Duration.ZERO;
 
-		String got() {
+		public String got() {
 			return this.got;
 		}
 
-		Duration retryAfter() {
+		public Duration retryAfter() {
 			return this.retryAfter;
 		}
 
@@ -516,7 +519,7 @@
 		 * because none could be reached.
 		 * @return true if it was
 		 */
-		boolean suspected() {
+		public boolean suspected() {
 			return this.reason.contains("under this request");
 		}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/RecordStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/RecordStore.java
@@ -1,4 +1,4 @@
-package org.bramleyscale.internal.gateway.crash;
+package org.bramleyscale.internal.gateway.fleet;
 
 import java.time.Duration;
 import java.util.List;
@@ -19,7 +19,7 @@
  * A store with records, whose changes reach all daemons a moment later. Confined to the
  * test's thread.
  */
-final class RecordStore implements PartialStore {
+public final class RecordStore implements PartialStore {
 
 	private static final Duration ANSWER = Duration.ofMillis(4);
 
@@ -46,7 +46,7 @@
 		this.follower = listener;
 	}
 
-	void away(boolean nowAway) {
+	public void away(boolean nowAway) {
 		this.away = nowAway;
 		this.changedAt = this.scheduler.nanos();
 	}
@@ -55,7 +55,7 @@
 		return !this.away && this.scheduler.nanos() - this.changedAt > time.toNanos();
 	}
 
-	List<FollowedObject> all() {
+	public List<FollowedObject> all() {
 		return this.records.values()
 			.stream()
 			.map((object) -> new FollowedObject(object.key().name(), object.version(), object.value()))
