A test of named limits, which fails: endpoints get more than they name

Symptom: an endpoint in need that names a limit goes on getting what it got. Sequence: two of 14 endpoints name a limit of 0.3 to 8 a second; 1 to 300 daemons, some of which start anew, send as before. No logic is changed.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
@@ -75,6 +76,9 @@
 	/** A daemon is in touch if it has run and heard the store for so long. */
 	public static final Duration CONTACT = Duration.ofSeconds(3);
 
+	/** A daemon knows of a limit so long after it passed on an answer that names it. */
+	private static final Duration TOLD = Duration.ofMillis(500);
+
 	private static final ServiceName SERVICE = new ServiceName("quotes");
 
 	private static final DataCentre DATA_CENTRE = new DataCentre("east");
@@ -156,6 +160,24 @@
 		this.lost = share;
 	}
 
+	/**
+	 * Has an endpoint name a limit in its answers from now on, or none any more.
+	 * @param place the endpoint's place among those that live
+	 * @param perSecond requests a second from all daemons together; empty for no limit
+	 * @return the endpoint
+	 */
+	public Endpoint limit(int place, OptionalDouble perSecond) {
+		Endpoint endpoint = this.endpoints.values()
+			.stream()
+			.filter((each) -> each.alive)
+			.sorted(Comparator.comparing((each) -> each.backend.id().value()))
+			.skip(place)
+			.findFirst()
+			.orElseThrow();
+		endpoint.limit = perSecond;
+		return endpoint;
+	}
+
 	/**
 	 * Starts all daemons anew, with nothing in memory, a moment after they were killed.
 	 */
@@ -272,12 +294,63 @@
 
 		private final List<Sent> running = new ArrayList<>();
 
+		private final List<Long> countedNanos = new ArrayList<>();
+
+		private final List<Long> arrivedNanos = new ArrayList<>();
+
+		private final Map<Daemon, Long> told = new HashMap<>();
+
+		private OptionalDouble limit = OptionalDouble.empty();
+
 		private boolean alive = true;
 
 		private Endpoint(Backend backend) {
 			this.backend = backend;
 		}
 
+		/**
+		 * The most requests in any span from daemons that had passed on an answer with a
+		 * limit {@link GatewayFleet#TOLD} before.
+		 * @param from the span begins then at the earliest, ms
+		 * @param to the span begins before this, ms
+		 * @param span its length
+		 * @return the number
+		 */
+		public int most(long from, long to, Duration span) {
+			int most = 0;
+			for (int first = 0; first < this.countedNanos.size(); first++) {
+				long begin = this.countedNanos.get(first);
+				if (begin >= from * 1_000_000 && begin < to * 1_000_000) {
+					int last = first;
+					while (last < this.countedNanos.size() && this.countedNanos.get(last) - begin < span.toNanos()) {
+						last++;
+					}
+					most = Math.max(most, last - first);
+				}
+			}
+			return most;
+		}
+
+		/**
+		 * How many requests arrived.
+		 * @param from from then on, ms
+		 * @param to before this, ms
+		 * @return the number
+		 */
+		public long arrived(long from, long to) {
+			return this.arrivedNanos.stream()
+				.filter((nanos) -> nanos >= from * 1_000_000 && nanos < to * 1_000_000)
+				.count();
+		}
+
+		private void count(Daemon from) {
+			long now = GatewayFleet.this.scheduler.nanos();
+			this.arrivedNanos.add(now);
+			if (this.told.containsKey(from) && now - this.told.get(from) >= TOLD.toNanos()) {
+				this.countedNanos.add(now);
+			}
+		}
+
 		private void arrives(Sent sent) {
 			if (!this.alive) {
 				GatewayFleet.this.scheduler.schedule(REFUSAL, () -> sent.fails(false, "connect: Connection refused"));
@@ -285,6 +358,7 @@
 			}
 			GatewayFleet.this.arrivals
 				.add(new Arrival(sent.text(), GatewayFleet.this.scheduler.nanos() / 1_000_000, sent.from.inTouch()));
+			count(sent.from);
 			this.running.add(sent);
 			if (sent.text().contains(DEADLY)) {
 				GatewayFleet.this.scheduler.schedule(UNTIL_CRASH, () -> {
@@ -351,6 +425,8 @@
 
 		private void answers() {
 			if (!this.cancelled) {
+				this.to.limit
+					.ifPresent((limit) -> this.to.told.putIfAbsent(this.from, GatewayFleet.this.scheduler.nanos()));
 				this.listener.head(new BackendHead(200, List.of(), false, true, false, Optional.empty()));
 				this.listener.complete();
 			}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/NamedLimitTests.java
@@ -0,0 +1,65 @@
+package org.bramleyscale.internal.gateway.limit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Random;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of what daemons send to endpoints that name a limit.
+ */
+class NamedLimitTests {
+
+	private static final int ENDPOINTS = 14;
+
+	private static final long NAMED = 8_000;
+
+	private static final long END = 40_000;
+
+	/** The span in which requests are counted. */
+	private static final Duration SPAN = Duration.ofSeconds(4);
+
+	private int calls;
+
+	/** Guards against daemons that keep to a limit each for itself, or not at all. */
+	@ParameterizedTest
+	@Tag("known-red")
+	@CsvSource({ "1, 1, 60, 0, 1", "9, 1, 25, 0, 2", "9, 1, 60, 3000, 3", "9, 0.3, 60, 1000, 4", "9, 8, 150, 3000, 5",
+			"24, 2.5, 120, 500, 6", "100, 1, 150, 0, 7", "100, 1, 150, 200, 8", "300, 1, 150, 100, 9" })
+	void endpointsGetWhatTheyNameFromAllDaemonsTogether(int daemons, double limit, int callsPerSecond,
+			long restartMillis, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		Random random = new Random(seed);
+		List<GatewayFleet.Endpoint> limited = new ArrayList<>();
+		for (long millis = 0; millis < END; millis += 20) {
+			if (millis == NAMED) {
+				limited.add(fleet.limit(2, OptionalDouble.of(limit)));
+				limited.add(fleet.limit(9, OptionalDouble.of(limit)));
+			}
+			call(fleet, random, callsPerSecond);
+			if (restartMillis > 0 && millis % restartMillis == 0) {
+				fleet.restart((int) (millis / restartMillis) % daemons);
+			}
+			fleet.scheduler.advance(Duration.ofMillis(20));
+		}
+		double allowed = 1.5 * limit * SPAN.toSeconds() + 5;
+		long from = NAMED + GatewayFleet.CONTACT.toMillis();
+		limited.forEach((endpoint) -> Truth.assertThat(endpoint.most(from, END, SPAN)).isAtMost((int) allowed));
+	}
+
+	private void call(GatewayFleet fleet, Random random, int callsPerSecond) {
+		for (int i = 0; i < callsPerSecond; i++) {
+			if (random.nextInt(50) == 0) {
+				fleet.call("request " + ++this.calls);
+			}
+		}
+	}
+
+}
