Keep the limits that endpoints name, all daemons together

Callers saw: nothing; an endpoint in need got 2 to 6 requests a second though it named a limit of 1. Cause: nobody read the limit, and no daemon knew what the others send there. Change: the daemon that reads a limit tells all others at once. A few daemons, the first by hash for this endpoint among those that callers use, send it equal parts of three quarters of the limit; the others leave it alone. Parts begin empty and hold one request. What was said holds until an answer to something sent later says otherwise, or for 30 s. Why it works: no message is needed for a request, a daemon that takes over adds nothing to what another has sent, and even two sets of holders stay below the limit and a half. Placement sees an endpoint without a part left as none.

--- a/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
@@ -218,7 +218,7 @@
 			Placement placed = this.daemon.policy()
 				.place(new PlacementRequest(this.route, Play.this.service, this.tokens,
 						this.events * (long) Play.this.experiment.profile().stride(),
-						this.route.patience().minus(waited), waited, Set.of(), DATA_CENTRE));
+						this.route.patience().minus(waited), waited, Set.of(), (engine) -> true, DATA_CENTRE));
 			if (placed.waits()) {
 				this.work.waits();
 				Play.this.scheduler.schedule(Placement.PLACED_AGAIN, this::place);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/admission/TokenBucket.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/admission/TokenBucket.java
@@ -10,7 +10,7 @@
  * be taken otherwise; the debt then delays what follows, so the long-term rate holds.
  * Invariant: the level never exceeds the burst. Not safe for use by multiple threads.
  */
-final class TokenBucket {
+public final class TokenBucket {
 
 	private double rate;
 
@@ -20,7 +20,7 @@
 
 	private long updated;
 
-	TokenBucket(double rate, double burst, long now) {
+	public TokenBucket(double rate, double burst, long now) {
 		this.rate = rate;
 		this.burst = burst;
 		this.level = burst;
@@ -33,7 +33,7 @@
 	 * @param newBurst most tokens that accumulate
 	 * @param now the time
 	 */
-	void limit(double newRate, double newBurst, long now) {
+	public void limit(double newRate, double newBurst, long now) {
 		if (newRate == this.rate && newBurst == this.burst) {
 			return;
 		}
@@ -52,12 +52,12 @@
 		return this.level;
 	}
 
-	boolean holds(double tokens, long now) {
+	public boolean holds(double tokens, long now) {
 		refill(now);
 		return this.level >= needed(tokens);
 	}
 
-	void take(double tokens) {
+	public void take(double tokens) {
 		this.level -= tokens;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetDirectory.java
@@ -10,7 +10,10 @@
 import java.util.stream.Stream;
 
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.address.RendezvousHash;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.follow.NewsRoutes;
+import org.bramleyscale.internal.gateway.limit.LimitHolders;
 import org.bramleyscale.internal.gateway.load.LoadRoutes;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipService;
@@ -25,7 +28,7 @@
  * and between the relays and the other daemons of a data centre. Confined to the
  * scheduler's thread.
  */
-final class FleetDirectory implements PeerDirectory, LoadRoutes, NewsRoutes {
+final class FleetDirectory implements PeerDirectory, LoadRoutes, NewsRoutes, LimitHolders {
 
 	/**
 	 * Up to so many daemons all connect with all. At this size each sends 230 tellings a
@@ -33,6 +36,8 @@
 	 */
 	static final int LARGEST_MESH = 24;
 
+	private static final RendezvousHash<VmId> HASH = new RendezvousHash<>(VmId::value);
+
 	private final MembershipService membership;
 
 	FleetDirectory(MembershipService membership) {
@@ -124,6 +129,24 @@
 		return new EntrySelection(flat(), allRelays());
 	}
 
+	/**
+	 * {@inheritDoc} Callers use the largest daemons, in a large fleet the relays.
+	 */
+	@Override
+	public int rank(EndpointStart endpoint) {
+		Set<VmId> relays = flat() ? Set.of() : allRelays();
+		List<Member> used = this.membership.members()
+			.stream()
+			.filter((member) -> member.state() == Member.State.ALIVE)
+			.filter((member) -> relays.isEmpty() || relays.contains(member.vm()))
+			.toList();
+		int largest = used.stream().mapToInt((member) -> member.capacity().sizeClass()).max().orElse(0);
+		List<VmId> ranked = HASH.ranked(endpoint.toString(),
+				used.stream().filter((member) -> member.capacity().sizeClass() == largest).map(Member::vm).toList());
+		int rank = ranked.indexOf(this.membership.self().vm());
+		return (rank < 0) ? NO_RANK : rank;
+	}
+
 	private Set<VmId> allRelays() {
 		Set<VmId> relays = byName(this.membership.relays());
 		relays.addAll(this.membership.remoteRelays());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -27,6 +27,7 @@
 import org.bramleyscale.internal.gateway.http.CallerServer;
 import org.bramleyscale.internal.gateway.http.NettyLoop;
 import org.bramleyscale.internal.gateway.http.WireDialect;
+import org.bramleyscale.internal.gateway.limit.FleetLimits;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
@@ -90,6 +91,8 @@
 
 	private final FleetCrashGuard crashes;
 
+	private final FleetLimits limits;
+
 	private final Incarnation self;
 
 	private final TcpPeerNetwork network;
@@ -146,7 +149,11 @@
 		this.crashes = new FleetCrashGuard(
 				new FleetCrashGuard.Ports(loop, this.network, this.directory, parts.store(), log, parts.metrics()),
 				connections, this.backends::offers, () -> this.directory.storeRank() == 0);
-		this.backends.onEnd(this.crashes::gone);
+		this.limits = new FleetLimits(loop, this.network, this.directory, this.directory, log, parts.metrics());
+		this.backends.onEnd((endpoint) -> {
+			this.crashes.gone(endpoint);
+			this.limits.forget(endpoint);
+		});
 		FollowedKind crashKind = new FollowedKind(this.crashes::recordChanged);
 		this.crashFollower = follower(FleetCrashGuard.KIND, daemons, crashKind);
 		this.copies = new PeerCopies(
@@ -164,7 +171,7 @@
 				log);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
 				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request), this.health,
-				this.loads, demands, retries(), this.crashes, holds, this.loadExchange::tell, log,
+				this.loads, demands, retries(), this.limits, this.crashes, holds, this.loadExchange::tell, log,
 				new GatewayMetrics(parts.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this::takes, this.random);
 		StartQueue requests = new StartQueue(loop, this::informed, this.service);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/PeerSetup.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/PeerSetup.java
@@ -7,6 +7,7 @@
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.internal.gateway.crash.FleetCrashGuard;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
+import org.bramleyscale.internal.gateway.limit.FleetLimits;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
 import org.bramleyscale.internal.membership.MembershipMessages;
 import org.bramleyscale.internal.membership.MembershipSettings;
@@ -71,6 +72,7 @@
 		PeerCopies.register(builder);
 		LoadExchange.register(builder);
 		FleetCrashGuard.register(builder);
+		FleetLimits.register(builder);
 		return builder.build();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/Candidate.java
@@ -14,10 +14,11 @@
  * @param load what it has to do
  * @param longLane whether long prompts go there
  * @param avoided whether it failed lately
+ * @param open whether it may get a request from this daemon now
  * @param extra what failures add to its score, ms
  * @param profile how it works
  */
-record Candidate(Backend backend, EndpointLoad load, boolean longLane, boolean avoided, double extra,
+record Candidate(Backend backend, EndpointLoad load, boolean longLane, boolean avoided, boolean open, double extra,
 		EngineProfile profile) {
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -120,9 +120,8 @@
 		EngineProfile profile = request.service().engine().orElseThrow();
 		double read = profile.readMillis(request.promptTokens());
 		List<Candidate> candidates = candidates(request, profile);
-		if (candidates.isEmpty()) {
-			boolean none = this.backends.usable(request.service().name()).isEmpty();
-			return Placement.refused(none ? "no endpoint" : "no other endpoint", PlainPlacement.NO_ENDPOINT_PAUSE);
+		if (candidates.stream().noneMatch(Candidate::open)) {
+			return PlainPlacement.refused(this.backends.usable(request.service().name()), request);
 		}
 		List<Candidate> shortLane = candidates.stream()
 			.filter((candidate) -> !candidate.longLane() && !candidate.avoided())
@@ -144,7 +143,7 @@
 	private Placement placeShort(PlacementRequest request, List<Candidate> candidates, List<Candidate> shortLane,
 			double read, int readers) {
 		Candidate target = few(request, shortLane, candidates).stream()
-			.filter((candidate) -> candidate.freeTokens() >= needed(request))
+			.filter((candidate) -> candidate.open() && candidate.freeTokens() >= needed(request))
 			.min(Comparator.comparingDouble(Candidate::shortScore))
 			.orElse(null);
 		if (target == null) {
@@ -210,7 +209,7 @@
 	 */
 	private List<Candidate> few(PlacementRequest request, List<Candidate> shortLane, List<Candidate> candidates) {
 		List<Candidate> open = new ArrayList<>(shortLane.stream()
-			.filter((candidate) -> !candidate.full() && candidate.freeTokens() >= needed(request))
+			.filter((candidate) -> candidate.open() && !candidate.full() && candidate.freeTokens() >= needed(request))
 			.toList());
 		if (open.isEmpty()) {
 			return candidates;
@@ -244,15 +243,16 @@
 		}
 		double smallest = read / Math.min(MOST_READERS, readers.size());
 		readers.sort(Comparator.comparingDouble(Candidate::readScore));
-		Candidate target = readers.stream()
-			.filter((candidate) -> !candidate.full())
-			.max(Comparator.comparingLong(Candidate::freeTokens))
-			.orElse(null);
+		Candidate target = roomiest(readers);
+		if (target == null) {
+			target = roomiest(lane);
+		}
 		double least = FULL_PAUSE.toMillis() + smallest;
 		if (target == null) {
 			return Placement.later(least, "long, all slots taken");
 		}
-		readers.removeIf((candidate) -> candidate == target || !candidate.mayHelp());
+		Candidate chosen = target;
+		readers.removeIf((candidate) -> candidate == chosen || !candidate.mayHelp());
 		List<MemoryHold> holds = holds(needed(request) - target.freeTokens(), readers);
 		if (holds == null) {
 			return Placement.later(least, "long, no memory free");
@@ -266,6 +266,18 @@
 		return Placement.at(target.backend(), helpers, part, busiest + part + pass(target), "long").holding(holds);
 	}
 
+	/**
+	 * The engine with most free memory among those that may get a request.
+	 * @param candidates the engines
+	 * @return the engine, or null if all slots are taken
+	 */
+	private static Candidate roomiest(List<Candidate> candidates) {
+		return candidates.stream()
+			.filter((candidate) -> candidate.open() && !candidate.full())
+			.max(Comparator.comparingLong(Candidate::freeTokens))
+			.orElse(null);
+	}
+
 	/**
 	 * The engines that help to read, those that hold memory first. As many as there are:
 	 * an engine reads several small parts in one pass, so more readers mean smaller parts
@@ -297,7 +309,7 @@
 		List<Candidate> byMemory = new ArrayList<>(readers);
 		byMemory.sort(Comparator.comparingLong(Candidate::freeTokens).reversed());
 		for (Candidate candidate : byMemory) {
-			if (rest > 0 && candidate.freeTokens() > 0 && holds.size() < MOST_READERS - 1) {
+			if (rest > 0 && candidate.open() && candidate.freeTokens() > 0 && holds.size() < MOST_READERS - 1) {
 				long part = Math.min(rest, candidate.freeTokens());
 				holds.add(new MemoryHold(candidate.backend(), part));
 				rest -= part;
@@ -346,8 +358,9 @@
 			Backend backend = usable.get(i);
 			if (!request.tried().contains(backend.start())) {
 				double extra = FAILURE_MILLIS * this.health.failures(backend.start());
-				candidates.add(new Candidate(backend, this.loads.load(backend.start()),
-						this.tuning.lanes() && plan.isLong(i), this.health.avoid(backend.start()), extra, profile));
+				candidates
+					.add(new Candidate(backend, this.loads.load(backend.start()), this.tuning.lanes() && plan.isLong(i),
+							this.health.avoid(backend.start()), request.open().test(backend.start()), extra, profile));
 			}
 		}
 		return candidates;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
@@ -21,8 +22,9 @@
  * @param left the time until its caller leaves
  * @param waited how long ago it arrived
  * @param tried endpoints that had it already and shall not get it again
+ * @param open whether an endpoint may get a request from this daemon now
  * @param near the data centre whose endpoints are nearest
  */
 public record PlacementRequest(Route route, Service service, long promptTokens, long outputTokens, Duration left,
-		Duration waited, Set<EndpointStart> tried, DataCentre near) {
+		Duration waited, Set<EndpointStart> tried, Predicate<EndpointStart> open, DataCentre near) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlainPlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlainPlacement.java
@@ -21,6 +21,9 @@
 	/** When no endpoint is known: a crashed one is back after a few seconds at best. */
 	static final Duration NO_ENDPOINT_PAUSE = Duration.ofMillis(500);
 
+	/** Endpoints in need take about one request in this time. */
+	private static final Duration LIMITED_PAUSE = Duration.ofSeconds(1);
+
 	private static final double AVOIDED = 100;
 
 	private static final double FAILURE = 2;
@@ -53,17 +56,33 @@
 		double bestScore = Double.POSITIVE_INFINITY;
 		for (Backend backend : usable) {
 			double score = score(backend, request);
-			if (!request.tried().contains(backend.start()) && score < bestScore) {
+			boolean may = request.open().test(backend.start()) && !request.tried().contains(backend.start());
+			if (may && score < bestScore) {
 				best = backend;
 				bestScore = score;
 			}
 		}
 		if (best == null) {
-			return Placement.refused(usable.isEmpty() ? "no endpoint" : "no other endpoint", NO_ENDPOINT_PAUSE);
+			return refused(usable, request);
 		}
 		return Placement.at(best, List.of(), 0, 0, "least busy");
 	}
 
+	/**
+	 * The refusal of a request that no endpoint may get.
+	 * @param usable the endpoints of its service
+	 * @param request the request
+	 * @return the refusal, with the reason
+	 */
+	static Placement refused(List<Backend> usable, PlacementRequest request) {
+		if (usable.isEmpty()) {
+			return Placement.refused("no endpoint", NO_ENDPOINT_PAUSE);
+		}
+		boolean limited = usable.stream().anyMatch((backend) -> !request.open().test(backend.start()));
+		return limited ? Placement.refused("limits of endpoints reached", LIMITED_PAUSE)
+				: Placement.refused("no other endpoint", NO_ENDPOINT_PAUSE);
+	}
+
 	private double score(Backend backend, PlacementRequest request) {
 		double busy = (double) this.loads.load(backend.start()).active() / Math.max(1, backend.slots());
 		double avoided = this.health.avoid(backend.start()) ? AVOIDED : 0;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -189,6 +189,9 @@
 		if (!this.over) {
 			this.head = head;
 			this.request.gate().answered(this.target.start(), this.sentAt);
+			if (head.genuine() || head.perSecond().isPresent()) {
+				this.ports.limits().answered(this.target.start(), head.perSecond(), this.sentAt);
+			}
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
@@ -4,6 +4,7 @@
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.crash.CrashGuard;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.limit.EndpointLimits;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -22,6 +23,7 @@
  * @param loads learns what is under way
  * @param demands learns what is asked for
  * @param retries bounds what is sent again
+ * @param limits knows which endpoints may get a request now
  * @param crashes knows which requests end endpoints
  * @param holds sets memory aside on engines
  * @param longSent called after a long prompt was sent
@@ -29,6 +31,6 @@
  * @param metrics counts outcomes
  */
 public record GatewayPorts(Scheduler scheduler, DataCentre dataCentre, BackendClient client, PlacementPolicy placement,
-		BackendHealth health, LoadBoard loads, DemandBoard demands, RetryWindow retries, CrashGuard crashes,
-		MemoryHolds holds, Runnable longSent, DecisionLog log, GatewayMetrics metrics) {
+		BackendHealth health, LoadBoard loads, DemandBoard demands, RetryWindow retries, EndpointLimits limits,
+		CrashGuard crashes, MemoryHolds holds, Runnable longSent, DecisionLog log, GatewayMetrics metrics) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -121,7 +121,8 @@
 		Route route = this.allowed.route();
 		Placement placement = this.ports.placement()
 			.place(new PlacementRequest(route, this.allowed.service(), this.request.promptTokens(),
-					this.request.outputTokens(), callerStays(), waited(), this.tries.tried(), this.ports.dataCentre()));
+					this.request.outputTokens(), callerStays(), waited(), this.tries.tried(), this.ports.limits()::open,
+					this.ports.dataCentre()));
 		if (placement.waits()) {
 			this.kept.keep(placement, left(), this::send);
 			return;
@@ -133,6 +134,7 @@
 		}
 		Backend target = placement.target().get();
 		this.tries.asks(target.start());
+		this.ports.limits().sent(target.start());
 		this.ports.log()
 			.request(this.request.id(), "sent", "endpoint", target.id(), "reason", placement.reason(), "helpers",
 					names(placement.helpers()), "predicted_ms", Math.round(placement.firstMillis()), "asked",
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/LimitFaultsTests.java
@@ -0,0 +1,65 @@
+package org.bramleyscale.internal.gateway.limit;
+
+import java.time.Duration;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.stream.LongStream;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Drawn fleets, limits and faults.
+ *
+ * <p>
+ * More seeds by hand: {@code -Dlimit.seeds=1000}.
+ */
+class LimitFaultsTests {
+
+	private static final long END = 60_000;
+
+	private static final Duration SPAN = Duration.ofSeconds(4);
+
+	static LongStream seeds() {
+		return LongStream.rangeClosed(1, Long.getLong("limit.seeds", 60));
+	}
+
+	/**
+	 * Guards against more than a limit through starts, lost news and daemons that
+	 * disagree.
+	 */
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void anEndpointNeverGetsMoreThanItNames(long seed) {
+		Random random = new Random(seed);
+		GatewayFleet fleet = new GatewayFleet(1 + random.nextInt(random.nextBoolean() ? 12 : 150),
+				6 + random.nextInt(30), seed);
+		double perSecond = 0.2 + 12 * random.nextDouble() * random.nextDouble();
+		int callsPerSecond = 20 + random.nextInt(200);
+		boolean restarts = random.nextBoolean();
+		fleet.loses(random.nextBoolean() ? 0.3 : 0);
+		GatewayFleet.Endpoint endpoint = fleet.limit(3, OptionalDouble.of(perSecond));
+		boolean names = true;
+		int calls = 0;
+		for (long millis = 0; millis < END; millis += 20) {
+			for (int i = 0; i < callsPerSecond; i++) {
+				if (random.nextInt(50) == 0) {
+					fleet.call("request " + ++calls);
+				}
+			}
+			if (restarts && random.nextInt(60) == 0) {
+				fleet.restart(random.nextInt(fleet.daemons.size()));
+			}
+			if (random.nextInt(700) == 0) {
+				names = !names;
+				fleet.limit(3, names ? OptionalDouble.of(perSecond) : OptionalDouble.empty());
+			}
+			fleet.scheduler.advance(Duration.ofMillis(20));
+		}
+		double allowed = 1.5 * perSecond * SPAN.toSeconds() + 5;
+		Truth.assertThat(endpoint.most(GatewayFleet.CONTACT.toMillis(), END, SPAN)).isAtMost((int) allowed);
+	}
+
+}
