Leave engines that name a limit out of both lanes

Cause: lanes are cut by the order of ids. Change: lanes are cut among the engines that name no limit. An engine that names one gets a short prompt when this daemon's part of its limit holds one.

--- a/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
+++ b/bench/src/main/java/org/bramleyscale/bench/experiment/Play.java
@@ -21,6 +21,7 @@
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.limit.EndpointLimits;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
 import org.bramleyscale.internal.gateway.load.LoadTold;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -218,7 +219,7 @@
 			Placement placed = this.daemon.policy()
 				.place(new PlacementRequest(this.route, Play.this.service, this.tokens,
 						this.events * (long) Play.this.experiment.profile().stride(),
-						this.route.patience().minus(waited), waited, Set.of(), (engine) -> true, DATA_CENTRE));
+						this.route.patience().minus(waited), waited, Set.of(), EndpointLimits.NONE, DATA_CENTRE));
 			if (placed.waits()) {
 				this.work.waits();
 				Play.this.scheduler.schedule(Placement.PLACED_AGAIN, this::place);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/limit/EndpointLimits.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/limit/EndpointLimits.java
@@ -15,6 +15,11 @@
 	/** No endpoint names a limit; for tests and tools. */
 	EndpointLimits NONE = new EndpointLimits() {
 
+		@Override
+		public boolean limited(EndpointStart endpoint) {
+			return false;
+		}
+
 		@Override
 		public boolean open(EndpointStart endpoint) {
 			return true;
@@ -32,6 +37,13 @@
 
 	};
 
+	/**
+	 * Whether an endpoint names a limit, as all daemons know it.
+	 * @param endpoint the endpoint
+	 * @return true if it takes a few requests only
+	 */
+	boolean limited(EndpointStart endpoint);
+
 	/**
 	 * Whether an endpoint may get a request.
 	 * @param endpoint the endpoint
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/limit/FleetLimits.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/limit/FleetLimits.java
@@ -83,6 +83,11 @@
 		this.book.forget(endpoint);
 	}
 
+	@Override
+	public boolean limited(EndpointStart endpoint) {
+		return this.book.limitedSince(endpoint).isPresent();
+	}
+
 	@Override
 	public boolean open(EndpointStart endpoint) {
 		return this.book.open(endpoint);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/EnginePlacement.java
@@ -12,6 +12,7 @@
 import org.bramleyscale.internal.gateway.catalog.EngineProfile;
 import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.hold.MemoryHold;
+import org.bramleyscale.internal.gateway.limit.EndpointLimits;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
 
@@ -349,18 +350,29 @@
 		return Placement.refused("first event predicted in " + Math.round(placement.firstMillis()) + " ms", pause);
 	}
 
+	/**
+	 * The engines of a request's service. Those that name a limit are in no lane: a lane
+	 * is sized by the work that its engines can take.
+	 * @param request the request
+	 * @param profile how they work
+	 * @return all that weren't asked yet
+	 */
 	private List<Candidate> candidates(PlacementRequest request, EngineProfile profile) {
 		List<Backend> usable = this.backends.usable(request.service().name());
-		LanePlan plan = LanePlan.of(usable.size(), profile.slots(), this.demands.shortActive(request.service().name()),
+		EndpointLimits limits = request.limits();
+		int unlimited = (int) usable.stream().filter((backend) -> !limits.limited(backend.start())).count();
+		LanePlan plan = LanePlan.of(unlimited, profile.slots(), this.demands.shortActive(request.service().name()),
 				this.tuning.shortFull(), this.tuning.shortRoomy());
 		List<Candidate> candidates = new ArrayList<>();
-		for (int i = 0; i < usable.size(); i++) {
-			Backend backend = usable.get(i);
+		int position = 0;
+		for (Backend backend : usable) {
+			boolean limited = limits.limited(backend.start());
+			boolean longLane = !limited && this.tuning.lanes() && plan.isLong(position);
+			position += limited ? 0 : 1;
 			if (!request.tried().contains(backend.start())) {
 				double extra = FAILURE_MILLIS * this.health.failures(backend.start());
-				candidates
-					.add(new Candidate(backend, this.loads.load(backend.start()), this.tuning.lanes() && plan.isLong(i),
-							this.health.avoid(backend.start()), request.open().test(backend.start()), extra, profile));
+				candidates.add(new Candidate(backend, this.loads.load(backend.start()), longLane,
+						this.health.avoid(backend.start()), limits.open(backend.start()), extra, profile));
 			}
 		}
 		return candidates;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlacementRequest.java
@@ -2,12 +2,12 @@
 
 import java.time.Duration;
 import java.util.Set;
-import java.util.function.Predicate;
 
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.limit.EndpointLimits;
 
 /**
  * What a placement decision is about.
@@ -22,9 +22,9 @@
  * @param left the time until its caller leaves
  * @param waited how long ago it arrived
  * @param tried endpoints that had it already and shall not get it again
- * @param open whether an endpoint may get a request from this daemon now
+ * @param limits knows which endpoints may get a request from this daemon now
  * @param near the data centre whose endpoints are nearest
  */
 public record PlacementRequest(Route route, Service service, long promptTokens, long outputTokens, Duration left,
-		Duration waited, Set<EndpointStart> tried, Predicate<EndpointStart> open, DataCentre near) {
+		Duration waited, Set<EndpointStart> tried, EndpointLimits limits, DataCentre near) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlainPlacement.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/placement/PlainPlacement.java
@@ -56,7 +56,7 @@
 		double bestScore = Double.POSITIVE_INFINITY;
 		for (Backend backend : usable) {
 			double score = score(backend, request);
-			boolean may = request.open().test(backend.start()) && !request.tried().contains(backend.start());
+			boolean may = request.limits().open(backend.start()) && !request.tried().contains(backend.start());
 			if (may && score < bestScore) {
 				best = backend;
 				bestScore = score;
@@ -78,7 +78,7 @@
 		if (usable.isEmpty()) {
 			return Placement.refused("no endpoint", NO_ENDPOINT_PAUSE);
 		}
-		boolean limited = usable.stream().anyMatch((backend) -> !request.open().test(backend.start()));
+		boolean limited = usable.stream().anyMatch((backend) -> !request.limits().open(backend.start()));
 		return limited ? Placement.refused("limits of endpoints reached", LIMITED_PAUSE)
 				: Placement.refused("no other endpoint", NO_ENDPOINT_PAUSE);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -121,7 +121,7 @@
 		Route route = this.allowed.route();
 		Placement placement = this.ports.placement()
 			.place(new PlacementRequest(route, this.allowed.service(), this.request.promptTokens(),
-					this.request.outputTokens(), callerStays(), waited(), this.tries.tried(), this.ports.limits()::open,
+					this.request.outputTokens(), callerStays(), waited(), this.tries.tried(), this.ports.limits(),
 					this.ports.dataCentre()));
 		if (placement.waits()) {
 			this.kept.keep(placement, left(), this::send);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/placement/EnginePlacementTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 
@@ -20,6 +21,7 @@
 import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.catalog.StreamAims;
 import org.bramleyscale.internal.gateway.hold.MemoryHold;
+import org.bramleyscale.internal.gateway.limit.EndpointLimits;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
@@ -53,6 +55,9 @@
 
 	private final LoadBoard loads = new LoadBoard(this.scheduler);
 
+	/** Engines that name a limit of which the daemon has nothing left. */
+	private final Set<EndpointStart> closed = new HashSet<>();
+
 	private final DemandBoard demands = new DemandBoard(this.scheduler);
 
 	private final EnginePlacement placement = new EnginePlacement(this.backends, this.health, this.loads, this.demands,
@@ -98,6 +103,30 @@
 		Truth.assertThat(place(5_000).reason()).isEqualTo("short");
 	}
 
+	/** Guards against a short lane that is mostly made of engines which take nothing. */
+	@Test
+	void enginesThatNameALimitAreNoPartOfALane() {
+		this.closed.addAll(Set.of(id(0), id(1), id(2), id(20)));
+		Set<EndpointStart> used = new HashSet<>();
+		for (int i = 0; i < 30; i++) {
+			Placement placed = place(5_000);
+			used.add(placed.target().orElseThrow().start());
+			this.loads.begin(placed.target().get().start(), placed.readMillis(), 6_000, true, 250);
+		}
+		Truth.assertThat(used).containsExactly(id(3), id(4), id(5), id(6));
+		Truth.assertThat(place(182_000).target().orElseThrow().start()).isNotIn(this.closed);
+	}
+
+	@Test
+	void whatNoEngineMayGetIsRefusedWithATimeToComeBack() {
+		for (int i = 0; i < 21; i++) {
+			this.closed.add(id(i));
+		}
+		Placement placed = place(5_000);
+		Truth.assertThat(placed.reason()).isEqualTo("limits of endpoints reached");
+		Truth.assertThat(placed.retryAfter()).isGreaterThan(Duration.ZERO);
+	}
+
 	@Test
 	void shortPromptsSpillWhenTheirLaneIsFull() {
 		for (int i = 0; i < 60; i++) {
@@ -257,7 +286,7 @@
 		return this.placement.place(request(tokens, Duration.ZERO, Set.of()));
 	}
 
-	private static PlacementRequest request(long tokens, Duration waited, Set<EndpointStart> tried) {
+	private PlacementRequest request(long tokens, Duration waited, Set<EndpointStart> tried) {
 		Route route = Route.builder("quick", "hire.example", "/")
 			.service(NAME.value())
 			.streaming(true)
@@ -265,11 +294,38 @@
 			.patience(Duration.ofSeconds((tokens > 100_000) ? 12 : 2))
 			.build();
 		return new PlacementRequest(route, SERVICE, tokens, 1_200, Duration.ofSeconds((tokens < 20_000) ? 2 : 12),
-				waited, tried, (engine) -> true, new DataCentre("east"));
+				waited, tried, new Limits(), new DataCentre("east"));
 	}
 
 	private static EndpointStart id(int index) {
 		return EndpointStart.untold("engine-" + (char) ('a' + index));
 	}
 
+	/**
+	 * Limits that the test says are used up.
+	 */
+	private final class Limits implements EndpointLimits {
+
+		@Override
+		public boolean limited(EndpointStart endpoint) {
+			return EnginePlacementTests.this.closed.contains(endpoint);
+		}
+
+		@Override
+		public boolean open(EndpointStart endpoint) {
+			return !limited(endpoint);
+		}
+
+		@Override
+		public void sent(EndpointStart endpoint) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void answered(EndpointStart endpoint, OptionalDouble perSecond, long sentAt) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
 }
