--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowTimes.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowTimes.java
@@ -21,6 +21,9 @@
 
 	private static final Duration GATHER = Duration.ofMillis(200);
 
+	/** For objects of which daemons tell each other the gist by themselves. */
+	public static final FollowTimes LOOSELY = new FollowTimes(Duration.ofSeconds(20), GATHER, Duration.ofSeconds(30));
+
 	/** Half of the time is for asking, the rest for spreading and a lost call. */
 	private static final int CHECKS_WITHIN = 2;
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -132,8 +132,9 @@
 		this.loads = new LoadBoard(loop);
 		FollowedKind backendKind = new FollowedKind(new BackendEntries(parts.documents(), this.backends, this.health,
 				this.loads, this::mayHaveLapsed, log)::changed);
-		this.catalogFollower = follower(parts.documents().catalogKind(), daemons, catalogKind);
-		this.backendFollower = follower(parts.documents().backendKind(), daemons, backendKind);
+		FollowTimes closely = FollowTimes.within(settings.changeWithin());
+		this.catalogFollower = follower(parts.documents().catalogKind(), daemons, catalogKind, closely);
+		this.backendFollower = follower(parts.documents().backendKind(), daemons, backendKind, closely);
 		this.network = new TcpPeerNetwork(peers.connections(), loop.forPeers(), loop,
 				new MessageCodec(peers.messages()), this.random, parts.metrics());
 		this.membership = MembershipService.builder()
@@ -155,7 +156,7 @@
 			this.limits.forget(endpoint);
 		});
 		FollowedKind crashKind = new FollowedKind(this.crashes::recordChanged);
-		this.crashFollower = follower(FleetCrashGuard.KIND, daemons, crashKind);
+		this.crashFollower = follower(FleetCrashGuard.KIND, daemons, crashKind, FollowTimes.LOOSELY);
 		this.copies = new PeerCopies(
 				this.self, loop, this.network, Map.of(parts.documents().catalogKind(), catalogKind,
 						parts.documents().backendKind(), backendKind, FleetCrashGuard.KIND, crashKind),
@@ -305,9 +306,9 @@
 		}
 	}
 
-	private StoreFollower follower(String kind, ObjectStore store, FollowedKind copies) {
+	private StoreFollower follower(String kind, ObjectStore store, FollowedKind copies, FollowTimes times) {
 		StoreFollower follower = new StoreFollower(kind, this.parts.loop(), this.random, store, copies,
-				new StoreOrder(), FollowTimes.within(this.settings.changeWithin()), this.parts.log());
+				new StoreOrder(), times, this.parts.log());
 		follower
 			.onNews((from) -> this.copies.push(kind, from, follower.sinceOutage(), this.directory.storeRank() == 0));
 		return follower;
