--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendHealth.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendHealth.java
@@ -86,6 +86,20 @@
 		}
 	}
 
+	/**
+	 * Notes that an endpoint answered.
+	 * @param start the endpoint
+	 * @param failure whether its answer says that it failed
+	 */
+	public void answered(EndpointStart start, boolean failure) {
+		if (failure) {
+			failed(start);
+		}
+		else {
+			served(start);
+		}
+	}
+
 	/**
 	 * Whether an endpoint should get nothing while others can take it.
 	 * @param start the endpoint
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/CatalogEntry.java
@@ -0,0 +1,51 @@
+package org.bramleyscale.internal.gateway.node;
+
+import org.bramleyscale.internal.gateway.catalog.Catalog;
+import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.follow.FollowedObject;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.jboss.logging.Logger;
+
+/**
+ * Takes the operator's document into force.
+ *
+ * <p>
+ * Invariant: a document that can't be read, or is gone, changes nothing. Confined to the
+ * scheduler's thread.
+ */
+final class CatalogEntry {
+
+	private static final Logger logger = Logger.getLogger(CatalogEntry.class);
+
+	private final Documents documents;
+
+	private final CatalogHolder catalogs;
+
+	private final DecisionLog log;
+
+	CatalogEntry(Documents documents, CatalogHolder catalogs, DecisionLog log) {
+		this.documents = documents;
+		this.catalogs = catalogs;
+		this.log = log;
+	}
+
+	/**
+	 * Takes an object's new copy, or its deletion.
+	 * @param object the copy
+	 */
+	void changed(FollowedObject object) {
+		if (object.deleted() || !object.name().equals(this.documents.catalogName())) {
+			return;
+		}
+		try {
+			Catalog catalog = this.documents.catalog(object.value());
+			boolean taken = this.catalogs.offer(catalog);
+			this.log.belief("catalog", catalog.version(), "in_force", taken, "revision", object.revision(), "routes",
+					catalog.routeCount());
+		}
+		catch (Documents.DocumentException ex) {
+			logger.errorf("The operator's document can't be read: %s", ex.getMessage());
+		}
+	}
+
+}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -18,7 +18,6 @@
 import org.bramleyscale.internal.gateway.follow.FollowOrder;
 import org.bramleyscale.internal.gateway.follow.FollowTimes;
 import org.bramleyscale.internal.gateway.follow.FollowedKind;
-import org.bramleyscale.internal.gateway.follow.FollowedObject;
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
 import org.bramleyscale.internal.gateway.follow.StoreFollower;
 import org.bramleyscale.internal.gateway.hold.EngineOrders;
@@ -45,7 +44,6 @@
 import org.bramleyscale.internal.peer.TcpPeerNetwork;
 import org.bramleyscale.internal.platform.ObjectStore;
 import org.bramleyscale.internal.status.StatusSummary;
-import org.jboss.logging.Logger;
 
 /**
  * One daemon that relays requests: its slices, their sockets and their thread.
@@ -59,8 +57,6 @@
  */
 public final class GatewayNode {
 
-	private static final Logger logger = Logger.getLogger(GatewayNode.class);
-
 	/** The pause between sweeps of what has lapsed or was lost. */
 	private static final Duration SWEEP = Duration.ofMillis(100);
 
@@ -127,7 +123,7 @@
 		this.self = new Incarnation(settings.vm(), registration.start());
 		PeerSetup peers = new PeerSetup(settings, this.self);
 		this.backends = new BackendTable(loop, log);
-		FollowedKind catalogKind = new FollowedKind(this::catalogChanged);
+		FollowedKind catalogKind = new FollowedKind(new CatalogEntry(parts.documents(), this.catalogs, log)::changed);
 		this.health = new BackendHealth(loop, log);
 		this.loads = new LoadBoard(loop);
 		FollowedKind backendKind = new FollowedKind(new BackendEntries(parts.documents(), this.backends, this.health,
@@ -290,22 +286,6 @@
 		this.registration.register();
 	}
 
-	private void catalogChanged(FollowedObject object) {
-		if (object.deleted() || !object.name().equals(this.parts.documents().catalogName())) {
-			return;
-		}
-		try {
-			Catalog catalog = this.parts.documents().catalog(object.value());
-			boolean taken = this.catalogs.offer(catalog);
-			this.parts.log()
-				.belief("catalog", catalog.version(), "in_force", taken, "revision", object.revision(), "routes",
-						catalog.routeCount());
-		}
-		catch (Documents.DocumentException ex) {
-			logger.errorf("The operator's document can't be read: %s", ex.getMessage());
-		}
-	}
-
 	private StoreFollower follower(String kind, ObjectStore store, FollowedKind copies, FollowTimes times) {
 		StoreFollower follower = new StoreFollower(kind, this.parts.loop(), this.random, store, copies,
 				new StoreOrder(), times, this.parts.log());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -1,16 +1,14 @@
 package org.bramleyscale.internal.gateway.request;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
+import org.bramleyscale.internal.gateway.crash.RequestDigest;
 import org.bramleyscale.internal.gateway.placement.Placement;
 import org.bramleyscale.internal.gateway.placement.PlacementRequest;
 import org.bramleyscale.internal.time.Cancellable;
@@ -59,6 +57,8 @@
 
 	private final SendGate gate;
 
+	private final RequestLines lines;
+
 	private final Tries tries;
 
 	private boolean begun;
@@ -86,7 +86,9 @@
 		this.lastEventId = request.lastEventId().orElse(null);
 		this.kept = new KeptPrompt(ports, request.id(), allowed.service().name(),
 				allowed.readMillis(request.promptTokens()));
-		this.gate = new SendGate(ports.scheduler(), ports.crashes(), allowed.digest(request),
+		RequestDigest digest = allowed.digest(request);
+		this.lines = new RequestLines(ports.log(), request, digest);
+		this.gate = new SendGate(ports.scheduler(), ports.crashes(), digest,
 				(reason, retryAfter) -> giveUp(UNAVAILABLE, reason, retryAfter));
 	}
 
@@ -135,11 +137,7 @@
 		Backend target = placement.target().get();
 		this.tries.asks(target.start());
 		this.ports.limits().sent(target.start());
-		this.ports.log()
-			.request(this.request.id(), "sent", "endpoint", target.id(), "reason", placement.reason(), "helpers",
-					names(placement.helpers()), "predicted_ms", Math.round(placement.firstMillis()), "asked",
-					this.tries.asked(), "left_ms", left().toMillis(), "catalog", this.allowed.version(), "after_event",
-					this.lastEventId, "digest", this.gate.digest());
+		this.lines.sent(placement, this.tries.asked(), left(), this.allowed.version(), this.lastEventId);
 		this.gate.sent();
 		this.attempt = new Attempt(this, target, placement, this.ports);
 		this.attempt.send((helpers) -> new OutgoingRequest(this.request, this.allowed.account().map(Account::id),
@@ -173,7 +171,7 @@
 		}
 		else {
 			this.tries.mayHaveRun();
-			noteOutcome(from, head);
+			this.ports.health().answered(from.target().start(), head.failure());
 			this.reply.whole(head.status(), head.headers(), body);
 			this.ports.metrics().answered(waited().toNanos());
 			finish("completed", head.success() ? "completed" : "failed", "status", head.status(), "endpoint",
@@ -195,9 +193,7 @@
 			this.begun = true;
 			Duration waited = waited();
 			this.ports.metrics().firstEvent(this.longPrompt, waited.toNanos());
-			this.ports.log()
-				.request(this.request.id(), "first event", "endpoint", from.target().id(), "after_ms",
-						waited.toMillis(), "predicted_ms", Math.round(from.predictedMillis()));
+			this.lines.firstEvent(from.target(), waited, from.predictedMillis());
 			this.reply.onReadsAgain(this::callerReads);
 			this.reply.begin(head.status(), head.headers());
 		}
@@ -246,15 +242,13 @@
 		if (!sent) {
 			this.ports.health().unreachable(from.target().start(), cause);
 			this.ports.metrics().again("unreachable");
-			this.ports.log().request(this.request.id(), "unreachable", "endpoint", from.target().id(), "cause", cause);
+			this.lines.unreachable(from.target(), cause);
 			retryOr(false, cause);
 			return;
 		}
 		this.tries.mayHaveRun();
 		this.ports.health().failed(from.target().start());
-		this.ports.log()
-			.request(this.request.id(), "fell", "endpoint", from.target().id(), "cause", cause, "digest",
-					this.gate.digest(), "after_event", this.lastEventId);
+		this.lines.fell(from.target(), cause, this.lastEventId);
 		this.gate.fell(from.target());
 		brokenOff(from, cause);
 	}
@@ -272,9 +266,7 @@
 		this.ports.health().unreachable(from.target().start(), "silent");
 		this.ports.health().failed(from.target().start());
 		this.ports.metrics().again("silent");
-		this.ports.log()
-			.request(this.request.id(), "taken elsewhere", "endpoint", from.target().id(), "cause", "silent",
-					"after_event", this.lastEventId);
+		this.lines.takenElsewhere(from.target(), this.lastEventId);
 		from.cancel();
 		send();
 	}
@@ -322,24 +314,16 @@
 		return (!this.begun && patience.compareTo(left()) < 0) ? patience : left();
 	}
 
-	private static String names(List<Backend> engines) {
-		return engines.stream().map((engine) -> engine.id().value()).collect(Collectors.joining(" "));
-	}
-
 	private void refusedBy(Attempt from, BackendHead head) {
 		this.ports.metrics().again("refused");
-		this.ports.log()
-			.request(this.request.id(), "endpoint refused", "endpoint", from.target().id(), "status", head.status(),
-					"at_fault", head.atFault().orElse(null));
+		this.lines.refused(from.target(), head);
 		this.ports.health().unreachable(from.atFault(head), "refused with " + head.status());
 		retryOr(true, "endpoints refused");
 	}
 
 	private void again(Attempt from, String cause) {
 		this.ports.metrics().again("failed");
-		this.ports.log()
-			.request(this.request.id(), "sent again", "endpoint", from.target().id(), "cause", cause, "after_event",
-					this.lastEventId);
+		this.lines.sentAgain(from.target(), cause, this.lastEventId);
 		from.cancel();
 		send();
 	}
@@ -395,15 +379,6 @@
 		return this.tries.anyMayHaveRun() || (this.attempt != null && this.attempt.mayRun());
 	}
 
-	private void noteOutcome(Attempt from, BackendHead head) {
-		if (head.failure()) {
-			this.ports.health().failed(from.target().start());
-		}
-		else {
-			this.ports.health().served(from.target().start());
-		}
-	}
-
 	private void finish(String decision, String outcome, Object... fields) {
 		this.over = true;
 		this.endTimer.cancel();
@@ -416,10 +391,7 @@
 			this.ports.demands().shortEnded(this.allowed.service().name());
 		}
 		this.ports.metrics().ended(outcome);
-		Object[] ending = { "route", this.allowed.route(), "after_ms", waited().toMillis(), "prompt_tokens",
-				this.request.promptTokens() };
-		Object[] all = Stream.concat(Stream.of(fields), Stream.of(ending)).toArray();
-		this.ports.log().request(this.request.id(), decision, all);
+		this.lines.ended(decision, this.allowed.route(), waited(), fields);
 		this.ended.accept(this);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -62,10 +62,6 @@
 		this.refusal = refusal;
 	}
 
-	RequestDigest digest() {
-		return this.digest;
-	}
-
 	/**
 	 * Sends the request now, in a moment, or not at all.
 	 * @param send sends it
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
@@ -8,6 +8,7 @@
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -36,7 +37,7 @@
 		boolean restarts = random.nextBoolean();
 		boolean outages = random.nextBoolean();
 		fleet.loses(random.nextBoolean() ? 0.3 : 0);
-		List<GatewayFleet.Caller> others = new ArrayList<>();
+		List<PlayedCaller> others = new ArrayList<>();
 		for (int millis = 0; millis < 60_000; millis += 20) {
 			if (random.nextInt(pause / 20) == 0) {
 				fleet.call(GatewayFleet.Endpoint.DEADLY + random.nextInt(deadly));
@@ -56,7 +57,7 @@
 		for (int i = 0; i < deadly; i++) {
 			Truth.assertThat(fleet.arrivedTooLate(GatewayFleet.Endpoint.DEADLY + i)).isAtMost(MORE);
 		}
-		Truth.assertThat(others.stream().filter(GatewayFleet.Caller::suspected).count()).isEqualTo(0);
+		Truth.assertThat(others.stream().filter(PlayedCaller::suspected).count()).isEqualTo(0);
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
@@ -7,6 +7,7 @@
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -56,7 +57,7 @@
 			fleet.scheduler.advance(Duration.ofSeconds(1));
 		}
 		int arrived = fleet.arrivals(DEADLY).size();
-		GatewayFleet.Caller caller = fleet.call(DEADLY);
+		PlayedCaller caller = fleet.call(DEADLY);
 		Truth.assertThat(caller.got()).isEqualTo("own 503");
 		Truth.assertThat(caller.retryAfter()).isAtLeast(Duration.ofSeconds(30));
 		fleet.scheduler.advance(Duration.ofSeconds(5));
@@ -92,7 +93,7 @@
 			Truth.assertThat(i).isLessThan(20);
 		}
 		fleet.scheduler.advance(Duration.ofSeconds(3));
-		GatewayFleet.Caller caller = fleet.call(INNOCENT);
+		PlayedCaller caller = fleet.call(INNOCENT);
 		fleet.scheduler.advance(Duration.ofSeconds(1));
 		Truth.assertThat(caller.got()).isEqualTo("200");
 		Truth.assertThat(fleet.store.all()).isEmpty();
@@ -103,7 +104,7 @@
 	@CsvSource({ "1, 1", "9, 2", "30, 3" })
 	void aPopularRequestIsServedThroughASeriesOfCrashes(int daemons, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
-		List<GatewayFleet.Caller> callers = new ArrayList<>();
+		List<PlayedCaller> callers = new ArrayList<>();
 		for (int millis = 0; millis < 10_000; millis += 20) {
 			callers.add(fleet.call(INNOCENT));
 			if (millis % 400 == 200) {
@@ -112,9 +113,9 @@
 			fleet.scheduler.advance(Duration.ofMillis(20));
 		}
 		fleet.scheduler.advance(Duration.ofSeconds(3));
-		Truth.assertThat(callers.stream().map(GatewayFleet.Caller::got).filter("200"::equals).count())
+		Truth.assertThat(callers.stream().map(PlayedCaller::got).filter("200"::equals).count())
 			.isAtLeast(callers.size() * 97L / 100);
-		Truth.assertThat(callers.stream().filter(GatewayFleet.Caller::suspected).count()).isEqualTo(0);
+		Truth.assertThat(callers.stream().filter(PlayedCaller::suspected).count()).isEqualTo(0);
 	}
 
 	/** Guards against taking reset connections for endpoints that ended. */
@@ -130,7 +131,7 @@
 			fleet.scheduler.advance(Duration.ofMillis(400));
 		}
 		Truth.assertThat(fleet.store.all()).isEmpty();
-		GatewayFleet.Caller caller = fleet.call(INNOCENT);
+		PlayedCaller caller = fleet.call(INNOCENT);
 		fleet.scheduler.advance(Duration.ofMillis(300));
 		Truth.assertThat(caller.got()).isEqualTo("200");
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -34,8 +34,8 @@
 import org.bramleyscale.internal.gateway.crash.EndpointCheck;
 import org.bramleyscale.internal.gateway.crash.FleetCrashGuard;
 import org.bramleyscale.internal.gateway.follow.NewsRoutes;
-import org.bramleyscale.internal.gateway.hold.EngineOrders;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.hold.NoOrders;
 import org.bramleyscale.internal.gateway.limit.FleetLimits;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
@@ -44,12 +44,10 @@
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
-import org.bramleyscale.internal.gateway.request.CallerReply;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
-import org.bramleyscale.internal.gateway.request.Header;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.gateway.retry.RetryWindow;
 import org.bramleyscale.internal.peer.PeerListener;
@@ -143,15 +141,15 @@
 	 * endpoint that runs it
 	 * @return what becomes of it
 	 */
-	public Caller call(int daemon, String text) {
-		Caller caller = new Caller();
+	public PlayedCaller call(int daemon, String text) {
+		PlayedCaller caller = new PlayedCaller();
 		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", "/log/1", "hire.example", List.of(),
 				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty());
 		this.daemons.get(daemon).service.take(request, caller);
 		return caller;
 	}
 
-	public Caller call(String text) {
+	public PlayedCaller call(String text) {
 		return call(this.random.nextInt(this.daemons.size()), text);
 	}
 
@@ -606,88 +604,4 @@
 
 	}
 
-	/**
-	 * A caller that notes what it gets.
-	 */
-	public static final class Caller implements CallerReply {
-
-		private String got = "";
-
-		private String reason = "";
-
-		private Duration retryAfter = Duration.ZERO;
-
-		public String got() {
-			return this.got;
-		}
-
-		public Duration retryAfter() {
-			return this.retryAfter;
-		}
-
-		/**
-		 * Whether the request was refused for what it may do to endpoints, and not
-		 * because none could be reached.
-		 * @return true if it was
-		 */
-		public boolean suspected() {
-			return this.reason.contains("under this request");
-		}
-
-		@Override
-		public void whole(int status, List<Header> headers, byte[] body) {
-			this.got += status;
-		}
-
-		@Override
-		public void own(int status, String reason, Duration pause) {
-			this.got += "own " + status;
-			this.reason = reason;
-			this.retryAfter = pause;
-		}
-
-		@Override
-		public void begin(int status, List<Header> headers) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public boolean write(byte[] data) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void onReadsAgain(Runnable task) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void end() {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void abort() {
-			throw new UnsupportedOperationException();
-		}
-
-	}
-
-	/**
-	 * Endpoints that take no orders.
-	 */
-	private static final class NoOrders implements EngineOrders {
-
-		@Override
-		public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> release(Backend engine, String id) {
-			throw new UnsupportedOperationException();
-		}
-
-	}
-
 }
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedCaller.java
@@ -0,0 +1,74 @@
+package org.bramleyscale.internal.gateway.fleet;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.bramleyscale.internal.gateway.request.CallerReply;
+import org.bramleyscale.internal.gateway.request.Header;
+
+/**
+ * A caller that notes what it gets. Confined to the test's thread.
+ */
+public final class PlayedCaller implements CallerReply {
+
+	private String got = "";
+
+	private String reason = "";
+
+	private Duration retryAfter = Duration.ZERO;
+
+	public String got() {
+		return this.got;
+	}
+
+	public Duration retryAfter() {
+		return this.retryAfter;
+	}
+
+	/**
+	 * Whether the request was refused for what it may do to endpoints, and not because
+	 * none could be reached.
+	 * @return true if it was
+	 */
+	public boolean suspected() {
+		return this.reason.contains("under this request");
+	}
+
+	@Override
+	public void whole(int status, List<Header> headers, byte[] body) {
+		this.got += status;
+	}
+
+	@Override
+	public void own(int status, String reason, Duration pause) {
+		this.got += "own " + status;
+		this.reason = reason;
+		this.retryAfter = pause;
+	}
+
+	@Override
+	public void begin(int status, List<Header> headers) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public boolean write(byte[] data) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public void onReadsAgain(Runnable task) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public void end() {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public void abort() {
+		throw new UnsupportedOperationException();
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/NoOrders.java
@@ -0,0 +1,23 @@
+package org.bramleyscale.internal.gateway.hold;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.bramleyscale.internal.gateway.backend.Backend;
+
+/**
+ * Engines that take no orders, for tests of requests that need none.
+ */
+public final class NoOrders implements EngineOrders {
+
+	@Override
+	public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<Void> release(Backend engine, String id) {
+		throw new UnsupportedOperationException();
+	}
+
+}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/NamedLimitTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/NamedLimitTests.java
@@ -8,6 +8,7 @@
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,7 +81,7 @@
 	void whatNoEndpointMayGetIsRefusedAtOnceAndTheRestIsServed() {
 		GatewayFleet fleet = new GatewayFleet(9, ENDPOINTS, 1);
 		Random random = new Random(1);
-		List<GatewayFleet.Caller> callers = new ArrayList<>();
+		List<PlayedCaller> callers = new ArrayList<>();
 		for (int i = 0; i < ENDPOINTS; i++) {
 			fleet.limit(i, OptionalDouble.of(2));
 		}
@@ -98,8 +99,8 @@
 			.forEach((caller) -> Truth.assertThat(caller.retryAfter()).isGreaterThan(Duration.ZERO));
 	}
 
-	private List<GatewayFleet.Caller> call(GatewayFleet fleet, Random random, int callsPerSecond) {
-		List<GatewayFleet.Caller> callers = new ArrayList<>();
+	private List<PlayedCaller> call(GatewayFleet fleet, Random random, int callsPerSecond) {
+		List<PlayedCaller> callers = new ArrayList<>();
 		for (int i = 0; i < callsPerSecond; i++) {
 			if (random.nextInt(50) == 0) {
 				callers.add(fleet.call("request " + ++this.calls));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -10,7 +10,6 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.net.HostAndPort;
@@ -26,8 +25,8 @@
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.crash.CrashGuard;
-import org.bramleyscale.internal.gateway.hold.EngineOrders;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.hold.NoOrders;
 import org.bramleyscale.internal.gateway.limit.EndpointLimits;
 import org.bramleyscale.internal.gateway.load.DemandBoard;
 import org.bramleyscale.internal.gateway.load.LoadBoard;
@@ -250,21 +249,4 @@
 
 	}
 
-	/**
-	 * Engines that take no orders.
-	 */
-	private static final class NoOrders implements EngineOrders {
-
-		@Override
-		public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> release(Backend engine, String id) {
-			throw new UnsupportedOperationException();
-		}
-
-	}
-
 }
