Take only an endpoint's own answer for a sign that it lives

Cause: any answer counted as one of the endpoint that was asked, so crashes of the endpoint before were taken back. Test endpoints have successors at their address.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -60,8 +60,8 @@
  *
  * <p>
  * An endpoint that ends closes its connections and refuses new ones; after {@link #DOWN}
- * it is back as another one, and {@link #LISTED} after its end its entry is off the list.
- * Confined to the test's thread.
+ * another one listens at its address and turns its requests away, and {@link #LISTED}
+ * after its end its entry is off the list. Confined to the test's thread.
  */
 public final class GatewayFleet {
 
@@ -309,6 +309,8 @@
 
 		private long namedAt;
 
+		private long endedAt;
+
 		private boolean alive = true;
 
 		private Endpoint(Backend backend) {
@@ -361,7 +363,8 @@
 
 		private void arrives(Sent sent) {
 			if (!this.alive) {
-				GatewayFleet.this.scheduler.schedule(REFUSAL, () -> sent.fails(false, "connect: Connection refused"));
+				GatewayFleet.this.scheduler.schedule(REFUSAL,
+						refuses() ? () -> sent.fails(false, "connect: Connection refused") : sent::isMisdirected);
 				return;
 			}
 			GatewayFleet.this.arrivals
@@ -384,11 +387,16 @@
 			}
 		}
 
+		private boolean refuses() {
+			return !this.alive && GatewayFleet.this.scheduler.nanos() - this.endedAt < DOWN.toNanos();
+		}
+
 		private void end() {
 			if (!this.alive) {
 				return;
 			}
 			this.alive = false;
+			this.endedAt = GatewayFleet.this.scheduler.nanos();
 			List<Sent> fallen = List.copyOf(this.running);
 			this.running.clear();
 			fallen.forEach((sent) -> sent.fails(true, "connection closed by the endpoint"));
@@ -431,6 +439,15 @@
 			}
 		}
 
+		/** Another endpoint listens at the address. */
+		private void isMisdirected() {
+			if (!this.cancelled) {
+				this.listener.head(
+						new BackendHead(421, List.of(), true, false, false, OptionalDouble.empty(), Optional.empty()));
+				this.listener.complete();
+			}
+		}
+
 		private void answers() {
 			if (!this.cancelled) {
 				this.to.limit
@@ -509,7 +526,7 @@
 		public CompletableFuture<Boolean> refuses(Backend endpoint) {
 			CompletableFuture<Boolean> result = new CompletableFuture<>();
 			GatewayFleet.this.scheduler.schedule(REFUSAL,
-					() -> result.complete(!GatewayFleet.this.endpoints.get(endpoint.start()).alive));
+					() -> result.complete(GatewayFleet.this.endpoints.get(endpoint.start()).refuses()));
 			return result;
 		}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.net.HostAndPort;
@@ -25,6 +26,8 @@
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.crash.CrashGuard;
+import org.bramleyscale.internal.gateway.crash.RequestDigest;
+import org.bramleyscale.internal.gateway.crash.Verdict;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
 import org.bramleyscale.internal.gateway.hold.NoOrders;
 import org.bramleyscale.internal.gateway.limit.EndpointLimits;
@@ -62,6 +65,8 @@
 	/** Placements that the next requests get instead of a plain one. */
 	final Deque<Placement> forced = new ArrayDeque<>();
 
+	final SignsOfLife signs = new SignsOfLife();
+
 	PlacementRequest placed;
 
 	Duration longestTaken = Duration.ofDays(1);
@@ -80,7 +85,7 @@
 		GatewayPorts ports = new GatewayPorts(this.scheduler, new DataCentre("east"), this::send,
 				forcedOr(new PlainPlacement(this.backends, health, this.loads, random)), health, this.loads,
 				this.demands, new RetryWindow(this.scheduler, Duration.ofSeconds(10), 0, RETRY_CONSTANT, () -> 1),
-				EndpointLimits.NONE, CrashGuard.NONE, new MemoryHolds(this.scheduler, new NoOrders(),
+				EndpointLimits.NONE, this.signs, new MemoryHolds(this.scheduler, new NoOrders(),
 						this.backends::startedAgain, "entry-1", DecisionLog.NONE),
 				() -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
@@ -249,4 +254,38 @@
 
 	}
 
+	/**
+	 * Notes which endpoints showed that they live, and lets every request pass.
+	 */
+	static final class SignsOfLife implements CrashGuard {
+
+		final List<EndpointStart> living = new ArrayList<>();
+
+		@Override
+		public Verdict verdict(RequestDigest request) {
+			return Verdict.CLEAR;
+		}
+
+		@Override
+		public void claimTrial(RequestDigest request, Consumer<Boolean> granted) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void fell(RequestDigest request, Backend endpoint) {
+			// Only signs of life count here.
+		}
+
+		@Override
+		public void survived(RequestDigest request) {
+			// Only signs of life count here.
+		}
+
+		@Override
+		public void answered(EndpointStart endpoint, long sentAt) {
+			this.living.add(endpoint);
+		}
+
+	}
+
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -52,6 +52,17 @@
 		}
 	}
 
+	/**
+	 * Guards against taking the next endpoint at an address for the one that ended there.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "421, true, 0", "503, true, 0", "200, false, 1", "500, false, 1" })
+	void onlyAnEndpointsOwnAnswerShowsThatItLives(int status, boolean notRun, int signs) {
+		this.fixture.call("/book/1");
+		this.fixture.last().answer(status, notRun, "");
+		Truth.assertThat(this.fixture.signs.living).hasSize(signs);
+	}
+
 	@Test
 	void saysNotRunOnlyIfEveryEndpointVouchesForIt() {
 		RelayFixture.Caller caller = this.fixture.call("/book/1");
