--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashLedger.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashLedger.java
@@ -43,12 +43,15 @@
 	/** Crashes and records of before an answer have come by then. */
 	static final Duration PROOF_KEPT = Duration.ofSeconds(15);
 
+	/** Whoever missed a crash for longer is told when it speaks of the request. */
+	static final Duration REPEATED = Duration.ofSeconds(30);
+
 	/** Requests that are remembered as cleared, for crashes that are told late. */
 	private static final int MOST_PROOFS = 1_000;
 
 	private final Clock clock;
 
-	private final Map<RequestDigest, Set<EndpointStart>> crashes = new LinkedHashMap<>();
+	private final Map<RequestDigest, Crashes> crashes = new LinkedHashMap<>();
 
 	private final Map<RequestDigest, Recorded> records = new HashMap<>();
 
@@ -77,13 +80,15 @@
 		if (cleared(request, endpoint)) {
 			return false;
 		}
-		Set<EndpointStart> ended = this.crashes.get(request);
-		if (ended == null) {
+		Crashes known = this.crashes.get(request);
+		if (known == null) {
 			makeRoom();
-			ended = new HashSet<>();
-			this.crashes.put(request, ended);
+			known = new Crashes();
+			this.crashes.put(request, known);
 		}
-		return ended.add(endpoint);
+		boolean added = known.endpoints.add(endpoint);
+		known.latest = added ? this.clock.nanos() : known.latest;
+		return added;
 	}
 
 	/**
@@ -92,17 +97,17 @@
 	 * @return false if nothing was known of it but that it is clear
 	 */
 	boolean clear(RequestDigest request) {
-		Set<EndpointStart> ended = this.crashes.remove(request);
+		Crashes known = this.crashes.remove(request);
 		Recorded record = this.records.remove(request);
 		Proof before = this.proofs.get(request);
-		if (ended != null || record != null || before != null) {
-			Set<EndpointStart> all = (ended != null) ? ended : new HashSet<>();
+		if (known != null || record != null || before != null) {
+			Set<EndpointStart> all = (known != null) ? known.endpoints : new HashSet<>();
 			if (before != null) {
 				all.addAll(before.endpoints());
 			}
 			this.proofs.put(request, new Proof(all, this.clock.nanos()));
 		}
-		return ended != null || record != null;
+		return known != null || record != null;
 	}
 
 	/**
@@ -133,10 +138,10 @@
 	 */
 	boolean lives(EndpointStart endpoint) {
 		boolean known = false;
-		for (Set<EndpointStart> ended : this.crashes.values()) {
-			known |= ended.remove(endpoint);
+		for (Crashes each : this.crashes.values()) {
+			known |= each.endpoints.remove(endpoint);
 		}
-		this.crashes.values().removeIf(Set::isEmpty);
+		this.crashes.values().removeIf((each) -> each.endpoints.isEmpty());
 		return known;
 	}
 
@@ -167,7 +172,7 @@
 	 * @return the number, as far as known here or in the store
 	 */
 	int crashes(RequestDigest request) {
-		int told = this.crashes.getOrDefault(request, Set.of()).size();
+		int told = endpoints(request).size();
 		Recorded record = this.records.get(request);
 		return (record != null) ? Math.max(told, record.record().crashes()) : told;
 	}
@@ -178,7 +183,8 @@
 	 * @return a copy
 	 */
 	Set<EndpointStart> endpoints(RequestDigest request) {
-		return Set.copyOf(this.crashes.getOrDefault(request, Set.of()));
+		Crashes known = this.crashes.get(request);
+		return (known != null) ? Set.copyOf(known.endpoints) : Set.of();
 	}
 
 	/**
@@ -206,17 +212,19 @@
 
 	/**
 	 * The crashes of those requests under which most endpoints have ended, of those that
-	 * have no record.
+	 * have no record and were last told of within {@link #REPEATED}.
 	 * @param most how many crashes at most
 	 * @return the crashes
 	 */
 	List<CrashesTold.Crash> worst(int most) {
 		List<RequestDigest> requests = new ArrayList<>(this.crashes.keySet());
-		requests.removeIf(this.records::containsKey);
-		requests.sort(Comparator.comparingInt((request) -> -this.crashes.get(request).size()));
+		long now = this.clock.nanos();
+		requests.removeIf((request) -> this.records.containsKey(request)
+				|| now - this.crashes.get(request).latest > REPEATED.toNanos());
+		requests.sort(Comparator.comparingInt((request) -> -this.crashes.get(request).endpoints.size()));
 		List<CrashesTold.Crash> worst = new ArrayList<>();
 		for (RequestDigest request : requests) {
-			for (EndpointStart endpoint : this.crashes.get(request)) {
+			for (EndpointStart endpoint : this.crashes.get(request).endpoints) {
 				if (worst.size() == most) {
 					return worst;
 				}
@@ -233,7 +241,7 @@
 	List<RequestDigest> unrecorded() {
 		return this.crashes.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().size() >= ACCUSED)
+			.filter((entry) -> entry.getValue().endpoints.size() >= ACCUSED)
 			.map(Map.Entry::getKey)
 			.filter((request) -> !this.records.containsKey(request) && !proven(request))
 			.toList();
@@ -253,10 +261,21 @@
 		}
 		this.crashes.keySet()
 			.stream()
-			.min(Comparator.comparingInt((request) -> this.crashes.get(request).size()))
+			.min(Comparator.comparingInt((request) -> this.crashes.get(request).endpoints.size()))
 			.ifPresent(this.crashes::remove);
 	}
 
+	/**
+	 * The endpoints that ended under a request.
+	 */
+	private static final class Crashes {
+
+		private final Set<EndpointStart> endpoints = new HashSet<>();
+
+		private long latest;
+
+	}
+
 	/**
 	 * That a request has run to an answer.
 	 *
