--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
@@ -9,6 +9,7 @@
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
 import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
+import org.bramleyscale.internal.gateway.fleet.PlayedEndpoint;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -40,7 +41,7 @@
 		List<PlayedCaller> others = new ArrayList<>();
 		for (int millis = 0; millis < 60_000; millis += 20) {
 			if (random.nextInt(pause / 20) == 0) {
-				fleet.call(GatewayFleet.Endpoint.DEADLY + random.nextInt(deadly));
+				fleet.call(PlayedEndpoint.DEADLY + random.nextInt(deadly));
 			}
 			others.add(fleet.call((random.nextInt(3) == 0) ? "popular" : "other " + millis));
 			if (restarts && random.nextInt(100) == 0) {
@@ -55,7 +56,7 @@
 			fleet.scheduler.advance(Duration.ofMillis(20));
 		}
 		for (int i = 0; i < deadly; i++) {
-			Truth.assertThat(fleet.arrivedTooLate(GatewayFleet.Endpoint.DEADLY + i)).isAtMost(MORE);
+			Truth.assertThat(fleet.arrivedTooLate(PlayedEndpoint.DEADLY + i)).isAtMost(MORE);
 		}
 		Truth.assertThat(others.stream().filter(PlayedCaller::suspected).count()).isEqualTo(0);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
@@ -8,6 +8,7 @@
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
 import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
+import org.bramleyscale.internal.gateway.fleet.PlayedEndpoint;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,7 +18,7 @@
  */
 class CrashingRequestTests {
 
-	private static final String DEADLY = GatewayFleet.Endpoint.DEADLY;
+	private static final String DEADLY = PlayedEndpoint.DEADLY;
 
 	private static final String INNOCENT = "innocent";
 
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
@@ -0,0 +1,210 @@
+package org.bramleyscale.internal.gateway.fleet;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.Incarnation;
+import org.bramleyscale.VmId;
+import org.bramleyscale.internal.address.RendezvousHash;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.BackendHealth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.catalog.Account;
+import org.bramleyscale.internal.gateway.catalog.Catalog;
+import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
+import org.bramleyscale.internal.gateway.catalog.Route;
+import org.bramleyscale.internal.gateway.crash.EndpointCheck;
+import org.bramleyscale.internal.gateway.crash.FleetCrashGuard;
+import org.bramleyscale.internal.gateway.follow.NewsRoutes;
+import org.bramleyscale.internal.gateway.hold.MemoryHolds;
+import org.bramleyscale.internal.gateway.hold.NoOrders;
+import org.bramleyscale.internal.gateway.limit.FleetLimits;
+import org.bramleyscale.internal.gateway.load.DemandBoard;
+import org.bramleyscale.internal.gateway.load.LoadBoard;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.request.BackendClient;
+import org.bramleyscale.internal.gateway.request.BackendListener;
+import org.bramleyscale.internal.gateway.request.GatewayMetrics;
+import org.bramleyscale.internal.gateway.request.GatewayPorts;
+import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.OutgoingRequest;
+import org.bramleyscale.internal.gateway.retry.RetryWindow;
+import org.bramleyscale.internal.peer.PeerListener;
+import org.bramleyscale.internal.peer.PeerMessage;
+import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.time.ManualScheduler;
+
+/**
+ * One start of a daemon, with real slices. Confined to the test's thread.
+ */
+public final class PlayedDaemon implements PeerNetwork, NewsRoutes, EndpointCheck {
+
+	private static final RendezvousHash<VmId> HASH = new RendezvousHash<>(VmId::value);
+
+	private static final Duration TRAVEL = Duration.ofMillis(1);
+
+	/** How long news between daemons take, also in a large fleet. */
+	private static final Duration NEWS = Duration.ofMillis(60);
+
+	final GatewayFleet fleet;
+
+	private final VmId vm;
+
+	private final BackendTable backends;
+
+	final FleetCrashGuard crashes;
+
+	private final FleetLimits limits;
+
+	final GatewayService service;
+
+	private final Map<Class<?>, PeerListener<?>> listeners = new HashMap<>();
+
+	private final long startedAt;
+
+	boolean killed;
+
+	PlayedDaemon(GatewayFleet fleet, int place) {
+		this.fleet = fleet;
+		this.startedAt = fleet.scheduler.nanos();
+		this.vm = new VmId("d" + place);
+		ManualScheduler clock = fleet.scheduler;
+		this.backends = new BackendTable(clock, DecisionLog.NONE);
+		this.crashes = new FleetCrashGuard(
+				new FleetCrashGuard.Ports(clock, this, this, this.fleet.store, DecisionLog.NONE, new MetricRegistry()),
+				this, this.backends::offers, () -> place == 0);
+		this.limits = new FleetLimits(clock, this, this, this::rank, DecisionLog.NONE, new MetricRegistry());
+		this.backends.onEnd(this.crashes::gone);
+		BackendHealth health = new BackendHealth(clock, DecisionLog.NONE);
+		LoadBoard loads = new LoadBoard(clock);
+		CatalogHolder catalogs = new CatalogHolder();
+		catalogs.offer(Catalog.builder(1)
+			.account(new Account(new ClientAccountId("hule"), OptionalInt.empty()), List.of("key"))
+			.route(Route.builder("log", "hire.example", "/log/")
+				.service(GatewayFleet.SERVICE.value())
+				.timeout(Duration.ofSeconds(10))
+				.targetLatency(Duration.ofMillis(300))
+				.idempotent(true)
+				.maxAttempts(2)
+				.build())
+			.build());
+		GatewayPorts ports = new GatewayPorts(clock, GatewayFleet.DATA_CENTRE, this::send,
+				new PlainPlacement(this.backends, health, loads, this.fleet.random), health, loads,
+				new DemandBoard(clock), new RetryWindow(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1), this.limits,
+				this.crashes,
+				new MemoryHolds(clock, new NoOrders(), this.backends::startedAgain, "d" + place, DecisionLog.NONE),
+				() -> {
+				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
+		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
+	}
+
+	@Override
+	public CompletableFuture<Boolean> refuses(Backend endpoint) {
+		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		this.fleet.scheduler.schedule(PlayedEndpoint.REFUSAL,
+				() -> result.complete(this.fleet.endpoints.get(endpoint.start()).refuses()));
+		return result;
+	}
+
+	@Override
+	public boolean send(VmId to, PeerMessage message) {
+		if (this.fleet.random.nextDouble() < this.fleet.lost) {
+			return true;
+		}
+		this.fleet.scheduler.schedule(NEWS,
+				() -> this.fleet.daemons.stream()
+					.filter((daemon) -> daemon.vm.equals(to) && !this.killed)
+					.forEach((daemon) -> daemon.received(this, message)));
+		return true;
+	}
+
+	boolean inTouch() {
+		boolean ran = this.fleet.scheduler.nanos() - this.startedAt > GatewayFleet.CONTACT.toNanos();
+		return ran && this.fleet.store.stableFor(GatewayFleet.CONTACT);
+	}
+
+	@SuppressWarnings("unchecked")
+	private void received(PlayedDaemon from, PeerMessage message) {
+		((PeerListener<PeerMessage>) this.listeners.get(message.getClass())).received(new Incarnation(from.vm, 1),
+				message);
+	}
+
+	/**
+	 * Whether this daemon counts another as one that runs. While that has just started,
+	 * half of the others don't.
+	 * @param other the other daemon
+	 * @return whether it does
+	 */
+	private boolean sees(PlayedDaemon other) {
+		boolean fresh = this.fleet.scheduler.nanos() - other.startedAt < GatewayFleet.CONTACT.toNanos();
+		boolean unaware = (this.vm.hashCode() + other.vm.hashCode()) % 2 == 0;
+		return other == this || !fresh || !unaware;
+	}
+
+	/**
+	 * This daemon's place among all that it knows to run.
+	 * @param endpoint the endpoint
+	 * @return 0 for the first
+	 */
+	private int rank(EndpointStart endpoint) {
+		List<VmId> all = this.fleet.daemons.stream().filter(this::sees).map((daemon) -> daemon.vm).toList();
+		return HASH.ranked(endpoint.toString(), all).indexOf(this.vm);
+	}
+
+	@Override
+	public Set<VmId> connected() {
+		Set<VmId> others = new TreeSet<>(Comparator.comparing(VmId::value));
+		this.fleet.daemons.stream()
+			.map((daemon) -> daemon.vm)
+			.filter((other) -> !other.equals(this.vm))
+			.forEach(others::add);
+		return others;
+	}
+
+	@Override
+	public <M extends PeerMessage> void listen(Class<M> type, PeerListener<M> listener) {
+		this.listeners.put(type, listener);
+	}
+
+	@Override
+	public Collection<VmId> firstHand() {
+		return connected();
+	}
+
+	@Override
+	public Collection<VmId> passedOn(VmId from) {
+		return List.of();
+	}
+
+	void lists(PlayedEndpoint endpoint) {
+		this.backends.put(endpoint.backend);
+	}
+
+	void offList(Backend backend) {
+		this.backends.remove(backend.id(), false);
+	}
+
+	private BackendClient.BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
+		PlayedEndpoint endpoint = this.fleet.endpoints.get(to.start());
+		SentRequest sent = new SentRequest(this, endpoint, request, listener);
+		this.fleet.scheduler.schedule(TRAVEL, () -> {
+			if (!sent.cancelled) {
+				endpoint.arrives(sent);
+			}
+		});
+		return sent;
+	}
+
+}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
@@ -0,0 +1,72 @@
+package org.bramleyscale.internal.gateway.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+
+import org.bramleyscale.internal.gateway.request.BackendClient;
+import org.bramleyscale.internal.gateway.request.BackendHead;
+import org.bramleyscale.internal.gateway.request.BackendListener;
+import org.bramleyscale.internal.gateway.request.OutgoingRequest;
+
+/**
+ * A request that a daemon sent to an endpoint. Confined to the test's thread.
+ */
+final class SentRequest implements BackendClient.BackendExchange {
+
+	final PlayedDaemon from;
+
+	final PlayedEndpoint to;
+
+	private final OutgoingRequest request;
+
+	final BackendListener listener;
+
+	boolean cancelled;
+
+	SentRequest(PlayedDaemon from, PlayedEndpoint to, OutgoingRequest request, BackendListener listener) {
+		this.from = from;
+		this.to = to;
+		this.request = request;
+		this.listener = listener;
+	}
+
+	String text() {
+		return new String(this.request.original().body());
+	}
+
+	void fails(boolean sent, String cause) {
+		if (!this.cancelled) {
+			this.listener.failed(sent, cause);
+		}
+	}
+
+	/** Another endpoint listens at the address. */
+	void isMisdirected() {
+		if (!this.cancelled) {
+			this.listener
+				.head(new BackendHead(421, List.of(), true, false, false, OptionalDouble.empty(), Optional.empty()));
+			this.listener.complete();
+		}
+	}
+
+	void answers() {
+		if (!this.cancelled) {
+			this.to.limit.ifPresent((limit) -> this.to.told.putIfAbsent(this.from, this.from.fleet.scheduler.nanos()));
+			this.listener.head(new BackendHead(200, List.of(), false, true, false, this.to.limit, Optional.empty()));
+			this.listener.complete();
+		}
+	}
+
+	@Override
+	public void cancel() {
+		this.cancelled = true;
+		this.to.running.remove(this);
+	}
+
+	@Override
+	public void reading(boolean on) {
+		// The endpoints of these tests answer at once.
+	}
+
+}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/LimitFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/LimitFaultsTests.java
@@ -7,6 +7,7 @@
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PlayedEndpoint;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -40,7 +41,7 @@
 		int callsPerSecond = 20 + random.nextInt(200);
 		boolean restarts = random.nextBoolean();
 		fleet.loses(random.nextBoolean() ? 0.3 : 0);
-		GatewayFleet.Endpoint endpoint = fleet.limit(3, OptionalDouble.of(perSecond));
+		PlayedEndpoint endpoint = fleet.limit(3, OptionalDouble.of(perSecond));
 		boolean names = true;
 		int calls = 0;
 		for (long millis = 0; millis < END; millis += 20) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/NamedLimitTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/limit/NamedLimitTests.java
@@ -9,6 +9,7 @@
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
 import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
+import org.bramleyscale.internal.gateway.fleet.PlayedEndpoint;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -37,7 +38,7 @@
 			long restartMillis, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
 		Random random = new Random(seed);
-		List<GatewayFleet.Endpoint> limited = new ArrayList<>();
+		List<PlayedEndpoint> limited = new ArrayList<>();
 		for (long millis = 0; millis < END; millis += 20) {
 			if (millis == NAMED) {
 				limited.add(fleet.limit(2, OptionalDouble.of(limit)));
@@ -60,7 +61,7 @@
 	void anEndpointGetsWorkAgainOnceItNamesNoLimit(int daemons, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
 		Random random = new Random(seed);
-		GatewayFleet.Endpoint limited = fleet.limit(2, OptionalDouble.of(1));
+		PlayedEndpoint limited = fleet.limit(2, OptionalDouble.of(1));
 		long over = 20_000;
 		for (long millis = 0; millis < 60_000; millis += 20) {
 			if (millis == over) {
