Pass news on by relays in the tests' large fleets

Cause: tests of crashes and limits with 25 to 300 daemons had all tell all; fleets of that size tell their relays, which pass news on.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -42,6 +42,8 @@
 
 	static final DataCentre DATA_CENTRE = new DataCentre("east");
 
+	private static final int LARGEST_MESH = 24;
+
 	private static final int SLOTS = 11;
 
 	public final ManualScheduler scheduler = new ManualScheduler();
@@ -216,6 +218,14 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
 	}
 
+	/**
+	 * Whether all daemons tell all; in a larger fleet relays pass news on.
+	 * @return true if they do
+	 */
+	boolean flat() {
+		return this.daemons.size() <= LARGEST_MESH;
+	}
+
 	void startEndpoint() {
 		PlayedEndpoint endpoint = new PlayedEndpoint(this, new Backend(EndpointStart.untold("e" + ++this.started),
 				SERVICE, HostAndPort.fromParts("10.0.0." + this.started % 200, 80), DATA_CENTRE, SLOTS, false));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.ClientAccountId;
@@ -58,8 +59,15 @@
 	/** How long news between daemons take, also in a large fleet. */
 	private static final Duration NEWS = Duration.ofMillis(60);
 
+	private static final int DATA_CENTRES = 3;
+
+	/** Relays in each data centre of a large fleet. */
+	private static final int RELAYS = 2;
+
 	final GatewayFleet fleet;
 
+	private final int place;
+
 	private final VmId vm;
 
 	private final BackendTable backends;
@@ -78,6 +86,7 @@
 
 	PlayedDaemon(GatewayFleet fleet, int place) {
 		this.fleet = fleet;
+		this.place = place;
 		this.startedAt = fleet.scheduler.nanos();
 		this.vm = new VmId("d" + place);
 		ManualScheduler clock = fleet.scheduler;
@@ -180,12 +189,39 @@
 
 	@Override
 	public Collection<VmId> firstHand() {
-		return connected();
+		if (this.fleet.flat()) {
+			return connected();
+		}
+		return relay() ? passedOnByRelay() : others((other) -> other.relay() && near(other));
 	}
 
 	@Override
 	public Collection<VmId> passedOn(VmId from) {
-		return List.of();
+		if (this.fleet.flat() || !relay()) {
+			return List.of();
+		}
+		boolean fromNear = this.fleet.daemons.stream().anyMatch((other) -> other.vm.equals(from) && near(other));
+		Collection<VmId> to = fromNear ? passedOnByRelay() : others(this::near);
+		return to.stream().filter((vm) -> !vm.equals(from)).toList();
+	}
+
+	private Collection<VmId> passedOnByRelay() {
+		return others((other) -> near(other) || other.relay());
+	}
+
+	private boolean relay() {
+		return this.place < DATA_CENTRES * RELAYS;
+	}
+
+	private boolean near(PlayedDaemon other) {
+		return other.place % DATA_CENTRES == this.place % DATA_CENTRES;
+	}
+
+	private Collection<VmId> others(Predicate<PlayedDaemon> which) {
+		return this.fleet.daemons.stream()
+			.filter((other) -> !other.vm.equals(this.vm) && which.test(other))
+			.map((other) -> other.vm)
+			.toList();
 	}
 
 	void lists(PlayedEndpoint endpoint) {
