Use a trial up once it has reached an endpoint

Seen: read in the code. The rule counts what reaches endpoints. Cause: a trial that an endpoint turned away was sent to the next one, up to four. Change: it goes on only if it reached nobody; otherwise the next trial, if one is left, comes once this one is settled.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -338,7 +338,9 @@
 	}
 
 	private void retryOr(boolean arrived, String reason) {
-		this.gate.notRun();
+		if (!arrived) {
+			this.gate.notArrived();
+		}
 		if (this.tries.takeTry(arrived)) {
 			send();
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -92,9 +92,9 @@
 	}
 
 	/**
-	 * Notes that the last sending certainly didn't run, so that a trial is still to come.
+	 * Notes that the last sending reached no endpoint, so that a trial is still to come.
 	 */
-	void notRun() {
+	void notArrived() {
 		this.granted = this.trial;
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -255,20 +255,29 @@
 	}
 
 	/**
-	 * Notes which endpoints showed that they live, and lets every request pass.
+	 * Notes which endpoints showed that they live. Every request passes; if the test says
+	 * so, only as a trial, of which there is one.
 	 */
 	static final class SignsOfLife implements CrashGuard {
 
 		final List<EndpointStart> living = new ArrayList<>();
 
+		boolean suspects;
+
+		private boolean claimed;
+
 		@Override
 		public Verdict verdict(RequestDigest request) {
-			return Verdict.CLEAR;
+			if (!this.suspects) {
+				return Verdict.CLEAR;
+			}
+			return this.claimed ? Verdict.WAIT : Verdict.TRIAL;
 		}
 
 		@Override
 		public void claimTrial(RequestDigest request, Consumer<Boolean> granted) {
-			throw new UnsupportedOperationException();
+			this.claimed = true;
+			granted.accept(true);
 		}
 
 		@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -63,6 +63,19 @@
 		Truth.assertThat(this.fixture.signs.living).hasSize(signs);
 	}
 
+	/**
+	 * Guards against one trial that reaches several endpoints, each of which turns it
+	 * away.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "refused, 1", "not sent, 2" })
+	void aTrialGoesOnOnlyIfItReachedNobody(String failure, int sent) {
+		this.fixture.signs.suspects = true;
+		this.fixture.call("/book/1");
+		fail(this.fixture.last(), failure);
+		Truth.assertThat(this.fixture.sent).hasSize(sent);
+	}
+
 	@Test
 	void saysNotRunOnlyIfEveryEndpointVouchesForIt() {
 		RelayFixture.Caller caller = this.fixture.call("/book/1");
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SendGateTests.java
@@ -0,0 +1,92 @@
+package org.bramleyscale.internal.gateway.request;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.crash.CrashGuard;
+import org.bramleyscale.internal.gateway.crash.RequestDigest;
+import org.bramleyscale.internal.gateway.crash.Verdict;
+import org.bramleyscale.internal.time.ManualScheduler;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link SendGate}.
+ */
+class SendGateTests {
+
+	private static final RequestDigest REQUEST = new RequestDigest("suspect");
+
+	private final ManualScheduler scheduler = new ManualScheduler();
+
+	private final OneTrial guard = new OneTrial();
+
+	private String refused = "";
+
+	private int sent;
+
+	private final SendGate gate = new SendGate(this.scheduler, this.guard, REQUEST,
+			(reason, retryAfter) -> this.refused = reason);
+
+	/**
+	 * Guards against one trial that reaches several endpoints, each of which turns it
+	 * away.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "true, 2", "false, 1" })
+	void aTrialIsRepeatedOnlyIfItReachedNobody(boolean unreachable, int sendings) {
+		send();
+		this.gate.sent();
+		if (unreachable) {
+			this.gate.notArrived();
+		}
+		send();
+		Truth.assertThat(this.sent).isEqualTo(sendings);
+		Truth.assertThat(this.guard.claims).isEqualTo(1);
+		this.scheduler.advance(SendGate.LONGEST_WAIT.plus(Duration.ofSeconds(1)));
+		Truth.assertThat(this.refused.isEmpty()).isEqualTo(unreachable);
+	}
+
+	private void send() {
+		this.gate.pass(() -> this.sent++);
+	}
+
+	/**
+	 * Grants one trial, which has no outcome.
+	 */
+	private static final class OneTrial implements CrashGuard {
+
+		private int claims;
+
+		@Override
+		public Verdict verdict(RequestDigest request) {
+			return (this.claims == 0) ? Verdict.TRIAL : Verdict.WAIT;
+		}
+
+		@Override
+		public void claimTrial(RequestDigest request, Consumer<Boolean> granted) {
+			this.claims++;
+			granted.accept(true);
+		}
+
+		@Override
+		public void fell(RequestDigest request, Backend endpoint) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void survived(RequestDigest request) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void answered(EndpointStart endpoint, long sentAt) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
