Tell in lines what endpoints say of themselves: that they leave, how long they want rest

Seen: no line of a daemon shows that an endpoint's answer says it leaves, or for how long one that turned it away wants nothing. Without that, 'nobody read it' and 'known, and not kept to' look alike. Change: the head of an answer is decoded into a notice (limit, leaving, rest); lines 'endpoint says' tell it with the request. Nothing is decided by it yet. What comes with 421 is another endpoint's word and says nothing. The tests' fleet has endpoints that leave and that ask for rest.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -188,10 +188,11 @@
 	public void head(BackendHead head) {
 		if (!this.over) {
 			this.head = head;
+			this.request.noticed(this.target, head.notice());
 			if (head.genuine() && !head.notRun()) {
 				// A refusal may come from the next endpoint at the target's address.
 				this.request.gate().answered(this.target.start(), this.sentAt);
-				this.ports.limits().answered(this.target.start(), head.perSecond(), this.sentAt);
+				this.ports.limits().answered(this.target.start(), head.notice().perSecond(), this.sentAt);
 			}
 		}
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/BackendHead.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/BackendHead.java
@@ -2,7 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
+
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 
 /**
  * The head of an endpoint's answer.
@@ -15,12 +16,12 @@
  * @param notRun true if the endpoint vouches that it didn't run the request
  * @param genuine true if it bears the endpoint's signature and no foreign encoding
  * @param events true if the body is a series of events
- * @param perSecond the requests a second that the endpoint takes from all daemons
- * together, if it names a limit
+ * @param notice what the endpoint says of itself; nothing where another endpoint answers
+ * at its address
  * @param atFault the address of the endpoint because of which this one refused
  */
 public record BackendHead(int status, List<Header> headers, boolean notRun, boolean genuine, boolean events,
-		OptionalDouble perSecond, Optional<String> atFault) {
+		EndpointNotice notice, Optional<String> atFault) {
 
 	private static final int FIRST_SUCCESS = 200;
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
@@ -152,6 +153,15 @@
 		return Duration.ofNanos(this.ports.scheduler().nanos() - this.arrived);
 	}
 
+	/**
+	 * An endpoint says something of itself.
+	 * @param endpoint the endpoint
+	 * @param notice what it says
+	 */
+	void noticed(Backend endpoint, EndpointNotice notice) {
+		this.lines.noticed(endpoint, notice);
+	}
+
 	void answered(Attempt from, BackendHead head, byte[] body) {
 		if (head.genuine() && !head.notRun()) {
 			this.gate.survived();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLines.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLines.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.crash.RequestDigest;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -45,6 +46,18 @@
 				Math.round(predictedMillis));
 	}
 
+	/**
+	 * An endpoint's answer says that it leaves or asks for rest.
+	 * @param endpoint the endpoint
+	 * @param notice what it says of itself
+	 */
+	void noticed(Backend endpoint, EndpointNotice notice) {
+		if (notice.leaving() || notice.rest().isPresent()) {
+			line("endpoint says", "endpoint", endpoint.id(), "leaving", notice.leaving(), "rest_ms",
+					notice.rest().map(Duration::toMillis).orElse(null));
+		}
+	}
+
 	void unreachable(Backend endpoint, String cause) {
 		line("unreachable", "endpoint", endpoint.id(), "cause", cause);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -38,6 +38,9 @@
 	/** A daemon is in touch if it has run and heard the store for so long. */
 	public static final Duration CONTACT = Duration.ofSeconds(3);
 
+	/** What callers send so long after a daemon heard of a leaving is too late. */
+	static final Duration DRAINS = Duration.ofSeconds(2);
+
 	static final ServiceName SERVICE = new ServiceName("quotes");
 
 	static final DataCentre DATA_CENTRE = new DataCentre("east");
@@ -60,6 +63,8 @@
 
 	double lost;
 
+	private final Map<String, Long> callerSent = new HashMap<>();
+
 	private int started;
 
 	private int requests;
@@ -92,6 +97,7 @@
 		PlayedCaller caller = new PlayedCaller();
 		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", "/log/1", "hire.example", List.of(),
 				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty());
+		this.callerSent.put(request.id(), this.scheduler.nanos());
 		this.daemons.get(daemon).service.take(request, caller);
 		return caller;
 	}
@@ -109,19 +115,44 @@
 	}
 
 	/**
-	 * Has an endpoint name a limit in its answers from now on, or none any more.
-	 * @param place the endpoint's place among those that live
-	 * @param perSecond requests a second from all daemons together; empty for no limit
+	 * One of the endpoints.
+	 * @param place its place among those that live, by id
 	 * @return the endpoint
 	 */
-	public PlayedEndpoint limit(int place, OptionalDouble perSecond) {
-		PlayedEndpoint endpoint = this.endpoints.values()
+	public PlayedEndpoint endpoint(int place) {
+		return this.endpoints.values()
 			.stream()
 			.filter((each) -> each.alive)
 			.sorted(Comparator.comparing((each) -> each.backend.id().value()))
 			.skip(place)
 			.findFirst()
 			.orElseThrow();
+	}
+
+	/**
+	 * Has all daemons take an endpoint's entry anew, as it is.
+	 * @param endpoint the endpoint
+	 */
+	public void relist(PlayedEndpoint endpoint) {
+		this.daemons.forEach((daemon) -> daemon.lists(endpoint));
+	}
+
+	/**
+	 * Has an endpoint's entry lapse for all daemons, as after an outage of the store.
+	 * @param endpoint the endpoint
+	 */
+	public void lapse(PlayedEndpoint endpoint) {
+		this.daemons.forEach((daemon) -> daemon.lapses(endpoint));
+	}
+
+	/**
+	 * Has an endpoint name a limit in its answers from now on, or none any more.
+	 * @param place the endpoint's place among those that live
+	 * @param perSecond requests a second from all daemons together; empty for no limit
+	 * @return the endpoint
+	 */
+	public PlayedEndpoint limit(int place, OptionalDouble perSecond) {
+		PlayedEndpoint endpoint = endpoint(place);
 		if (endpoint.limit.isEmpty() && perSecond.isPresent()) {
 			endpoint.namedAt = this.scheduler.nanos();
 			endpoint.told.clear();
@@ -218,6 +249,10 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
 	}
 
+	long callerSent(SentRequest sent) {
+		return this.callerSent.get(sent.id());
+	}
+
 	/**
 	 * Whether all daemons tell all; in a larger fleet relays pass news on.
 	 * @return true if they do
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
@@ -228,6 +228,10 @@
 		this.backends.put(endpoint.backend);
 	}
 
+	void lapses(PlayedEndpoint endpoint) {
+		this.backends.remove(endpoint.backend.id(), true);
+	}
+
 	void offList(Backend backend) {
 		this.backends.remove(backend.id(), false);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedEndpoint.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedEndpoint.java
@@ -5,9 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 
 /**
  * One start of an endpoint. Confined to the test's thread.
@@ -42,6 +44,12 @@
 
 	OptionalDouble limit = OptionalDouble.empty();
 
+	private final NoticeRecord notices = new NoticeRecord();
+
+	private boolean leaving;
+
+	private Optional<Duration> rest = Optional.empty();
+
 	long namedAt;
 
 	private long endedAt;
@@ -88,6 +96,47 @@
 			.count();
 	}
 
+	/**
+	 * Has the endpoint say in all its answers from now on that it leaves; it goes on
+	 * serving, and its entry stays on the list as it is.
+	 */
+	public void leave() {
+		this.leaving = true;
+	}
+
+	/**
+	 * Has the endpoint turn everything away from now on, or nothing any more.
+	 * @param wanted the rest that it asks for
+	 */
+	public void turnAway(Optional<Duration> wanted) {
+		this.rest = wanted;
+	}
+
+	/**
+	 * Requests that came though their daemon had passed on {@link GatewayFleet#DRAINS}
+	 * before that this endpoint leaves.
+	 * @return the number
+	 */
+	public int arrivedAfterLeaving() {
+		return this.notices.afterLeaving();
+	}
+
+	/**
+	 * Rests asked of a daemon in which more than a few requests came from it.
+	 * @return the number
+	 */
+	public int brokenRests() {
+		return this.notices.brokenRests();
+	}
+
+	/**
+	 * How many daemons this endpoint asked for rest.
+	 * @return the number
+	 */
+	public int askedForRest() {
+		return this.notices.askedForRest();
+	}
+
 	private void count(PlayedDaemon from) {
 		long now = this.fleet.scheduler.nanos();
 		this.arrivedNanos.add(now);
@@ -106,6 +155,11 @@
 		this.fleet.arrivals
 			.add(new GatewayFleet.Arrival(sent.text(), this.fleet.scheduler.nanos() / 1_000_000, sent.from.inTouch()));
 		count(sent.from);
+		this.notices.arrives(sent.from, this.fleet.callerSent(sent), this.fleet.scheduler.nanos());
+		if (this.rest.isPresent()) {
+			turnAway(sent);
+			return;
+		}
 		this.running.add(sent);
 		if (sent.text().contains(DEADLY)) {
 			this.fleet.scheduler.schedule(UNTIL_CRASH, () -> {
@@ -123,6 +177,28 @@
 		}
 	}
 
+	private void turnAway(SentRequest sent) {
+		EndpointNotice notice = new EndpointNotice(this.leaving, this.rest, OptionalDouble.empty());
+		this.notices.restAsked(sent.from, this.fleet.scheduler.nanos(), this.rest.get());
+		this.fleet.scheduler.schedule(REFUSAL, () -> sent.isTurnedAway(notice));
+	}
+
+	/**
+	 * What an answer says of this endpoint now, to a daemon that passes it on.
+	 * @param to the daemon
+	 * @return the notice
+	 */
+	EndpointNotice notice(PlayedDaemon to) {
+		long now = this.fleet.scheduler.nanos();
+		if (this.limit.isPresent()) {
+			this.told.putIfAbsent(to, now);
+		}
+		if (this.leaving) {
+			this.notices.leavingPassedOn(to, now);
+		}
+		return new EndpointNotice(this.leaving, Optional.empty(), this.limit);
+	}
+
 	boolean refuses() {
 		return !this.alive && this.fleet.scheduler.nanos() - this.endedAt < GatewayFleet.DOWN.toNanos();
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
@@ -31,6 +31,10 @@
 		this.listener = listener;
 	}
 
+	String id() {
+		return this.request.original().id();
+	}
+
 	String text() {
 		return new String(this.request.original().body());
 	}
@@ -45,15 +49,22 @@
 	void isMisdirected() {
 		if (!this.cancelled) {
 			this.listener
-				.head(new BackendHead(421, List.of(), true, false, false, OptionalDouble.empty(), Optional.empty()));
+				.head(new BackendHead(421, List.of(), true, false, false, EndpointNotice.NONE, Optional.empty()));
+			this.listener.complete();
+		}
+	}
+
+	void isTurnedAway(EndpointNotice notice) {
+		if (!this.cancelled) {
+			this.listener.head(new BackendHead(503, List.of(), true, false, false, notice, Optional.empty()));
 			this.listener.complete();
 		}
 	}
 
 	void answers() {
 		if (!this.cancelled) {
-			this.to.limit.ifPresent((limit) -> this.to.told.putIfAbsent(this.from, this.from.fleet.scheduler.nanos()));
-			this.listener.head(new BackendHead(200, List.of(), false, true, false, this.to.limit, Optional.empty()));
+			this.listener
+				.head(new BackendHead(200, List.of(), false, true, false, this.to.notice(this.from), Optional.empty()));
 			this.listener.complete();
 		}
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
@@ -46,7 +46,7 @@
 		return new BackendHead(answer.status().code(), PassedHeaders.of(answer.headers(), Set.of()),
 				answer.headers().contains("Not-Run"), answer.headers().contains("Signature"),
 				answer.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream"),
-				OptionalDouble.empty(), Optional.empty());
+				EndpointNotice.NONE, Optional.empty());
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -7,7 +7,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -20,6 +19,7 @@
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
@@ -151,7 +151,7 @@
 
 	static BackendHead head(int status, boolean notRun, boolean genuine, boolean events) {
 		return new BackendHead(status, List.of(new Header("signature", "s" + status)), notRun, genuine, events,
-				OptionalDouble.empty(), Optional.empty());
+				EndpointNotice.NONE, Optional.empty());
 	}
 
 	/**
