--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/LeavingEndpointTests.java
@@ -0,0 +1,56 @@
+package org.bramleyscale.internal.gateway.backend;
+
+import java.time.Duration;
+import java.util.Random;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PlayedEndpoint;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of what daemons send to endpoints that said in an answer that they leave, while
+ * their entries say otherwise.
+ */
+@Tag("known-red")
+class LeavingEndpointTests {
+
+	private static final int ENDPOINTS = 14;
+
+	private static final long LEAVES = 4_000;
+
+	private static final long END = 30_000;
+
+	/** Guards against a leaving that only the store's list tells. */
+	@ParameterizedTest
+	@CsvSource({ "1, 60, 0, 0, 1", "9, 25, 0, 0, 2", "9, 60, 3000, 0, 3", "9, 60, 0, 700, 4", "9, 60, 1500, 700, 5",
+			"24, 120, 0, 1000, 6", "100, 150, 0, 0, 7", "300, 300, 200, 900, 8" })
+	void anEndpointThatSaidThatItLeavesGetsNothingMoreFromWhoeverPassedItOn(int daemons, int callsPerSecond,
+			long restartMillis, long relistMillis, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		Random random = new Random(seed);
+		PlayedEndpoint leaving = fleet.endpoint(2);
+		for (long millis = 0; millis < END; millis += 20) {
+			if (millis == LEAVES) {
+				leaving.leave();
+			}
+			for (int i = 0; i < callsPerSecond; i++) {
+				if (random.nextInt(50) == 0) {
+					fleet.call("request " + millis + "." + i);
+				}
+			}
+			if (restartMillis > 0 && millis % restartMillis == 0) {
+				fleet.restart((int) (millis / restartMillis) % daemons);
+			}
+			if (relistMillis > 0 && millis % relistMillis == 0) {
+				fleet.lapse(leaving);
+				fleet.scheduler.schedule(Duration.ofMillis(relistMillis / 3), () -> fleet.relist(leaving));
+			}
+			fleet.scheduler.advance(Duration.ofMillis(20));
+		}
+		Truth.assertThat(leaving.arrivedAfterLeaving()).isEqualTo(0);
+	}
+
+}
