--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/AskedRestTests.java
@@ -0,0 +1,97 @@
+package org.bramleyscale.internal.gateway.backend;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PlayedCaller;
+import org.bramleyscale.internal.gateway.fleet.PlayedEndpoint;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of what daemons send to endpoints that turn them away and ask for rest.
+ */
+@Tag("known-red")
+class AskedRestTests {
+
+	private static final int ENDPOINTS = 14;
+
+	private static final long BEGINS = 4_000;
+
+	private static final long ENDS = 14_000;
+
+	private static final long END = 30_000;
+
+	/** Guards against a rest that is shorter than the endpoint asked for. */
+	@ParameterizedTest
+	@CsvSource({ "1, 60, 1, 3000, 0, 1", "9, 60, 2, 3000, 0, 2", "9, 120, 3, 800, 0, 3", "9, 120, 13, 3000, 0, 4",
+			"9, 120, 14, 3000, 0, 5", "24, 150, 2, 6500, 0, 6", "9, 60, 2, 3000, 3000, 7", "100, 300, 4, 20000, 0, 8",
+			"300, 600, 14, 9000, 200, 9" })
+	void anEndpointThatAskedForRestIsLeftAlone(int daemons, int callsPerSecond, int resting, long restMillis,
+			long restartMillis, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		List<PlayedEndpoint> endpoints = new ArrayList<>();
+		for (int i = 0; i < resting; i++) {
+			endpoints.add(fleet.endpoint(i));
+		}
+		play(fleet, callsPerSecond, endpoints, Duration.ofMillis(restMillis), restartMillis, seed);
+		Truth.assertThat(endpoints.stream().mapToInt(PlayedEndpoint::askedForRest).sum()).isGreaterThan(0);
+		Truth.assertThat(endpoints.stream().mapToInt(PlayedEndpoint::brokenRests).sum()).isEqualTo(0);
+	}
+
+	/**
+	 * Guards against callers who wait, or come back too early, while all endpoints rest.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 30, 1", "9, 120, 2" })
+	void callersAreToldAtOnceWhenTheFirstRestEnds(int daemons, int callsPerSecond, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		List<PlayedEndpoint> all = new ArrayList<>();
+		for (int i = 0; i < ENDPOINTS; i++) {
+			all.add(fleet.endpoint(i));
+		}
+		play(fleet, callsPerSecond, all, Duration.ofSeconds(60), 0, seed);
+		PlayedCaller caller = fleet.call(0, "late");
+		Truth.assertThat(caller.got()).isEqualTo("own 503");
+		Truth.assertThat(caller.retryAfter()).isAtLeast(Duration.ofSeconds(25));
+		Truth.assertThat(caller.retryAfter()).isAtMost(Duration.ofSeconds(60));
+	}
+
+	/** Guards against endpoints that are left alone after their rest. */
+	@ParameterizedTest
+	@CsvSource({ "1, 60, 1", "9, 120, 2" })
+	void anEndpointGetsWorkAgainAfterItsRest(int daemons, int callsPerSecond, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		PlayedEndpoint endpoint = fleet.endpoint(2);
+		play(fleet, callsPerSecond, List.of(endpoint), Duration.ofSeconds(3), 0, seed);
+		Truth.assertThat(endpoint.brokenRests()).isEqualTo(0);
+		Truth.assertThat(endpoint.arrived(ENDS + 3_500, END)).isAtLeast(5);
+	}
+
+	private static void play(GatewayFleet fleet, int callsPerSecond, List<PlayedEndpoint> endpoints, Duration rest,
+			long restartMillis, long seed) {
+		Random random = new Random(seed);
+		for (long millis = 0; millis < END; millis += 20) {
+			if (millis == BEGINS || millis == ENDS) {
+				Optional<Duration> wanted = (millis == BEGINS) ? Optional.of(rest) : Optional.empty();
+				endpoints.forEach((endpoint) -> endpoint.turnAway(wanted));
+			}
+			for (int i = 0; i < callsPerSecond; i++) {
+				if (random.nextInt(50) == 0) {
+					fleet.call("request " + millis + "." + i);
+				}
+			}
+			if (restartMillis > 0 && millis % restartMillis == 0) {
+				fleet.restart((int) (millis / restartMillis) % fleet.daemons.size());
+			}
+			fleet.scheduler.advance(Duration.ofMillis(20));
+		}
+	}
+
+}
