--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
@@ -179,7 +179,9 @@
 		private final FollowedKind copies = new FollowedKind((object) -> {
 		});
 
-		private final PlayedStore.Access store = FakeFleet.this.store.new Access();
+		private final FreezableScheduler clock = new FreezableScheduler(FakeFleet.this.scheduler);
+
+		private final PlayedStore.Access store = FakeFleet.this.store.new Access(this.clock);
 
 		private final PeerCopies exchange;
 
@@ -194,11 +196,10 @@
 		private Daemon(int rank) {
 			this.rank = rank;
 			this.self = new Incarnation(new VmId("d" + rank), 1);
-			ManualScheduler clock = FakeFleet.this.scheduler;
-			this.exchange = new PeerCopies(this.self, clock, this, Map.of(PlayedStore.KIND, this.copies), this,
+			this.exchange = new PeerCopies(this.self, this.clock, this, Map.of(PlayedStore.KIND, this.copies), this,
 					DecisionLog.NONE);
-			this.follower = new StoreFollower(PlayedStore.KIND, clock, new Random(rank), this.store, this.copies, this,
-					FakeFleet.this.times, DecisionLog.NONE);
+			this.follower = new StoreFollower(PlayedStore.KIND, this.clock, new Random(rank), this.store, this.copies,
+					this, FakeFleet.this.times, DecisionLog.NONE);
 			this.follower
 				.onNews((from) -> this.exchange.push(PlayedStore.KIND, from, this.follower.sinceOutage(), rank == 0));
 		}
@@ -216,6 +217,14 @@
 			return this.peers;
 		}
 
+		/**
+		 * Has the daemon's process stand still.
+		 * @param span for how long
+		 */
+		void freeze(Duration span) {
+			this.clock.freeze(span);
+		}
+
 		/** Ends the daemon's connections with its peers. */
 		void losePeers() {
 			this.peers = false;
@@ -252,7 +261,7 @@
 			for (Daemon other : FakeFleet.this.daemons) {
 				if (other.self.vm().equals(to) && this.peers && other.peers) {
 					FakeFleet.this.scheduler.schedule(Duration.ofNanos(this.arrivesAt - now),
-							() -> other.received(this, message));
+							() -> other.clock.execute(() -> other.received(this, message)));
 				}
 			}
 			return true;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/PlayedStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/PlayedStore.java
@@ -14,6 +14,7 @@
 import org.bramleyscale.internal.platform.WatchBatch;
 import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.ManualScheduler;
+import org.bramleyscale.internal.time.Scheduler;
 
 /**
  * A store on a manual clock that many daemons follow, each by an access of its own that
@@ -94,12 +95,32 @@
 	 */
 	final class Access implements PartialStore {
 
+		private final Scheduler process;
+
 		private Link link = Link.WORKS;
 
+		private long answeredAt = Long.MIN_VALUE;
+
 		private CompletableFuture<WatchBatch> watch;
 
 		private int calls;
 
+		/**
+		 * Makes a daemon's access.
+		 * @param process runs what follows from an answer
+		 */
+		Access(Scheduler process) {
+			this.process = process;
+		}
+
+		/**
+		 * When the daemon last took an answer.
+		 * @return the time, by the scheduler
+		 */
+		long answeredAt() {
+			return this.answeredAt;
+		}
+
 		Link link() {
 			return this.link;
 		}
@@ -123,17 +144,17 @@
 		public CompletableFuture<WatchBatch> list(String kind) {
 			count();
 			if (this.link != Link.WORKS) {
-				return unanswered();
+				return heard(unanswered(Duration.ZERO));
 			}
-			return CompletableFuture.completedFuture(
-					new WatchBatch(PlayedStore.this.revision, false, List.copyOf(PlayedStore.this.stored.values())));
+			return heard(CompletableFuture.completedFuture(
+					new WatchBatch(PlayedStore.this.revision, false, List.copyOf(PlayedStore.this.stored.values()))));
 		}
 
 		@Override
 		public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
 			count();
-			this.watch = (this.link == Link.WORKS) ? answered(after, wait) : unanswered();
-			return this.watch;
+			this.watch = (this.link == Link.WORKS) ? answered(after, wait) : unanswered(wait);
+			return heard(this.watch);
 		}
 
 		private CompletableFuture<WatchBatch> answered(long after, Duration wait) {
@@ -149,8 +170,21 @@
 			return call;
 		}
 
-		private CompletableFuture<WatchBatch> unanswered() {
-			return failing((this.link == Link.REFUSED) ? REFUSAL : UNANSWERED);
+		private CompletableFuture<WatchBatch> unanswered(Duration wait) {
+			return failing((this.link == Link.REFUSED) ? REFUSAL : wait.plus(UNANSWERED));
+		}
+
+		private CompletableFuture<WatchBatch> heard(CompletableFuture<WatchBatch> call) {
+			CompletableFuture<WatchBatch> heard = new CompletableFuture<>();
+			call.whenComplete((batch, failure) -> this.process.execute(() -> {
+				if (failure != null) {
+					heard.completeExceptionally(failure);
+					return;
+				}
+				this.answeredAt = PlayedStore.this.scheduler.nanos();
+				heard.complete(batch);
+			}));
+			return heard;
 		}
 
 		private void count() {
