Count news as old as the store's answer may be

Cause: an answer of the store counted from when the daemon read it. One that had stood still, or whose own queue is long, made its copies look fresh, told all others so, and kept them from asking for another half of the time that a change may take. Change: a watch without changes counts from when it asked to be answered, any other answer from when it was asked for.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -27,7 +27,11 @@
  * watchers try again soon, and with short calls until the store answers: a silent one
  * swallows a watch for its whole length. The others ask again at a steady pace, which
  * bounds what they can be late once the store is back even if no peer tells them
- * anything. Confined to the scheduler's thread.
+ * anything.
+ *
+ * <p>
+ * Invariant: copies count as confirmed for a time before which the store can't have made
+ * its answer, however long that waits to be read. Confined to the scheduler's thread.
  */
 public final class StoreFollower {
 
@@ -234,16 +238,16 @@
 	 */
 	private void list(boolean first) {
 		if (first) {
-			ask(this.store.listCached(this.kind), Asked.NO_WATCH, Duration.ZERO, (batch) -> {
+			ask(this.store.listCached(this.kind), Asked.NO_WATCH, Duration.ZERO, (batch, askedAt) -> {
 				this.copies.list(asOfItsNewest(batch));
 				this.notBefore = this.scheduler.nanos() + PEERS_FIRST.toNanos();
 			});
 			return;
 		}
 		long known = this.copies.complete();
-		ask(this.store.list(this.kind), Asked.NO_WATCH, Duration.ZERO, (batch) -> {
+		ask(this.store.list(this.kind), Asked.NO_WATCH, Duration.ZERO, (batch, askedAt) -> {
 			this.copies.list(batch);
-			told(known);
+			told(known, askedAt);
 		});
 	}
 
@@ -263,7 +267,7 @@
 	private void watch(Duration wait) {
 		long after = this.copies.complete();
 		boolean check = !watches(this.scheduler.nanos());
-		ask(this.store.watch(this.kind, after, wait), after, wait, (batch) -> {
+		ask(this.store.watch(this.kind, after, wait), after, wait, (batch, askedAt) -> {
 			if (batch.gap()) {
 				this.log.belief("store", this.kind, "history", "lost", "revision", after);
 				list(false);
@@ -280,12 +284,15 @@
 				this.log.belief("store", this.kind, "watchers", "behind", "revision", this.copies.lastChange(), "known",
 						known);
 			}
-			told(after);
+			// Only a watch without changes was answered no sooner than it asked for.
+			boolean empty = batch.changed().isEmpty() && batch.deleted().isEmpty();
+			long answeredAt = empty ? askedAt + wait.toNanos() : askedAt;
+			told(after, Math.min(answeredAt, this.scheduler.nanos()));
 		});
 	}
 
-	private void told(long from) {
-		this.copies.confirm(this.scheduler.nanos());
+	private void told(long from, long confirmedAt) {
+		this.copies.confirm(confirmedAt);
 		this.news.told(from);
 	}
 
@@ -304,7 +311,7 @@
 				return;
 			}
 			answered();
-			reading.take(batch);
+			reading.take(batch, mine.askedAt());
 			turn();
 		});
 	}
@@ -364,7 +371,7 @@
 	@FunctionalInterface
 	private interface Reading {
 
-		void take(WatchBatch batch);
+		void take(WatchBatch batch, long askedAt);
 
 	}
 
