Carry limits, crashes and leaving endpoints to the fleet in one way

Left behind: named limits and crashing requests each told at once, passed on by relays and repeated to one peer after the other, in code of their own; the leaving of endpoints would have been the third, and told a daemon that starts nothing. Change: FleetNews carries what one daemon has learnt; limits, crashes and leaving keep their books only. A daemon that starts hears which listed endpoints have said that they leave. An endpoint that asks for rest is no longer taken for one that can't be reached as well, so that it gets work again as its rest ends.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -115,6 +115,14 @@
 		return true;
 	}
 
+	/**
+	 * The endpoints on the list that said themselves that they leave.
+	 * @return the endpoints
+	 */
+	List<Backend> leaving() {
+		return this.backends.values().stream().filter((backend) -> this.leaving.contains(backend.start())).toList();
+	}
+
 	/**
 	 * Takes the news that an entry is off the list.
 	 * @param id the entry's id
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/FleetPresence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/FleetPresence.java
@@ -1,12 +1,15 @@
 package org.bramleyscale.internal.gateway.backend;
 
-import java.util.Collection;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 
 import org.bramleyscale.Incarnation;
-import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.follow.FleetNews;
 import org.bramleyscale.internal.gateway.follow.NewsRoutes;
 import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.time.Scheduler;
 
 /**
  * Which endpoints take requests, as the list and the endpoints themselves say.
@@ -14,22 +17,28 @@
  * <p>
  * An endpoint tells that it leaves with its next answer, and its entry on the list may
  * follow much later, while the platform's store is away. The daemon that hears it tells
- * the others, so that they needn't find out with a request that is cut off. One that a
- * message doesn't reach hears it from the endpoint. Confined to the scheduler's thread.
+ * the others, so that they needn't find out with a request that is cut off. Confined to
+ * the scheduler's thread.
  */
-public final class FleetPresence implements EndpointPresence {
+public final class FleetPresence implements EndpointPresence, FleetNews.Beliefs<LeavingTold> {
 
-	private final BackendTable backends;
+	/** Endpoints in one repeated message: 30 bytes each. */
+	private static final int MOST_REPEATED = 40;
 
-	private final PeerNetwork network;
+	private final BackendTable backends;
 
-	private final NewsRoutes routes;
+	private final FleetNews<LeavingTold> news;
 
-	public FleetPresence(BackendTable backends, PeerNetwork network, NewsRoutes routes) {
+	/**
+	 * Makes the daemon's knowledge of who takes requests.
+	 * @param scheduler the daemon's scheduler
+	 * @param network to the peers
+	 * @param routes who gets what is new
+	 * @param backends the endpoints
+	 */
+	public FleetPresence(Scheduler scheduler, PeerNetwork network, NewsRoutes routes, BackendTable backends) {
 		this.backends = backends;
-		this.network = network;
-		this.routes = routes;
-		network.listen(LeavingTold.class, this::told);
+		this.news = new FleetNews<>(scheduler, network, routes, LeavingTold.class, this);
 	}
 
 	/**
@@ -48,19 +57,28 @@
 	@Override
 	public void leaves(EndpointStart endpoint) {
 		if (this.backends.noteLeaving(endpoint, "its answer")) {
-			tell(this.routes.firstHand(), endpoint);
+			this.news.tell(new LeavingTold(List.of(endpoint.toString())));
 		}
 	}
 
-	private void told(Incarnation from, LeavingTold message) {
-		EndpointStart endpoint = EndpointStart.parse(message.endpoint());
-		if (this.backends.noteLeaving(endpoint, from)) {
-			tell(this.routes.passedOn(from.vm()), endpoint);
-		}
+	@Override
+	public Optional<LeavingTold> gist() {
+		return told(this.backends.leaving()
+			.stream()
+			.limit(MOST_REPEATED)
+			.map((backend) -> backend.start().toString())
+			.toList());
+	}
+
+	@Override
+	public Optional<LeavingTold> heard(Incarnation from, LeavingTold message) {
+		List<String> endpoints = new ArrayList<>((message.endpoints() != null) ? message.endpoints() : List.of());
+		endpoints.removeIf((endpoint) -> !this.backends.noteLeaving(EndpointStart.parse(endpoint), from));
+		return told(endpoints);
 	}
 
-	private void tell(Collection<VmId> peers, EndpointStart endpoint) {
-		this.network.sendAll(peers, new LeavingTold(endpoint.toString()));
+	private static Optional<LeavingTold> told(List<String> endpoints) {
+		return endpoints.isEmpty() ? Optional.empty() : Optional.of(new LeavingTold(endpoints));
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/LeavingTold.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/LeavingTold.java
@@ -1,11 +1,13 @@
 package org.bramleyscale.internal.gateway.backend;
 
+import java.util.List;
+
 import org.bramleyscale.internal.peer.PeerMessage;
 
 /**
- * An endpoint has said in an answer that it leaves.
+ * Endpoints that have said in an answer that they leave.
  *
- * @param endpoint the endpoint's start as text
+ * @param endpoints their starts as text
  */
-public record LeavingTold(String endpoint) implements PeerMessage {
+public record LeavingTold(List<String> endpoints) implements PeerMessage {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashNews.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashNews.java
@@ -1,16 +1,16 @@
 package org.bramleyscale.internal.gateway.crash;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.bramleyscale.Incarnation;
-import org.bramleyscale.VmId;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.follow.FleetNews;
 import org.bramleyscale.internal.gateway.follow.NewsRoutes;
 import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.PeerNetwork;
@@ -25,21 +25,17 @@
  * daemon tells one peer after the other the worst that it knows, for those that have just
  * started or lost a message. Confined to the scheduler's thread.
  */
-final class CrashNews {
-
-	static final Duration PAUSE = Duration.ofSeconds(1);
+final class CrashNews implements FleetNews.Beliefs<CrashesTold> {
 
 	/** Crashes in one repeated message: 60 bytes each, 1.2 KB a second. */
 	private static final int MOST_REPEATED = 20;
 
 	private final PeerNetwork network;
 
-	private final NewsRoutes routes;
+	private final FleetNews<CrashesTold> news;
 
 	private final CrashLedger ledger;
 
-	private int next;
-
 	/**
 	 * Makes the exchange.
 	 * @param scheduler the daemon's scheduler
@@ -49,10 +45,8 @@
 	 */
 	CrashNews(Scheduler scheduler, PeerNetwork network, NewsRoutes routes, CrashLedger ledger) {
 		this.network = network;
-		this.routes = routes;
 		this.ledger = ledger;
-		network.listen(CrashesTold.class, this::told);
-		scheduler.repeat(PAUSE, this::repeat);
+		this.news = new FleetNews<>(scheduler, network, routes, CrashesTold.class, this);
 	}
 
 	/**
@@ -69,35 +63,25 @@
 	 * @param request the request
 	 */
 	void crashed(RequestDigest request) {
-		tell(new CrashesTold(crashes(request, this.ledger.endpoints(request)), List.of(), List.of()));
+		this.news.tell(new CrashesTold(crashes(request, this.ledger.endpoints(request)), List.of(), List.of()));
 	}
 
 	void cleared(RequestDigest request) {
-		tell(new CrashesTold(List.of(), List.of(request.value()), List.of()));
+		this.news.tell(new CrashesTold(List.of(), List.of(request.value()), List.of()));
 	}
 
 	void lives(EndpointStart endpoint) {
-		tell(new CrashesTold(List.of(), List.of(), List.of(endpoint.toString())));
+		this.news.tell(new CrashesTold(List.of(), List.of(), List.of(endpoint.toString())));
 	}
 
-	private void tell(CrashesTold message) {
-		this.network.sendAll(this.routes.firstHand(), message);
-	}
-
-	private void repeat() {
+	@Override
+	public Optional<CrashesTold> gist() {
 		List<CrashesTold.Crash> worst = this.ledger.worst(MOST_REPEATED);
-		List<VmId> peers = List.copyOf(this.network.connected());
-		if (!worst.isEmpty() && !peers.isEmpty()) {
-			this.network.send(peers.get(this.next++ % peers.size()), new CrashesTold(worst, List.of(), List.of()));
-		}
+		return worst.isEmpty() ? Optional.empty() : Optional.of(new CrashesTold(worst, List.of(), List.of()));
 	}
 
-	/**
-	 * Takes a peer's word, and passes on what is new in it.
-	 * @param from the peer
-	 * @param message what it tells
-	 */
-	private void told(Incarnation from, CrashesTold message) {
+	@Override
+	public Optional<CrashesTold> heard(Incarnation from, CrashesTold message) {
 		tellBack(from, orEmpty(message.crashes()));
 		List<CrashesTold.Crash> crashes = new ArrayList<>(orEmpty(message.crashes()));
 		crashes.removeIf((crash) -> !this.ledger.crashed(new RequestDigest(crash.request()),
@@ -106,9 +90,8 @@
 		cleared.removeIf((request) -> !this.ledger.clear(new RequestDigest(request)));
 		List<String> living = new ArrayList<>(orEmpty(message.living()));
 		living.removeIf((endpoint) -> !this.ledger.lives(EndpointStart.parse(endpoint)));
-		if (!crashes.isEmpty() || !cleared.isEmpty() || !living.isEmpty()) {
-			this.network.sendAll(this.routes.passedOn(from.vm()), new CrashesTold(crashes, cleared, living));
-		}
+		boolean news = !crashes.isEmpty() || !cleared.isEmpty() || !living.isEmpty();
+		return news ? Optional.of(new CrashesTold(crashes, cleared, living)) : Optional.empty();
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/limit/FleetLimits.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/limit/FleetLimits.java
@@ -1,6 +1,5 @@
 package org.bramleyscale.internal.gateway.limit;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -8,8 +7,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.Incarnation;
-import org.bramleyscale.VmId;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.follow.FleetNews;
 import org.bramleyscale.internal.gateway.follow.NewsRoutes;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.peer.MessageCatalog;
@@ -25,9 +24,7 @@
  * one peer after the other what it knows, for those that have just started. Confined to
  * the scheduler's thread.
  */
-public final class FleetLimits implements EndpointLimits {
-
-	static final Duration PAUSE = Duration.ofSeconds(1);
+public final class FleetLimits implements EndpointLimits, FleetNews.Beliefs<LimitsTold> {
 
 	/** Limits in one repeated message: 40 bytes each, 1.6 KB a second. */
 	private static final int MOST_REPEATED = 40;
@@ -36,16 +33,12 @@
 
 	private final Scheduler scheduler;
 
-	private final PeerNetwork network;
-
-	private final NewsRoutes routes;
+	private final FleetNews<LimitsTold> news;
 
 	private final DecisionLog log;
 
 	private final LimitBook book;
 
-	private int next;
-
 	/**
 	 * Makes the keeper.
 	 * @param scheduler the daemon's scheduler
@@ -58,12 +51,9 @@
 	public FleetLimits(Scheduler scheduler, PeerNetwork network, NewsRoutes routes, LimitHolders holders,
 			DecisionLog log, MetricRegistry metrics) {
 		this.scheduler = scheduler;
-		this.network = network;
-		this.routes = routes;
 		this.log = log;
 		this.book = new LimitBook(scheduler, holders);
-		network.listen(LimitsTold.class, this::told);
-		scheduler.repeat(PAUSE, this::repeat);
+		this.news = new FleetNews<>(scheduler, network, routes, LimitsTold.class, this);
 		metrics.gauge("gateway.limits.named", () -> this.book::size);
 	}
 
@@ -109,25 +99,18 @@
 		double said = perSecond.orElse(LimitsTold.Limit.UNLIMITED);
 		if (this.book.says(endpoint, said, now)) {
 			this.log.belief("endpoint", endpoint, "limit", said);
-			this.network.sendAll(this.routes.firstHand(), new LimitsTold(List.of(this.book.told(endpoint))));
+			this.news.tell(new LimitsTold(List.of(this.book.told(endpoint))));
 		}
 	}
 
-	private void repeat() {
+	@Override
+	public Optional<LimitsTold> gist() {
 		this.book.expire();
-		List<LimitsTold.Limit> newest = this.book.newest(MOST_REPEATED);
-		List<VmId> peers = List.copyOf(this.network.connected());
-		if (!newest.isEmpty() && !peers.isEmpty()) {
-			this.network.send(peers.get(this.next++ % peers.size()), new LimitsTold(newest));
-		}
+		return told(this.book.newest(MOST_REPEATED));
 	}
 
-	/**
-	 * Takes a peer's word, and passes on what changes something.
-	 * @param from the peer
-	 * @param message what it tells
-	 */
-	private void told(Incarnation from, LimitsTold message) {
+	@Override
+	public Optional<LimitsTold> heard(Incarnation from, LimitsTold message) {
 		List<LimitsTold.Limit> news = new ArrayList<>();
 		for (LimitsTold.Limit limit : (message.limits() != null) ? message.limits() : List.<LimitsTold.Limit>of()) {
 			EndpointStart endpoint = EndpointStart.parse(limit.endpoint());
@@ -138,9 +121,11 @@
 				news.add(limit);
 			}
 		}
-		if (!news.isEmpty()) {
-			this.network.sendAll(this.routes.passedOn(from.vm()), new LimitsTold(news));
-		}
+		return told(news);
+	}
+
+	private static Optional<LimitsTold> told(List<LimitsTold.Limit> limits) {
+		return limits.isEmpty() ? Optional.empty() : Optional.of(new LimitsTold(limits));
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -169,7 +169,7 @@
 				log);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
 				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request),
-				new FleetPresence(this.backends, this.network, this.directory), this.health, this.loads, demands,
+				new FleetPresence(loop, this.network, this.directory, this.backends), this.health, this.loads, demands,
 				retries(), this.limits, this.crashes, holds, this.loadExchange::tell, log,
 				new GatewayMetrics(parts.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this::takes, this.random);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -6,6 +6,7 @@
 
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointNotice;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.catalog.Service;
@@ -332,7 +333,10 @@
 	private void refusedBy(Attempt from, BackendHead head) {
 		this.ports.metrics().again("refused");
 		this.lines.refused(from.target(), head);
-		this.ports.health().unreachable(from.atFault(head), "refused with " + head.status());
+		EndpointStart atFault = from.atFault(head);
+		if (this.ports.health().restLeft(atFault).isZero()) {
+			this.ports.health().unreachable(atFault, "refused with " + head.status());
+		}
 		retryOr(true, "endpoints refused");
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/LeavingEndpointTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/LeavingEndpointTests.java
@@ -71,4 +71,27 @@
 		Truth.assertThat(leaving.arrived(2_000, END)).isEqualTo(0);
 	}
 
+	/** Guards against a daemon that starts while the others know, and isn't told. */
+	@ParameterizedTest
+	@CsvSource({ "9, 60, 1", "100, 150, 2" })
+	void aDaemonThatStartsHearsOfItSoon(int daemons, int callsPerSecond, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		Random random = new Random(seed);
+		PlayedEndpoint leaving = fleet.endpoint(2);
+		leaving.leave();
+		for (long millis = 0; millis < END; millis += 20) {
+			for (int i = 0; i < callsPerSecond; i++) {
+				if (random.nextInt(50) == 0) {
+					fleet.call("request " + millis + "." + i);
+				}
+			}
+			if (millis == LEAVES) {
+				fleet.restart(daemons - 1);
+			}
+			fleet.scheduler.advance(Duration.ofMillis(20));
+		}
+		Truth.assertThat(fleet.daemons.get(daemons - 1).offers(leaving)).isFalse();
+		Truth.assertThat(leaving.arrived(LEAVES + 3_000, END)).isEqualTo(0);
+	}
+
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
@@ -112,7 +112,7 @@
 			.build());
 		GatewayPorts ports = new GatewayPorts(clock, GatewayFleet.DATA_CENTRE, this::send,
 				new PlainPlacement(this.backends, health, loads, this.fleet.random),
-				new FleetPresence(this.backends, this, this), health, loads, new DemandBoard(clock),
+				new FleetPresence(clock, this, this, this.backends), health, loads, new DemandBoard(clock),
 				new RetryWindow(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1), this.limits, this.crashes,
 				new MemoryHolds(clock, new NoOrders(), this.backends::startedAgain, "d" + place, DecisionLog.NONE),
 				() -> {
@@ -233,6 +233,15 @@
 		this.backends.remove(endpoint.backend.id(), true);
 	}
 
+	/**
+	 * Whether this daemon sends requests to an endpoint.
+	 * @param endpoint the endpoint
+	 * @return false once it knows that the endpoint leaves or is gone
+	 */
+	public boolean offers(PlayedEndpoint endpoint) {
+		return this.backends.offers(endpoint.backend);
+	}
+
 	void offList(Backend backend) {
 		this.backends.remove(backend.id(), false);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -195,6 +196,12 @@
 			this.listener.complete();
 		}
 
+		void asksForRest(Duration rest) {
+			this.listener.head(new BackendHead(503, List.of(), true, false, false,
+					new EndpointNotice(false, Optional.of(rest), OptionalDouble.empty()), Optional.empty()));
+			this.listener.complete();
+		}
+
 		void events(int from, int to) {
 			if (!this.headGiven) {
 				this.headGiven = true;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -329,4 +329,16 @@
 		Truth.assertThat(this.fixture.last().to.id()).isNotEqualTo(target.id());
 	}
 
+	/**
+	 * Guards against taking an endpoint that asks for rest for one that can't be reached.
+	 */
+	@Test
+	void aRefusalThatAsksForRestIsNoLostConnection() {
+		this.fixture.call("/log/x");
+		Backend endpoint = this.fixture.last().to;
+		this.fixture.last().asksForRest(Duration.ofMillis(50));
+		this.fixture.scheduler.advance(Duration.ofMillis(51));
+		Truth.assertThat(this.fixture.health.avoid(endpoint.start())).isFalse();
+	}
+
 }
