Count an outage to last until the store answers

Cause: entries that lapse while the store is away are kept for 2 s if the daemon's last failed call is at most 3 s ago. A daemon that doesn't watch paused up to 6 s between calls, so the first answer could find the failure forgotten, take all lapsed entries for gone, and leave the daemon without endpoints: not ready, 503 to callers. Change: the first answer after a failure counts as its last sign, for the daemon itself and in what it tells others. Before: StoreFollowerTests.anOutageLastsUntilTheStoreAnswers failed. After: 2 of 2. Result: StoreFollowerTests, FollowFleetTests, StoreReturnTests pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -96,6 +96,8 @@
 
 	private long outageAt;
 
+	private boolean outage;
+
 	private long answeredAt;
 
 	private long notBefore;
@@ -162,8 +164,9 @@
 	}
 
 	/**
-	 * For how long the store has not failed this daemon.
-	 * @return the time since the last failed call
+	 * For how long the store has not failed this daemon. Its first answer after a failed
+	 * call still counts to the failure: it may tell of entries that lapsed meanwhile.
+	 * @return the time since the last failed call, or since the answer after it
 	 */
 	public Duration sinceFailure() {
 		return Duration.ofNanos(this.scheduler.nanos() - this.failedAt);
@@ -172,7 +175,8 @@
 	/**
 	 * For how long the store has not been away. A single call that is cut off, and the
 	 * next one answered, is no outage.
-	 * @return the time since the last sign of an outage
+	 * @return the time since the last sign of an outage, or since the first answer after
+	 * it
 	 */
 	public Duration sinceOutage() {
 		return Duration.ofNanos(this.scheduler.nanos() - this.outageAt);
@@ -320,7 +324,8 @@
 		long now = this.scheduler.nanos();
 		this.failedAt = now;
 		this.failures++;
-		if (this.failures > 1 || now - call.dueAt() >= 0) {
+		this.outage |= this.failures > 1 || now - call.dueAt() >= 0;
+		if (this.outage) {
 			this.outageAt = now;
 		}
 		if (this.failures == 1) {
@@ -343,12 +348,18 @@
 	}
 
 	private void answered() {
+		long now = this.scheduler.nanos();
 		if (this.failures > 0) {
 			this.log.belief("store", this.kind, "state", "back", "failures", this.failures, "away_ms",
 					silence().toMillis());
+			this.failedAt = now;
+		}
+		if (this.outage) {
+			this.outageAt = now;
 		}
 		this.failures = 0;
-		this.answeredAt = this.scheduler.nanos();
+		this.outage = false;
+		this.answeredAt = now;
 	}
 
 	/**
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -192,6 +192,27 @@
 		Truth.assertThat(this.follower.sinceFailure()).isAtLeast(Duration.ofSeconds(3));
 	}
 
+	/**
+	 * Guards against entries that lapsed in an outage and count as gone, since the last
+	 * failed call is too long ago.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0", "30" })
+	void anOutageLastsUntilTheStoreAnswers(int place) {
+		this.rank = place;
+		for (int i = 0; i < 4; i++) {
+			this.store.watches.poll()
+				.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "busy"));
+			while (this.store.watches.isEmpty()) {
+				this.scheduler.advance(StoreFollower.TURN);
+			}
+		}
+		this.scheduler.advance(Duration.ofSeconds(1));
+		this.store.watches.poll().complete(new WatchBatch(12, false, List.of(), List.of("a")));
+		Truth.assertThat(this.follower.sinceFailure()).isEqualTo(Duration.ZERO);
+		Truth.assertThat(this.follower.sinceOutage()).isEqualTo(Duration.ZERO);
+	}
+
 	@Test
 	void aSingleCallThatIsCutOffIsNoOutage() {
 		this.store.watches.poll()
