Read what engines say of themselves in answers to orders too

Seen: read in the code, while the same cause was looked for elsewhere. Cause: a leaving or a rest was taken only from answers to requests; orders for memory went on to an engine that had closed while the engines before it in the group were asked. Change: what an endpoint says is taken in one place (EndpointNotices), from any answer; a group stops at an engine that leaves or rests. Renewals of memory in use go on. Before: MemoryHoldsTests.asksNothingOfAnEngineThatClosesWhileOthersAreAsked couldn't be written, nothing knew. After: it passes.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/hold/EngineOrders.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/hold/EngineOrders.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointNotice;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
 
 /**
  * Orders to engines about their memory.
@@ -24,6 +26,13 @@
 	 */
 	CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration);
 
+	/**
+	 * Sets who is told what engines say of themselves in their answers.
+	 * @param listener told on the scheduler's thread, before the answer's future
+	 * completes
+	 */
+	void onNotice(NoticeListener listener);
+
 	/**
 	 * Gives memory back.
 	 * @param engine the engine
@@ -32,4 +41,19 @@
 	 */
 	CompletableFuture<Void> release(Backend engine, String id);
 
+	/**
+	 * Takes what an engine says of itself.
+	 */
+	@FunctionalInterface
+	interface NoticeListener {
+
+		/**
+		 * Called for each answer to an order.
+		 * @param engine the engine
+		 * @param notice what it says
+		 */
+		void heard(EndpointStart engine, EndpointNotice notice);
+
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/hold/MemoryHolds.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/hold/MemoryHolds.java
@@ -46,6 +46,8 @@
 
 	private final Predicate<Backend> startedAgain;
 
+	private final Predicate<Backend> takes;
+
 	private final String prefix;
 
 	private final DecisionLog log;
@@ -57,14 +59,16 @@
 	 * @param scheduler the daemon's scheduler
 	 * @param orders the orders to engines
 	 * @param startedAgain whether an engine has started again since it was chosen
+	 * @param takes whether an engine may be sent something new
 	 * @param prefix begins each hold's id; differs for each start of each daemon
 	 * @param log takes each decision
 	 */
-	public MemoryHolds(Scheduler scheduler, EngineOrders orders, Predicate<Backend> startedAgain, String prefix,
-			DecisionLog log) {
+	public MemoryHolds(Scheduler scheduler, EngineOrders orders, Predicate<Backend> startedAgain,
+			Predicate<Backend> takes, String prefix, DecisionLog log) {
 		this.scheduler = scheduler;
 		this.orders = orders;
 		this.startedAgain = startedAgain;
+		this.takes = takes;
 		this.prefix = prefix;
 		this.log = log;
 	}
@@ -146,6 +150,10 @@
 				return;
 			}
 			MemoryHold hold = this.holds.get(index);
+			if (!MemoryHolds.this.takes.test(hold.engine())) {
+				notHeld(hold, "leaves or rests");
+				return;
+			}
 			this.asked = index + 1;
 			order(hold).whenComplete((held, failure) -> {
 				note(failure);
@@ -156,15 +164,18 @@
 					next(index + 1);
 				}
 				else {
-					MemoryHolds.this.log.request(this.request, "memory not held", "hold", this.id, "engine",
-							hold.engine().id(), "tokens", hold.tokens(), "cause",
-							(failure != null) ? failure.getMessage() : "refused");
-					release();
-					this.outcome.accept(false);
+					notHeld(hold, (failure != null) ? failure.getMessage() : "refused");
 				}
 			});
 		}
 
+		private void notHeld(MemoryHold hold, String cause) {
+			MemoryHolds.this.log.request(this.request, "memory not held", "hold", this.id, "engine", hold.engine().id(),
+					"tokens", hold.tokens(), "cause", cause);
+			release();
+			this.outcome.accept(false);
+		}
+
 		private CompletableFuture<Boolean> order(MemoryHold hold) {
 			return MemoryHolds.this.orders.reserve(hold.engine(), this.id, hold.tokens(), DURATION);
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -125,9 +126,10 @@
 	 * The server's answer.
 	 *
 	 * @param status the status
+	 * @param headers the headers
 	 * @param body the body
 	 */
-	public record Answer(int status, byte[] body) {
+	public record Answer(int status, HttpHeaders headers, byte[] body) {
 
 		@Override
 		public String toString() {
@@ -192,7 +194,7 @@
 			else {
 				this.channel.close();
 			}
-			answered.complete(new Answer(response.status().code(), body));
+			answered.complete(new Answer(response.status().code(), response.headers(), body));
 		}
 
 		@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointNotices;
 import org.bramleyscale.internal.gateway.backend.FleetPresence;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
@@ -165,13 +166,15 @@
 				log);
 		PlacementPolicy plain = new PlainPlacement(this.backends, this.health, this.loads, this.random);
 		PlacementPolicy engines = new EnginePlacement(this.backends, this.health, this.loads, demands, this.random);
-		MemoryHolds holds = new MemoryHolds(loop, parts.orders(), this.backends::startedAgain, this.self.toString(),
-				log);
+		EndpointNotices notices = new EndpointNotices(
+				new FleetPresence(loop, this.network, this.directory, this.backends), this.health);
+		parts.orders().onNotice(notices::heard);
+		MemoryHolds holds = new MemoryHolds(loop, parts.orders(), this.backends::startedAgain, notices::takes,
+				this.self.toString(), log);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
-				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request),
-				new FleetPresence(loop, this.network, this.directory, this.backends), this.health, this.loads, demands,
-				retries(), this.limits, this.crashes, holds, this.loadExchange::tell, log,
-				new GatewayMetrics(parts.metrics()));
+				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request), notices,
+				this.health, this.loads, demands, retries(), this.limits, this.crashes, holds, this.loadExchange::tell,
+				log, new GatewayMetrics(parts.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this::takes, this.random);
 		StartQueue requests = new StartQueue(loop, this::informed, this.service);
 		this.callers = new CallerServer(loop, requests, parts.dialect(),
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -113,7 +113,7 @@
 				close();
 				this.request.notSent("memory", "no memory free for engine " + this.target.id());
 			}
-			else if (!targetTakes()) {
+			else if (!this.ports.notices().takes(this.target)) {
 				close();
 				this.request.notSent("closed", "engine " + this.target.id() + " leaves or rests");
 			}
@@ -123,10 +123,6 @@
 		});
 	}
 
-	private boolean targetTakes() {
-		return this.ports.presence().offers(this.target) && this.ports.health().restLeft(this.target.start()).isZero();
-	}
-
 	private void sendNow(OutgoingRequest outgoing) {
 		this.reached = true;
 		this.sentAt = this.ports.scheduler().nanos();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
@@ -2,7 +2,7 @@
 
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
-import org.bramleyscale.internal.gateway.backend.EndpointPresence;
+import org.bramleyscale.internal.gateway.backend.EndpointNotices;
 import org.bramleyscale.internal.gateway.crash.CrashGuard;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
 import org.bramleyscale.internal.gateway.limit.EndpointLimits;
@@ -20,7 +20,7 @@
  * @param dataCentre where it runs
  * @param client sends requests to endpoints
  * @param placement decides where they go
- * @param presence knows which endpoints take requests
+ * @param notices takes what endpoints say of themselves
  * @param health learns from outcomes
  * @param loads learns what is under way
  * @param demands learns what is asked for
@@ -33,7 +33,7 @@
  * @param metrics counts outcomes
  */
 public record GatewayPorts(Scheduler scheduler, DataCentre dataCentre, BackendClient client, PlacementPolicy placement,
-		EndpointPresence presence, BackendHealth health, LoadBoard loads, DemandBoard demands, RetryWindow retries,
+		EndpointNotices notices, BackendHealth health, LoadBoard loads, DemandBoard demands, RetryWindow retries,
 		EndpointLimits limits, CrashGuard crashes, MemoryHolds holds, Runnable longSent, DecisionLog log,
 		GatewayMetrics metrics) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -161,10 +161,7 @@
 	 */
 	void noticed(Backend endpoint, EndpointNotice notice) {
 		this.lines.noticed(endpoint, notice);
-		if (notice.leaving()) {
-			this.ports.presence().leaves(endpoint.start());
-		}
-		notice.rest().ifPresent((rest) -> this.ports.health().asksForRest(endpoint.start(), rest));
+		this.ports.notices().heard(endpoint.start(), notice);
 	}
 
 	void answered(Attempt from, BackendHead head, byte[] body) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/PlayedDaemon.java
@@ -20,6 +20,7 @@
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointNotices;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.backend.FleetPresence;
 import org.bramleyscale.internal.gateway.catalog.Account;
@@ -112,9 +113,10 @@
 			.build());
 		GatewayPorts ports = new GatewayPorts(clock, GatewayFleet.DATA_CENTRE, this::send,
 				new PlainPlacement(this.backends, health, loads, this.fleet.random),
-				new FleetPresence(clock, this, this, this.backends), health, loads, new DemandBoard(clock),
-				new RetryWindow(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1), this.limits, this.crashes,
-				new MemoryHolds(clock, new NoOrders(), this.backends::startedAgain, "d" + place, DecisionLog.NONE),
+				new EndpointNotices(new FleetPresence(clock, this, this, this.backends), health), health, loads,
+				new DemandBoard(clock), new RetryWindow(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1), this.limits,
+				this.crashes, new MemoryHolds(clock, new NoOrders(), this.backends::startedAgain, (engine) -> true,
+						"d" + place, DecisionLog.NONE),
 				() -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/MemoryHoldsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/MemoryHoldsTests.java
@@ -29,7 +29,8 @@
 	private final Engines engines = new Engines();
 
 	private final MemoryHolds holds = new MemoryHolds(this.scheduler, this.engines,
-			(engine) -> this.engines.startedAgain.contains(engine.id().value()), "entry-1~5", DecisionLog.NONE);
+			(engine) -> this.engines.startedAgain.contains(engine.id().value()),
+			(engine) -> !this.engines.closed.contains(engine.id().value()), "entry-1~5", DecisionLog.NONE);
 
 	private final List<Boolean> outcomes = new ArrayList<>();
 
@@ -56,6 +57,16 @@
 		Truth.assertThat(this.engines.orders).doesNotContain("reserve c");
 	}
 
+	/** Guards against orders to engines that leave or rest. */
+	@Test
+	void asksNothingOfAnEngineThatClosesWhileOthersAreAsked() {
+		this.engines.closed.add("b");
+		reserve("a", "b");
+		Truth.assertThat(this.outcomes).containsExactly(false);
+		Truth.assertThat(this.engines.held).isEmpty();
+		Truth.assertThat(this.engines.orders).containsExactly("reserve a", "release a").inOrder();
+	}
+
 	@ParameterizedTest
 	@ValueSource(longs = { 1_000, 5_000, 12_000 })
 	void anOrderThatIsCarriedOutLateDoesNotKeepMemory(long lateMillis) {
@@ -119,10 +130,17 @@
 
 		private final Set<String> full = new HashSet<>();
 
+		private final Set<String> closed = new HashSet<>();
+
 		private final Set<String> silent = new HashSet<>();
 
 		private final Set<String> startedAgain = new HashSet<>();
 
+		@Override
+		public void onNotice(NoticeListener listener) {
+			// These engines say nothing.
+		}
+
 		@Override
 		public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
 			String name = engine.id().value();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/NoOrders.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/NoOrders.java
@@ -10,6 +10,11 @@
  */
 public final class NoOrders implements EngineOrders {
 
+	@Override
+	public void onNotice(NoticeListener listener) {
+		// These engines say nothing.
+	}
+
 	@Override
 	public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
 		throw new UnsupportedOperationException();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/PendingOrders.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/hold/PendingOrders.java
@@ -23,6 +23,11 @@
 		this.pending.remove().complete(held);
 	}
 
+	@Override
+	public void onNotice(NoticeListener listener) {
+		// These engines say nothing.
+	}
+
 	@Override
 	public CompletableFuture<Boolean> reserve(Backend engine, String id, long tokens, Duration duration) {
 		CompletableFuture<Boolean> order = new CompletableFuture<>();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
@@ -18,6 +18,7 @@
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointNotices;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
@@ -74,10 +75,11 @@
 			.build());
 		GatewayPorts ports = new GatewayPorts(this.loop, new DataCentre("east"),
 				new BackendConnections(this.loop, new PlainDialect()),
-				new PlainPlacement(backends, health, loads, new Random(1)), backends, health, loads,
-				new DemandBoard(this.loop), new RetryWindow(this.loop, Duration.ofSeconds(10), 0.2, 100, () -> 1),
-				EndpointLimits.NONE, CrashGuard.NONE,
-				new MemoryHolds(this.loop, null, (engine) -> false, "test", DecisionLog.NONE), () -> {
+				new PlainPlacement(backends, health, loads, new Random(1)), new EndpointNotices(backends, health),
+				health, loads, new DemandBoard(this.loop),
+				new RetryWindow(this.loop, Duration.ofSeconds(10), 0.2, 100, () -> 1), EndpointLimits.NONE,
+				CrashGuard.NONE,
+				new MemoryHolds(this.loop, null, (engine) -> false, (engine) -> true, "test", DecisionLog.NONE), () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.server = new CallerServer(this.loop,
 				new GatewayService(ports, catalogs, (timeLeft) -> true, new Random(1)), new PlainDialect(),
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -21,6 +21,7 @@
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.backend.EndpointNotice;
+import org.bramleyscale.internal.gateway.backend.EndpointNotices;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
@@ -87,11 +88,11 @@
 		}
 		Random random = new Random(1);
 		GatewayPorts ports = new GatewayPorts(this.scheduler, new DataCentre("east"), this::send,
-				forcedOr(new PlainPlacement(this.backends, this.health, this.loads, random)), this.backends,
-				this.health, this.loads, this.demands,
+				forcedOr(new PlainPlacement(this.backends, this.health, this.loads, random)),
+				new EndpointNotices(this.backends, this.health), this.health, this.loads, this.demands,
 				new RetryWindow(this.scheduler, Duration.ofSeconds(10), 0, RETRY_CONSTANT, () -> 1),
-				EndpointLimits.NONE, this.signs,
-				new MemoryHolds(this.scheduler, this.orders, this.backends::startedAgain, "entry-1", DecisionLog.NONE),
+				EndpointLimits.NONE, this.signs, new MemoryHolds(this.scheduler, this.orders,
+						this.backends::startedAgain, (engine) -> true, "entry-1", DecisionLog.NONE),
 				() -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, this.catalogs,
