--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/AskedRestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/AskedRestTests.java
@@ -74,22 +74,15 @@
 
 	private static void play(GatewayFleet fleet, int callsPerSecond, List<PlayedEndpoint> endpoints, Duration rest,
 			long restartMillis, long seed) {
-		Random random = new Random(seed);
-		for (long millis = 0; millis < END; millis += 20) {
-			if (millis == BEGINS || millis == ENDS) {
-				Optional<Duration> wanted = (millis == BEGINS) ? Optional.of(rest) : Optional.empty();
+		fleet.play(END, callsPerSecond, new Random(seed), (now) -> {
+			if (now == BEGINS || now == ENDS) {
+				Optional<Duration> wanted = (now == BEGINS) ? Optional.of(rest) : Optional.empty();
 				endpoints.forEach((endpoint) -> endpoint.turnAway(wanted));
 			}
-			for (int i = 0; i < callsPerSecond; i++) {
-				if (random.nextInt(50) == 0) {
-					fleet.call("request " + millis + "." + i);
-				}
+			if (restartMillis > 0 && now % restartMillis == 0) {
+				fleet.restart((int) (now / restartMillis) % fleet.daemons.size());
 			}
-			if (restartMillis > 0 && millis % restartMillis == 0) {
-				fleet.restart((int) (millis / restartMillis) % fleet.daemons.size());
-			}
-			fleet.scheduler.advance(Duration.ofMillis(20));
-		}
+		});
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/LeavingEndpointTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/LeavingEndpointTests.java
@@ -28,26 +28,19 @@
 	void anEndpointThatSaidThatItLeavesGetsNothingMoreFromWhoeverPassedItOn(int daemons, int callsPerSecond,
 			long restartMillis, long relistMillis, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
-		Random random = new Random(seed);
 		PlayedEndpoint leaving = fleet.endpoint(2);
-		for (long millis = 0; millis < END; millis += 20) {
-			if (millis == LEAVES) {
+		fleet.play(END, callsPerSecond, new Random(seed), (now) -> {
+			if (now == LEAVES) {
 				leaving.leave();
 			}
-			for (int i = 0; i < callsPerSecond; i++) {
-				if (random.nextInt(50) == 0) {
-					fleet.call("request " + millis + "." + i);
-				}
+			if (restartMillis > 0 && now % restartMillis == 0) {
+				fleet.restart((int) (now / restartMillis) % daemons);
 			}
-			if (restartMillis > 0 && millis % restartMillis == 0) {
-				fleet.restart((int) (millis / restartMillis) % daemons);
-			}
-			if (relistMillis > 0 && millis % relistMillis == 0) {
+			if (relistMillis > 0 && now % relistMillis == 0) {
 				fleet.lapse(leaving);
 				fleet.scheduler.schedule(Duration.ofMillis(relistMillis / 3), () -> fleet.relist(leaving));
 			}
-			fleet.scheduler.advance(Duration.ofMillis(20));
-		}
+		});
 		Truth.assertThat(leaving.arrivedAfterLeaving()).isEqualTo(0);
 	}
 
@@ -56,17 +49,10 @@
 	@CsvSource({ "9, 60, 1", "24, 120, 2", "100, 150, 3", "300, 300, 4" })
 	void allDaemonsHearOfItFromOne(int daemons, int callsPerSecond, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
-		Random random = new Random(seed);
 		PlayedEndpoint leaving = fleet.endpoint(2);
 		leaving.leave();
-		for (long millis = 0; millis < END; millis += 20) {
-			for (int i = 0; i < callsPerSecond; i++) {
-				if (random.nextInt(50) == 0) {
-					fleet.call("request " + millis + "." + i);
-				}
-			}
-			fleet.scheduler.advance(Duration.ofMillis(20));
-		}
+		fleet.play(END, callsPerSecond, new Random(seed), (now) -> {
+		});
 		Truth.assertThat(leaving.arrived(0, 2_000)).isAtLeast(1);
 		Truth.assertThat(leaving.arrived(2_000, END)).isEqualTo(0);
 	}
@@ -76,20 +62,13 @@
 	@CsvSource({ "9, 60, 1", "100, 150, 2" })
 	void aDaemonThatStartsHearsOfItSoon(int daemons, int callsPerSecond, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
-		Random random = new Random(seed);
 		PlayedEndpoint leaving = fleet.endpoint(2);
 		leaving.leave();
-		for (long millis = 0; millis < END; millis += 20) {
-			for (int i = 0; i < callsPerSecond; i++) {
-				if (random.nextInt(50) == 0) {
-					fleet.call("request " + millis + "." + i);
-				}
-			}
-			if (millis == LEAVES) {
+		fleet.play(END, callsPerSecond, new Random(seed), (now) -> {
+			if (now == LEAVES) {
 				fleet.restart(daemons - 1);
 			}
-			fleet.scheduler.advance(Duration.ofMillis(20));
-		}
+		});
 		Truth.assertThat(fleet.daemons.get(daemons - 1).offers(leaving)).isFalse();
 		Truth.assertThat(leaving.arrived(LEAVES + 3_000, END)).isEqualTo(0);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.function.LongConsumer;
 
 import com.google.common.net.HostAndPort;
 import org.bramleyscale.DataCentre;
@@ -41,6 +42,10 @@
 	/** What callers send so long after a daemon heard of a leaving is too late. */
 	static final Duration DRAINS = Duration.ofSeconds(2);
 
+	private static final long STEP = 20;
+
+	private static final long SECOND = 1_000;
+
 	static final ServiceName SERVICE = new ServiceName("quotes");
 
 	static final DataCentre DATA_CENTRE = new DataCentre("east");
@@ -102,6 +107,26 @@
 		return caller;
 	}
 
+	/**
+	 * Lets time pass while callers call at random.
+	 * @param millis for how long
+	 * @param callsPerSecond calls to all daemons together
+	 * @param draws draws who calls when
+	 * @param events told the time before the calls of each 20 ms, in ms
+	 */
+	public void play(long millis, int callsPerSecond, Random draws, LongConsumer events) {
+		int steps = (int) (SECOND / STEP);
+		for (long now = 0; now < millis; now += STEP) {
+			events.accept(now);
+			for (int i = 0; i < callsPerSecond; i++) {
+				if (draws.nextInt(steps) == 0) {
+					call("request " + now + "." + i);
+				}
+			}
+			this.scheduler.advance(Duration.ofMillis(STEP));
+		}
+	}
+
 	public PlayedCaller call(String text) {
 		return call(this.random.nextInt(this.daemons.size()), text);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
@@ -18,6 +18,7 @@
 import org.bramleyscale.internal.peer.PeerMessage;
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.time.ManualScheduler;
+import org.bramleyscale.internal.time.PausableScheduler;
 
 /**
  * A fleet of daemons that follow one store, on a manual clock.
@@ -179,7 +180,7 @@
 		private final FollowedKind copies = new FollowedKind((object) -> {
 		});
 
-		private final FreezableScheduler clock = new FreezableScheduler(FakeFleet.this.scheduler);
+		private final PausableScheduler clock = new PausableScheduler(FakeFleet.this.scheduler);
 
 		private final PlayedStore.Access store = FakeFleet.this.store.new Access(this.clock);
 
@@ -193,6 +194,8 @@
 
 		private long arrivesAt;
 
+		private long frozenUntil;
+
 		private Daemon(int rank) {
 			this.rank = rank;
 			this.self = new Incarnation(new VmId("d" + rank), 1);
@@ -222,7 +225,15 @@
 		 * @param span for how long
 		 */
 		void freeze(Duration span) {
-			this.clock.freeze(span);
+			this.frozenUntil = Math.max(this.frozenUntil, this.clock.nanos() + span.toNanos());
+			this.clock.pause();
+			FakeFleet.this.scheduler.schedule(span, this::thaw);
+		}
+
+		private void thaw() {
+			if (this.clock.nanos() >= this.frozenUntil) {
+				this.clock.resume();
+			}
 		}
 
 		/** Ends the daemon's connections with its peers. */
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/membership/Fleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/membership/Fleet.java
@@ -24,6 +24,7 @@
 import org.bramleyscale.internal.platform.PlatformException;
 import org.bramleyscale.internal.platform.VmRecord;
 import org.bramleyscale.internal.time.ManualScheduler;
+import org.bramleyscale.internal.time.PausableScheduler;
 
 /**
  * The memberships of several daemons on one manual clock, with the platform's list.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/membership/PausableScheduler.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/time/PausableScheduler.java
@@ -1,18 +1,15 @@
-package org.bramleyscale.internal.membership;
+package org.bramleyscale.internal.time;
 
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 
-import org.bramleyscale.internal.time.Cancellable;
-import org.bramleyscale.internal.time.ManualScheduler;
-import org.bramleyscale.internal.time.Scheduler;
-
 /**
- * One daemon's share of a manual clock, which can stand still and be ended.
+ * One daemon's share of a manual clock, which can stand still and be ended. What falls
+ * due meanwhile runs when it goes on. Confined to the test's thread.
  */
-final class PausableScheduler implements Scheduler {
+public final class PausableScheduler implements Scheduler {
 
 	private final ManualScheduler clock;
 
@@ -22,22 +19,22 @@
 
 	private boolean ended;
 
-	PausableScheduler(ManualScheduler clock) {
+	public PausableScheduler(ManualScheduler clock) {
 		this.clock = clock;
 	}
 
-	void pause() {
+	public void pause() {
 		this.paused = true;
 	}
 
-	void resume() {
+	public void resume() {
 		this.paused = false;
 		List<Runnable> due = new ArrayList<>(this.held);
 		this.held.clear();
 		due.forEach(this::run);
 	}
 
-	void end() {
+	public void end() {
 		this.ended = true;
 	}
 
