Take a store that others hear for one that isn't away

Replayed with lines: the store turned one daemon away until 12.6 s and served all others; at 15.02 s the endpoint's entry is off the list, and all eight daemons write 'lapsed' and keep it until 17.05 to 17.10 s. Entries lapse only where endpoints don't reach the store either. Change: a failed call is an outage only if nobody, the daemon or a peer, has heard the store for as long as a change may take; a daemon's own failures alone mean nothing any more. Before: FollowFleetTests.aStoreThatTurnsOneDaemonAwayWasNotAway failed in 3 of 4 cases. After: 4 of 4; allDaemonsKnowThatTheStoreWasAwayOnceTheyHearWhatChanged passes 4 of 4 before and after; the other tests of following the store pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -96,8 +96,6 @@
 
 	private long outageAt;
 
-	private boolean outage;
-
 	private long answeredAt;
 
 	private long notBefore;
@@ -174,7 +172,7 @@
 
 	/**
 	 * For how long the store has not been away. A single call that is cut off, and the
-	 * next one answered, is no outage.
+	 * next one answered, is no outage, nor is a store that others hear meanwhile.
 	 * @return the time since the last sign of an outage, or since the first answer after
 	 * it
 	 */
@@ -324,8 +322,7 @@
 		long now = this.scheduler.nanos();
 		this.failedAt = now;
 		this.failures++;
-		this.outage |= this.failures > 1 || now - call.dueAt() >= 0;
-		if (this.outage) {
+		if ((this.failures > 1 || now - call.dueAt() >= 0) && unheard(now)) {
 			this.outageAt = now;
 		}
 		if (this.failures == 1) {
@@ -337,6 +334,16 @@
 		this.scheduler.schedule(Duration.ofNanos(this.notBefore - now), this::turn);
 	}
 
+	/**
+	 * Whether nobody has heard the store for a while. It may turn single daemons away
+	 * while it serves the others and the endpoints, whose entries don't lapse then.
+	 * @param now the time
+	 * @return true if the store is away for all, as far as heard
+	 */
+	private boolean unheard(long now) {
+		return now - this.copies.confirmedAt() > this.times.askAgain().toNanos();
+	}
+
 	private long pauseOfWatcher() {
 		long pause = Math.min(SHORTEST_PAUSE.toNanos() << Math.min(this.failures - 1, 10), LONGEST_PAUSE.toNanos());
 		return pause / 2 + this.random.nextLong(pause);
@@ -354,11 +361,10 @@
 					silence().toMillis());
 			this.failedAt = now;
 		}
-		if (this.outage) {
+		if (this.failures > 0 && unheard(now)) {
 			this.outageAt = now;
 		}
 		this.failures = 0;
-		this.outage = false;
 		this.answeredAt = now;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -305,7 +305,7 @@
 	 * @return true if the endpoint, if it lives, is back on the list soon
 	 */
 	private boolean mayHaveLapsed() {
-		return this.backendFollower.sinceFailure().compareTo(OUTAGE_MEMORY) < 0
+		return this.backendFollower.sinceOutage().compareTo(OUTAGE_MEMORY) < 0
 				|| this.copies.sinceOutage().compareTo(OUTAGE_MEMORY) < 0;
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeFleet.java
@@ -216,6 +216,17 @@
 			return this.store;
 		}
 
+		/**
+		 * For how long the store hasn't been away, by the daemon's own calls and what
+		 * peers say.
+		 * @return the time
+		 */
+		Duration sinceOutage() {
+			Duration own = this.follower.sinceOutage();
+			Duration heard = this.exchange.sinceOutage();
+			return (own.compareTo(heard) < 0) ? own : heard;
+		}
+
 		boolean hearsPeers() {
 			return this.peers;
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FollowFleetTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FollowFleetTests.java
@@ -142,6 +142,39 @@
 		this.fleet.daemons().forEach((daemon) -> Truth.assertThat(daemon.knows("second")).isTrue());
 	}
 
+	/**
+	 * Guards against endpoints that are kept though they are gone, since the store turned
+	 * one daemon away while it served all others.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "REFUSED, 0", "SILENT, 0", "REFUSED, 2", "SILENT, 7" })
+	void aStoreThatTurnsOneDaemonAwayWasNotAway(PlayedStore.Link link, int rank) {
+		FakeFleet.Daemon turnedAway = this.fleet.daemons().get(rank);
+		turnedAway.store().link(link);
+		this.scheduler.advance(Duration.ofSeconds(8));
+		turnedAway.store().link(PlayedStore.Link.WORKS);
+		this.scheduler.advance(Duration.ofSeconds(1));
+		this.fleet.store().change("second");
+		this.scheduler.advance(Duration.ofMillis(500));
+		this.fleet.daemons()
+			.forEach((daemon) -> Truth.assertThat(daemon.sinceOutage()).isGreaterThan(Duration.ofSeconds(9)));
+	}
+
+	/** Guards against entries that lapsed in an outage and count as gone for some. */
+	@ParameterizedTest
+	@CsvSource({ "REFUSED, 4000", "SILENT, 4000", "REFUSED, 13000", "SILENT, 13000" })
+	void allDaemonsKnowThatTheStoreWasAwayOnceTheyHearWhatChanged(PlayedStore.Link link, long millis) {
+		this.fleet.daemons().forEach((daemon) -> daemon.store().link(link));
+		this.scheduler.advance(Duration.ofMillis(millis));
+		this.fleet.store().change("second");
+		this.fleet.daemons().forEach((daemon) -> daemon.store().link(PlayedStore.Link.WORKS));
+		this.scheduler.advance(Duration.ofMillis(2_500));
+		this.fleet.daemons().forEach((daemon) -> {
+			Truth.assertThat(daemon.knows("second")).isTrue();
+			Truth.assertThat(daemon.sinceOutage()).isAtMost(Duration.ofMillis(2_500));
+		});
+	}
+
 	@Test
 	void aDaemonThatStartsTakesCopiesFromItsPeers() {
 		int before = this.fleet.store().calls();
