--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -63,7 +63,7 @@
 	private static final Duration SWEEP = Duration.ofMillis(100);
 
 	/**
-	 * For so long after a failed call of the store, entries off its list count as lapsed.
+	 * For so long after an outage of the store, entries off its list count as lapsed.
 	 */
 	private static final Duration OUTAGE_MEMORY = Duration.ofSeconds(3);
 
@@ -301,7 +301,7 @@
 
 	/**
 	 * Whether an entry that is off the list may only have lapsed, because the store was
-	 * away for this daemon or for one that told it of the change.
+	 * away until a moment ago, as this daemon or one that told it knows.
 	 * @return true if the endpoint, if it lives, is back on the list soon
 	 */
 	private boolean mayHaveLapsed() {
