--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -9,15 +9,18 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
 import com.google.common.net.HostAndPort;
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.ServiceName;
+import org.bramleyscale.VmId;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
+import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.peer.PeerMessage;
 import org.bramleyscale.internal.time.ManualScheduler;
 
@@ -58,6 +61,12 @@
 
 	static final ServiceName SERVICE = new ServiceName("quotes");
 
+	/** The route of requests that may run more than once. */
+	static final String REPEATABLE = "/log/";
+
+	/** The route of requests that may run only once. */
+	static final String NOT_REPEATABLE = "/book/";
+
 	static final DataCentre DATA_CENTRE = new DataCentre("east");
 
 	private static final int MAX_FULL_MESH = 24;
@@ -80,6 +89,8 @@
 
 	final Random random;
 
+	private final int size;
+
 	double messageLoss;
 
 	private final Map<String, Long> callerSentAt = new HashMap<>();
@@ -96,6 +107,7 @@
 	 */
 	public GatewayFleet(int size, int endpoints, long seed) {
 		this.random = new Random(seed);
+		this.size = size;
 		for (int i = 0; i < size; i++) {
 			this.daemons.add(new SimulatedDaemon(this, i));
 		}
@@ -113,8 +125,12 @@
 	 * @return the caller, which records the answer
 	 */
 	public SimulatedCaller call(int daemon, String text) {
+		return call(daemon, REPEATABLE, text);
+	}
+
+	SimulatedCaller call(int daemon, String path, String text) {
 		SimulatedCaller caller = new SimulatedCaller();
-		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", "/log/1", "hire.example", List.of(),
+		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", path + "1", "hire.example", List.of(),
 				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty());
 		this.callerSentAt.put(request.id(), this.scheduler.nanos());
 		this.daemons.get(daemon).service.handle(request, caller);
@@ -168,6 +184,31 @@
 			.orElseThrow();
 	}
 
+	/**
+	 * Breaks the path between one daemon and all endpoints, or repairs it.
+	 * @param daemon the daemon's index
+	 * @param fault the fault
+	 */
+	public void setPathFault(int daemon, PathFault fault) {
+		this.daemons.get(daemon).setPathFault(fault);
+	}
+
+	List<Member> members() {
+		return this.daemons.stream().map(SimulatedDaemon::member).toList();
+	}
+
+	/**
+	 * The relays of a large fleet.
+	 * @return their VMs, empty if the fleet is a full mesh
+	 */
+	Set<VmId> relays() {
+		return fullMesh() ? Set.of() : SimulatedDaemon.relays();
+	}
+
+	int activeRequests() {
+		return this.endpoints.values().stream().mapToInt((endpoint) -> endpoint.running.size()).sum();
+	}
+
 	/**
 	 * Adds an endpoint's unchanged entry again on all daemons.
 	 * @param endpoint the endpoint
@@ -289,6 +330,17 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
 	}
 
+	/**
+	 * Counts the requests that daemons reported as crashing an endpoint, once for each
+	 * endpoint and daemon.
+	 * @return the number of reports
+	 */
+	public long reportedCrashes() {
+		return this.daemons.stream()
+			.mapToLong((daemon) -> daemon.metrics.counter("gateway.crashes.seen").getCount())
+			.sum();
+	}
+
 	long callerSentAt(SentRequest sent) {
 		return this.callerSentAt.get(sent.id());
 	}
@@ -299,7 +351,7 @@
 	 * @return true if they broadcast directly
 	 */
 	boolean fullMesh() {
-		return this.daemons.size() <= MAX_FULL_MESH;
+		return this.size <= MAX_FULL_MESH;
 	}
 
 	void startEndpoint() {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
@@ -62,7 +62,13 @@
 	}
 
 	void answer() {
+		if (!this.cancelled && !this.from.pathFault.carriesAnswers) {
+			this.from.fleet.scheduler.schedule(SimulatedDaemon.UNACKNOWLEDGED_TIMEOUT,
+					() -> fail(true, "connection lost"));
+			return;
+		}
 		if (!this.cancelled) {
+			this.from.connectionIdle(this.to.backend.start());
 			this.listener
 				.head(new BackendHead(200, List.of(), false, true, false, this.to.notice(this.from), Optional.empty()));
 			this.listener.complete();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -11,9 +11,12 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.ClientAccountId;
+import org.bramleyscale.DataCentre;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.address.RendezvousHash;
@@ -40,6 +43,7 @@
 import org.bramleyscale.internal.gateway.load.DemandTracker;
 import org.bramleyscale.internal.gateway.load.LoadTracker;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.node.SimulatedEntries;
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendListener;
@@ -48,9 +52,11 @@
 import org.bramleyscale.internal.gateway.request.GatewayService;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
+import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.peer.PeerListener;
 import org.bramleyscale.internal.peer.PeerMessage;
 import org.bramleyscale.internal.peer.PeerNetwork;
+import org.bramleyscale.internal.peer.VmCapacity;
 import org.bramleyscale.internal.time.ManualScheduler;
 
 /**
@@ -66,6 +72,21 @@
 	/** Latency of a message between daemons. */
 	private static final Duration PEER_LATENCY = Duration.ofMillis(60);
 
+	/** How long connecting may take. */
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
+
+	/** How long an idle connection is kept. */
+	private static final Duration IDLE_TIMEOUT = Duration.ofMillis(1_500);
+
+	/** How long a connection lasts on which nothing is acknowledged. */
+	static final Duration UNACKNOWLEDGED_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final int LARGE_MILLICORES = 1_500;
+
+	private static final int SMALL_MILLICORES = 360;
+
+	private static final int LINK_MBPS = 1_000;
+
 	private static final int DATA_CENTRES = 3;
 
 	/** Number of relays in each data centre of a large fleet. */
@@ -89,6 +110,14 @@
 
 	private final long startedAt;
 
+	private final Map<EndpointStart, Long> idleSince = new HashMap<>();
+
+	private final SimulatedEntries entries;
+
+	final MetricRegistry metrics = new MetricRegistry();
+
+	PathFault pathFault = PathFault.NONE;
+
 	boolean killed;
 
 	SimulatedDaemon(GatewayFleet fleet, int index) {
@@ -99,8 +128,8 @@
 		ManualScheduler clock = fleet.scheduler;
 		this.backends = new BackendTable(clock, DecisionLog.NONE);
 		this.crashes = new FleetCrashGuard(
-				new FleetCrashGuard.Ports(clock, this, this, this.fleet.store, DecisionLog.NONE, new MetricRegistry()),
-				this, this.backends::acceptsRequests, () -> index == 0);
+				new FleetCrashGuard.Ports(clock, this, this, this.fleet.store, DecisionLog.NONE, this.metrics), this,
+				this.backends::acceptsRequests, () -> index == 0);
 		this.limits = new FleetLimits(clock, this, this, this::rank, DecisionLog.NONE, new MetricRegistry());
 		this.backends.onUnplannedEnd(this.crashes::endpointRemoved);
 		BackendHealth health = new BackendHealth(clock, DecisionLog.NONE);
@@ -108,13 +137,8 @@
 		CatalogHolder catalogs = new CatalogHolder();
 		catalogs.offer(Catalog.builder(1)
 			.account(new Account(new ClientAccountId("hule"), OptionalInt.empty()), List.of("key"))
-			.route(Route.builder("log", "hire.example", "/log/")
-				.service(GatewayFleet.SERVICE.value())
-				.timeout(Duration.ofSeconds(10))
-				.targetLatency(Duration.ofMillis(300))
-				.idempotent(true)
-				.maxAttempts(2)
-				.build())
+			.route(route("log", GatewayFleet.REPEATABLE).idempotent(true).maxAttempts(2).build())
+			.route(route("book", GatewayFleet.NOT_REPEATABLE).build())
 			.build());
 		GatewayPorts ports = new GatewayPorts(clock, GatewayFleet.DATA_CENTRE, this::send,
 				new PlainPlacement(this.backends, health, loads, this.fleet.random),
@@ -127,13 +151,75 @@
 				() -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
+		this.entries = new SimulatedEntries(clock, this.vm, this.fleet::members, this, this.fleet.relays(),
+				this.fleet::activeRequests);
+	}
+
+	private static Route.Builder route(String name, String prefix) {
+		return Route.builder(name, "hire.example", prefix)
+			.service(GatewayFleet.SERVICE.value())
+			.timeout(Duration.ofSeconds(10))
+			.targetLatency(Duration.ofMillis(300));
+	}
+
+	/**
+	 * The daemon's position in the fleet.
+	 * @param address an address that callers use
+	 * @return the position
+	 */
+	static int indexOf(String address) {
+		return Integer.parseInt(address.substring(1, address.indexOf(':')));
+	}
+
+	Member member() {
+		VmCapacity capacity = new VmCapacity(isLarge() ? LARGE_MILLICORES : SMALL_MILLICORES, LINK_MBPS);
+		return new Member(new Incarnation(this.vm, 1), new DataCentre("dc" + this.index % DATA_CENTRES),
+				this.vm + ":90", this.vm + ":80", Member.State.ALIVE, capacity);
+	}
+
+	private boolean isLarge() {
+		return this.fleet.fullMesh() || isRelay();
+	}
+
+	/**
+	 * The addresses that this daemon returns to callers.
+	 * @return {@code host:port} of each
+	 */
+	List<String> addresses() {
+		return this.entries.addresses();
+	}
+
+	/**
+	 * Breaks this daemon's path to all endpoints, or repairs it.
+	 * @param fault the fault
+	 */
+	void setPathFault(PathFault fault) {
+		this.pathFault = fault;
+		if (fault == PathFault.RESET) {
+			this.idleSince.clear();
+			this.fleet.endpoints.values().forEach((endpoint) -> endpoint.resetConnections(this));
+		}
+	}
+
+	/**
+	 * Records that a connection to an endpoint can be used for another request.
+	 * @param endpoint the endpoint
+	 */
+	void connectionIdle(EndpointStart endpoint) {
+		this.idleSince.put(endpoint, this.fleet.scheduler.nanos());
+	}
+
+	private boolean reuses(EndpointStart endpoint, OutgoingRequest request) {
+		Long since = request.freshConnection() ? null : this.idleSince.remove(endpoint);
+		return since != null && this.fleet.scheduler.nanos() - since < IDLE_TIMEOUT.toNanos();
 	}
 
 	@Override
 	public CompletableFuture<Boolean> refuses(Backend endpoint) {
 		CompletableFuture<Boolean> result = new CompletableFuture<>();
-		this.fleet.scheduler.schedule(SimulatedEndpoint.REFUSAL_LATENCY,
-				() -> result.complete(this.fleet.endpoints.get(endpoint.start()).refuses()));
+		boolean hangs = this.pathFault != PathFault.NONE && !this.pathFault.refusesNew;
+		this.fleet.scheduler.schedule(hangs ? CONNECT_TIMEOUT : SimulatedEndpoint.REFUSAL_LATENCY, () -> result
+			.complete(!hangs && (this.pathFault.refusesNew || this.fleet.endpoints.get(endpoint.start()).refuses())));
 		return result;
 	}
 
@@ -221,10 +307,16 @@
 		return others((other) -> inSameDataCentre(other) || other.isRelay());
 	}
 
-	private boolean isRelay() {
+	boolean isRelay() {
 		return this.index < DATA_CENTRES * RELAYS_PER_DATA_CENTRE;
 	}
 
+	static Set<VmId> relays() {
+		return IntStream.range(0, DATA_CENTRES * RELAYS_PER_DATA_CENTRE)
+			.mapToObj((each) -> new VmId("d" + each))
+			.collect(Collectors.toSet());
+	}
+
 	private boolean inSameDataCentre(SimulatedDaemon other) {
 		return other.index % DATA_CENTRES == this.index % DATA_CENTRES;
 	}
@@ -260,12 +352,34 @@
 	private BackendClient.BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
 		SimulatedEndpoint endpoint = this.fleet.endpoints.get(to.start());
 		SentRequest sent = new SentRequest(this, endpoint, request, listener);
+		boolean reused = reuses(to.start(), request);
 		this.fleet.scheduler.schedule(REQUEST_LATENCY, () -> {
-			if (!sent.cancelled) {
-				endpoint.arrives(sent);
+			if (this.pathFault == PathFault.NONE || (reused && this.pathFault.carriesRequests)) {
+				if (!sent.cancelled) {
+					endpoint.arrives(sent);
+				}
+			}
+			else if (reused) {
+				this.fleet.scheduler.schedule(
+						(this.pathFault == PathFault.RESET) ? Duration.ZERO : UNACKNOWLEDGED_TIMEOUT,
+						() -> sent.fail(true, "connection lost"));
+			}
+			else {
+				failToConnect(sent);
 			}
 		});
 		return sent;
 	}
 
+	private void failToConnect(SentRequest sent) {
+
+		if (this.pathFault.refusesNew) {
+			this.fleet.scheduler.schedule(SimulatedEndpoint.REFUSAL_LATENCY,
+					() -> sent.fail(false, "connect: Connection refused"));
+		}
+		else {
+			this.fleet.scheduler.schedule(CONNECT_TIMEOUT, () -> sent.fail(false, "connect: connection timed out"));
+		}
+	}
+
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedEndpoint.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedEndpoint.java
@@ -206,6 +206,16 @@
 		return new EndpointNotice(this.leaving, Optional.empty(), this.limit);
 	}
 
+	/**
+	 * Resets the connections of one daemon.
+	 * @param daemon the daemon
+	 */
+	void resetConnections(SimulatedDaemon daemon) {
+		List<SentRequest> reset = this.running.stream().filter((sent) -> sent.from == daemon).toList();
+		this.running.removeAll(reset);
+		reset.forEach((sent) -> sent.fail(true, "reset"));
+	}
+
 	boolean refuses() {
 		return !this.alive && this.fleet.scheduler.nanos() - this.crashedAt < GatewayFleet.DOWNTIME.toNanos();
 	}
