Send callers away from daemons without a path to a service

What callers saw: six of nine daemons had lost the path to all endpoints, were named to callers like the others and served 7 of 76 first tries, the others 63 of 64. Each caller waited a second there for four attempts.

Cause: a failed connection counted against its endpoint alone. No daemon ever concluded that its own path was gone, so neither it nor the others could name somebody else.

Change: PathMonitor tries a few other endpoints of a service as soon as one can't be connected to; if none accepts, the path is lost. Only new connections count, since old ones may live on. A daemon that callers use checks its paths without traffic too. EntryList names those that reach what others reach. Requests to a lost service are refused at once as not run; hung ones end at their silence limit instead of waiting for the retry budget. The path is used again with the first connection, and announced after 2 s without a loss. Failures recorded over the broken path are forgotten.

Why it works: the fault is detected by the only one who can see it, within two connect timeouts, and whose fault it is follows from what the others reach.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendHealth.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendHealth.java
@@ -180,6 +180,15 @@
 		this.states.remove(start);
 	}
 
+	/**
+	 * Forgets the failures of an endpoint that were recorded while this daemon had no
+	 * path to it.
+	 * @param start the endpoint
+	 */
+	public void reachedAgain(EndpointStart start) {
+		this.states.remove(start);
+	}
+
 	private State state(EndpointStart start) {
 		return this.states.computeIfAbsent(start, (key) -> new State(this.clock.nanos()));
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -20,6 +20,9 @@
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.crash.EndpointCheck;
+import org.bramleyscale.internal.gateway.reachability.ConnectionCheck;
+import org.bramleyscale.internal.gateway.reachability.ConnectionObserver;
+import org.bramleyscale.internal.gateway.reachability.ConnectionOutcome;
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendListener;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
@@ -34,7 +37,7 @@
  * earlier start of an endpoint isn't used for a later one, which would only reset it.
  * Confined to the loop's thread.
  */
-public final class BackendConnectionPool implements BackendClient, EndpointCheck {
+public final class BackendConnectionPool implements BackendClient, EndpointCheck, ConnectionCheck {
 
 	/**
 	 * How long connecting may take. Endpoints are at most 2 ms away and accept in 1 ms;
@@ -77,6 +80,8 @@
 
 	private final Map<EndpointStart, Deque<BackendChannel>> idle = new HashMap<>();
 
+	private ConnectionObserver observer = ConnectionObserver.NONE;
+
 	private long openedCount;
 
 	private long reusedCount;
@@ -86,6 +91,14 @@
 		this.dialect = dialect;
 	}
 
+	/**
+	 * Sets the observer of new connections.
+	 * @param connectionObserver notified of the outcome of each
+	 */
+	public void onConnection(ConnectionObserver connectionObserver) {
+		this.observer = connectionObserver;
+	}
+
 	@Override
 	public BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
 		BackendCall call = new BackendCall(this.dialect, to, request, listener);
@@ -110,14 +123,26 @@
 
 	@Override
 	public CompletableFuture<Boolean> refuses(Backend endpoint) {
-		CompletableFuture<Boolean> refused = new CompletableFuture<>();
+		return connect(endpoint).thenApply((outcome) -> outcome == ConnectionOutcome.REFUSED);
+	}
+
+	@Override
+	public CompletableFuture<ConnectionOutcome> connect(Backend endpoint) {
+		CompletableFuture<ConnectionOutcome> result = new CompletableFuture<>();
 		bootstrap().handler(new ChannelInboundHandlerAdapter())
 			.connect(endpoint.address().getHost(), endpoint.address().getPort())
 			.addListener((ChannelFuture future) -> {
 				future.channel().close();
-				refused.complete(!future.isSuccess() && isRefusal(future.cause()));
+				result.complete(outcome(future));
 			});
-		return refused;
+		return result;
+	}
+
+	private static ConnectionOutcome outcome(ChannelFuture future) {
+		if (future.isSuccess()) {
+			return ConnectionOutcome.ACCEPTED;
+		}
+		return isRefusal(future.cause()) ? ConnectionOutcome.REFUSED : ConnectionOutcome.FAILED;
 	}
 
 	private static boolean isRefusal(Throwable cause) {
@@ -186,13 +211,18 @@
 				.option(EpollChannelOption.TCP_KEEPINTVL, KEEPALIVE_PROBE_SECONDS)
 				.option(EpollChannelOption.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES);
 		}
+		long startedAt = this.loop.nanos();
 		ChannelFuture connected = bootstrap.connect(to.address().getHost(), to.address().getPort());
 		call.connectFuture(connected);
 		connected.addListener((future) -> {
 			if (future.isSuccess()) {
+				this.observer.connected(to);
 				connected.channel().pipeline().get(BackendChannel.class).send(call);
 			}
 			else {
+				if (!future.isCancelled()) {
+					this.observer.connectFailed(to, startedAt);
+				}
 				call.failed(false, "connect: " + future.cause().getMessage());
 			}
 		});
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -28,11 +28,11 @@
  * dead one in the meantime loses one of its two tries. The connections of a killed daemon
  * are closed at once, and a frozen one stops sending its load, so a daemon whose
  * connection was lost or that is unresponsive isn't returned, unless no other is left.
- * {@link EntrySelection} selects among the others. A daemon that has just started and has
- * not discovered any other returns no address, so that callers query another daemon or
- * keep the answer that they have. Invariant: once the daemon has been up for
- * {@link #LARGEST_DISCOVERY_TIME}, the list is never empty. Confined to the scheduler's
- * thread.
+ * Nor is one that can't reach endpoints which others reach. {@link EntrySelection}
+ * selects among the others. A daemon that has just started and has not discovered any
+ * other returns no address, so that callers query another daemon or keep the answer that
+ * they have. Invariant: once the daemon has been up for {@link #LARGEST_DISCOVERY_TIME},
+ * the list is never empty. Confined to the scheduler's thread.
  */
 final class EntryList {
 
@@ -62,6 +62,9 @@
 	 */
 	static final Duration LARGEST_DISCOVERY_TIME = Duration.ofSeconds(2);
 
+	/** The time for which it is cached whether this daemon is selected. */
+	private static final Duration SELECTION_CACHED = Duration.ofSeconds(1);
+
 	private final Clock clock;
 
 	private final long startedAt;
@@ -80,9 +83,14 @@
 
 	private final Random random = new Random();
 
+	private boolean selfSelected;
+
+	private long selfCheckedAt;
+
 	EntryList(Clock clock, MembershipView membership, PeerNetwork network, FleetView view, DecisionLog log) {
 		this.clock = clock;
 		this.startedAt = clock.nanos();
+		this.selfCheckedAt = this.startedAt;
 		this.membership = membership;
 		this.network = network;
 		this.view = view;
@@ -105,6 +113,34 @@
 	 * @return {@code host:port} of each, none if this daemon has just started
 	 */
 	List<String> addresses(boolean selfLeaves, PreferredDaemons preferred) {
+		List<Member> usable = usable(selfLeaves, preferred);
+		return usable.isEmpty() ? List.of() : select(usable, preferred);
+	}
+
+	/**
+	 * Whether callers are sent to this daemon.
+	 * @return true if it is selected, as of the last {@link #SELECTION_CACHED}
+	 */
+	boolean selectsSelf() {
+		long now = this.clock.nanos();
+		if (now - this.selfCheckedAt > SELECTION_CACHED.toNanos()) {
+			this.selfCheckedAt = now;
+			VmId self = this.membership.self().vm();
+			this.selfSelected = this.view.selection()
+				.select(usable(false, PreferredDaemons.ANY), this.view.activeRequests())
+				.stream()
+				.anyMatch((member) -> member.vm().equals(self));
+		}
+		return this.selfSelected;
+	}
+
+	/**
+	 * The daemons among which the entry daemons are selected.
+	 * @param selfLeaves whether this daemon is shutting down
+	 * @param preferred the daemons to which they are limited if any of them responds
+	 * @return the daemons, none if this daemon has just started
+	 */
+	private List<Member> usable(boolean selfLeaves, PreferredDaemons preferred) {
 		List<Member> reachable = new ArrayList<>();
 		List<Member> suspects = new ArrayList<>();
 		VmId self = this.membership.self().vm();
@@ -124,7 +160,17 @@
 		if (usable.isEmpty()) {
 			this.membership.member(self).ifPresent(usable::add);
 		}
-		return select(preferred.among(usable), preferred);
+		return withPaths(preferred.among(usable));
+	}
+
+	/**
+	 * Omits the daemons that can't reach endpoints which others of them reach.
+	 * @param daemons the daemons
+	 * @return the others, at least one
+	 */
+	private List<Member> withPaths(List<Member> daemons) {
+		Set<VmId> cutOff = this.view.cutOff(daemons.stream().map(Member::vm).toList());
+		return cutOff.isEmpty() ? daemons : daemons.stream().filter((member) -> !cutOff.contains(member.vm())).toList();
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetView.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetView.java
@@ -1,6 +1,8 @@
 package org.bramleyscale.internal.gateway.node;
 
+import java.util.Collection;
 import java.util.OptionalInt;
+import java.util.Set;
 
 import org.bramleyscale.VmId;
 
@@ -36,6 +38,14 @@
 	 */
 	boolean unresponsive(VmId vm);
 
+	/**
+	 * Determines which of several daemons can't reach services that another of them
+	 * reaches.
+	 * @param daemons the daemons' VMs
+	 * @return those that callers should not use; never all of them
+	 */
+	Set<VmId> cutOff(Collection<VmId> daemons);
+
 	/**
 	 * Returns how entry daemons are selected among those that respond.
 	 * @return the selection, by the current relays
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/PeerSetup.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/PeerSetup.java
@@ -10,6 +10,7 @@
 import org.bramleyscale.internal.gateway.follow.PeerCopies;
 import org.bramleyscale.internal.gateway.limit.FleetLimits;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
+import org.bramleyscale.internal.gateway.reachability.FleetReachability;
 import org.bramleyscale.internal.membership.MembershipMessages;
 import org.bramleyscale.internal.membership.MembershipSettings;
 import org.bramleyscale.internal.membership.MembershipTimes;
@@ -77,6 +78,7 @@
 		FleetCrashGuard.register(builder);
 		FleetLimits.register(builder);
 		FleetPresence.register(builder);
+		FleetReachability.register(builder);
 		return builder.build();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -224,6 +224,7 @@
 		if (!this.closed) {
 			this.head = head;
 			this.request.noticeReceived(this.target, head.notice());
+			this.ports.paths().answered(this.target);
 			if (head.genuine() && !head.notRun()) {
 				// A refusal may come from a later endpoint at the target's address, so it
 				// doesn't count as a response of the target.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
@@ -12,6 +12,7 @@
 import org.bramleyscale.internal.gateway.load.LoadTracker;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.placement.PlacementPolicy;
+import org.bramleyscale.internal.gateway.reachability.EndpointPaths;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
 import org.bramleyscale.internal.time.Scheduler;
 
@@ -24,6 +25,7 @@
  * @param placement chooses the endpoint of each request
  * @param notices processes what endpoints report about themselves
  * @param health records the outcomes of requests to endpoints
+ * @param paths knows whether the endpoints of a service can be reached
  * @param loads records the work in progress at endpoints
  * @param demands records the demand for each service
  * @param contention the queues of services whose requests have different priorities
@@ -37,7 +39,7 @@
  * @param metrics records outcomes and durations
  */
 public record GatewayPorts(Scheduler scheduler, DataCentre dataCentre, BackendClient client, PlacementPolicy placement,
-		EndpointNotices notices, BackendHealth health, LoadTracker loads, DemandTracker demands,
+		EndpointNotices notices, BackendHealth health, EndpointPaths paths, LoadTracker loads, DemandTracker demands,
 		ContentionQueues contention, RetryBudget retryBudget, EndpointRules rules, EndpointLimits limits,
 		CrashGuard crashes, MemoryHolds holds, Runnable onLongPromptSent, DecisionLog log, GatewayMetrics metrics) {
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -34,6 +34,8 @@
 
 	private static final int GATEWAY_TIMEOUT = 504;
 
+	private static final String PATH_LOST = "no path to the service's endpoints";
+
 	/** Sent after an endpoint's refusal: by then its queue is expected to be shorter. */
 	private static final Duration REFUSED_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -147,6 +149,9 @@
 	}
 
 	Placement choosePlacement() {
+		if (pathLost()) {
+			return Placement.refused(PATH_LOST, this.ports.paths().retryAfter());
+		}
 		return this.ports.placement()
 			.place(new PlacementRequest(this.resolved.route(), this.resolved.account(), this.resolved.service(),
 					this.request.promptTokens(), this.request.outputTokens(), callerTimeLeft(), elapsed(),
@@ -176,6 +181,10 @@
 		}
 	}
 
+	private boolean pathLost() {
+		return this.ports.paths().lost(this.resolved.service().name());
+	}
+
 	private Duration elapsed() {
 		return Duration.ofNanos(this.ports.scheduler().nanos() - this.arrivedAt);
 	}
@@ -296,6 +305,10 @@
 	 * @param from the attempt
 	 */
 	void attemptTimedOut(Attempt from) {
+		if (pathLost()) {
+			giveUp(BAD_GATEWAY, PATH_LOST, Duration.ZERO);
+			return;
+		}
 		if (!this.retryState.acquireRerun(1)) {
 			return;
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -43,8 +44,13 @@
 import org.bramleyscale.internal.gateway.load.DemandTracker;
 import org.bramleyscale.internal.gateway.load.LoadTracker;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.gateway.node.PathChanges;
 import org.bramleyscale.internal.gateway.node.SimulatedEntries;
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.reachability.ConnectionCheck;
+import org.bramleyscale.internal.gateway.reachability.ConnectionOutcome;
+import org.bramleyscale.internal.gateway.reachability.FleetReachability;
+import org.bramleyscale.internal.gateway.reachability.PathMonitor;
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendListener;
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
@@ -63,7 +69,7 @@
  * One start of a daemon, which runs the production classes of the gateway on a simulated
  * network. Confined to the test's thread.
  */
-public final class SimulatedDaemon implements PeerNetwork, UpdateRoutes, EndpointCheck {
+public final class SimulatedDaemon implements PeerNetwork, UpdateRoutes, EndpointCheck, ConnectionCheck {
 
 	private static final RendezvousHash<VmId> HASH = new RendezvousHash<>(VmId::value);
 
@@ -72,6 +78,8 @@
 	/** Latency of a message between daemons. */
 	private static final Duration PEER_LATENCY = Duration.ofMillis(60);
 
+	private static final Duration RETRY_AFTER_LOST_PATH = Duration.ofMillis(10);
+
 	/** How long connecting may take. */
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
@@ -114,6 +122,10 @@
 
 	private final SimulatedEntries entries;
 
+	private final PathMonitor paths;
+
+	private final FleetReachability reachability;
+
 	final MetricRegistry metrics = new MetricRegistry();
 
 	PathFault pathFault = PathFault.NONE;
@@ -134,6 +146,10 @@
 		this.backends.onUnplannedEnd(this.crashes::endpointRemoved);
 		BackendHealth health = new BackendHealth(clock, DecisionLog.NONE);
 		LoadTracker loads = new LoadTracker(clock);
+		this.paths = new PathMonitor(clock, this, this.backends, new Random(index), DecisionLog.NONE);
+		this.reachability = new FleetReachability(clock, this, this, new Incarnation(this.vm, 1 + this.startedAt),
+				this.paths::lostByPeer, DecisionLog.NONE);
+		ContentionQueues contention = new ContentionQueues(clock, new ContentionMetrics(new MetricRegistry()));
 		CatalogHolder catalogs = new CatalogHolder();
 		catalogs.offer(Catalog.builder(1)
 			.account(new Account(new ClientAccountId("hule"), OptionalInt.empty()), List.of("key"))
@@ -142,8 +158,8 @@
 			.build());
 		GatewayPorts ports = new GatewayPorts(clock, GatewayFleet.DATA_CENTRE, this::send,
 				new PlainPlacement(this.backends, health, loads, this.fleet.random),
-				new EndpointNotices(new FleetPresence(clock, this, this, this.backends), health), health, loads,
-				new DemandTracker(clock), new ContentionQueues(clock, new ContentionMetrics(new MetricRegistry())),
+				new EndpointNotices(new FleetPresence(clock, this, this, this.backends), health), health, this.paths,
+				loads, new DemandTracker(clock), contention,
 				new RetryBudget(clock, Duration.ofSeconds(10), 0.2, 100, () -> 1),
 				EndpointRules.builder().rule(new RequestedBackoff(health)).quota(this.limits).build(), this.limits,
 				this.crashes, new MemoryHolds(clock, new NoOrders(), this.backends::hasRestarted, (engine) -> true,
@@ -152,7 +168,9 @@
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
 		this.entries = new SimulatedEntries(clock, this.vm, this.fleet::members, this, this.fleet.relays(),
-				this.fleet::activeRequests);
+				this.fleet::activeRequests, this.reachability::cutOff);
+		this.paths.start(this.entries::selectsSelf, () -> RETRY_AFTER_LOST_PATH,
+				new PathChanges(this.reachability, this.backends, health, contention));
 	}
 
 	private static Route.Builder route(String name, String prefix) {
@@ -216,10 +234,15 @@
 
 	@Override
 	public CompletableFuture<Boolean> refuses(Backend endpoint) {
-		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		return connect(endpoint).thenApply((outcome) -> outcome == ConnectionOutcome.REFUSED);
+	}
+
+	@Override
+	public CompletableFuture<ConnectionOutcome> connect(Backend endpoint) {
+		CompletableFuture<ConnectionOutcome> result = new CompletableFuture<>();
 		boolean hangs = this.pathFault != PathFault.NONE && !this.pathFault.refusesNew;
-		this.fleet.scheduler.schedule(hangs ? CONNECT_TIMEOUT : SimulatedEndpoint.REFUSAL_LATENCY, () -> result
-			.complete(!hangs && (this.pathFault.refusesNew || this.fleet.endpoints.get(endpoint.start()).refuses())));
+		this.fleet.scheduler.schedule(hangs ? CONNECT_TIMEOUT : SimulatedEndpoint.REFUSAL_LATENCY,
+				() -> result.complete(outcome(endpoint)));
 		return result;
 	}
 
@@ -353,33 +376,43 @@
 		SimulatedEndpoint endpoint = this.fleet.endpoints.get(to.start());
 		SentRequest sent = new SentRequest(this, endpoint, request, listener);
 		boolean reused = reuses(to.start(), request);
+		long startedAt = this.fleet.scheduler.nanos();
 		this.fleet.scheduler.schedule(REQUEST_LATENCY, () -> {
-			if (this.pathFault == PathFault.NONE || (reused && this.pathFault.carriesRequests)) {
-				if (!sent.cancelled) {
-					endpoint.arrives(sent);
-				}
+			if (!reused && (this.pathFault != PathFault.NONE || endpoint.refuses())) {
+				failToConnect(sent, startedAt);
 			}
-			else if (reused) {
+			else if (reused && !this.pathFault.carriesRequests) {
 				this.fleet.scheduler.schedule(
 						(this.pathFault == PathFault.RESET) ? Duration.ZERO : UNACKNOWLEDGED_TIMEOUT,
 						() -> sent.fail(true, "connection lost"));
 			}
-			else {
-				failToConnect(sent);
+			else if (!sent.cancelled) {
+				if (!reused) {
+					this.paths.connected(to);
+				}
+				endpoint.arrives(sent);
 			}
 		});
 		return sent;
 	}
 
-	private void failToConnect(SentRequest sent) {
-
-		if (this.pathFault.refusesNew) {
-			this.fleet.scheduler.schedule(SimulatedEndpoint.REFUSAL_LATENCY,
-					() -> sent.fail(false, "connect: Connection refused"));
-		}
-		else {
-			this.fleet.scheduler.schedule(CONNECT_TIMEOUT, () -> sent.fail(false, "connect: connection timed out"));
+	private ConnectionOutcome outcome(Backend endpoint) {
+		if (this.pathFault != PathFault.NONE) {
+			return this.pathFault.refusesNew ? ConnectionOutcome.REFUSED : ConnectionOutcome.FAILED;
 		}
+		return this.fleet.endpoints.get(endpoint.start()).refuses() ? ConnectionOutcome.REFUSED
+				: ConnectionOutcome.ACCEPTED;
+	}
+
+	private void failToConnect(SentRequest sent, long startedAt) {
+		boolean hangs = this.pathFault != PathFault.NONE && !this.pathFault.refusesNew;
+		String cause = hangs ? "connect: connection timed out" : "connect: Connection refused";
+		this.fleet.scheduler.schedule(hangs ? CONNECT_TIMEOUT : SimulatedEndpoint.REFUSAL_LATENCY, () -> {
+			if (!sent.cancelled) {
+				this.paths.connectFailed(sent.to.backend, startedAt);
+			}
+			sent.fail(false, cause);
+		});
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
@@ -34,6 +34,7 @@
 import org.bramleyscale.internal.gateway.load.LoadTracker;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.reachability.EndpointPaths;
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
@@ -79,7 +80,7 @@
 		GatewayPorts ports = new GatewayPorts(this.loop, new DataCentre("east"),
 				new BackendConnectionPool(this.loop, new PlainDialect()),
 				new PlainPlacement(backends, health, loads, new Random(1)), new EndpointNotices(backends, health),
-				health, loads, new DemandTracker(this.loop),
+				health, EndpointPaths.INTACT, loads, new DemandTracker(this.loop),
 				new ContentionQueues(this.loop, new ContentionMetrics(new MetricRegistry())),
 				new RetryBudget(this.loop, Duration.ofSeconds(10), 0.2, 100, () -> 1), EndpointRules.NONE,
 				EndpointLimits.NONE, CrashGuard.NONE,
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
@@ -118,6 +118,25 @@
 			.isEqualTo(expected);
 	}
 
+	/** Guards against callers that are sent to daemons without a path to endpoints. */
+	@ParameterizedTest
+	@CsvSource({ "b, a:80 c:80", "a, b:80 c:80", "a b, c:80" })
+	void omitsDaemonsThatAreCutOffFromEndpoints(String cutOff, String expected) {
+		Stream.of(cutOff.split(" ")).forEach((name) -> this.view.cutOff.add(vm(name)));
+		Truth.assertThat(String.join(" ", new TreeSet<>(this.entries.addresses(false, PreferredDaemons.ANY))))
+			.isEqualTo(expected);
+	}
+
+	/** Guards against a daemon that doesn't check its paths although callers use it. */
+	@Test
+	void selectsThisDaemonUnlessItIsCutOff() {
+		this.scheduler.advance(Duration.ofSeconds(2));
+		Truth.assertThat(this.entries.selectsSelf()).isTrue();
+		this.view.cutOff.add(vm("a"));
+		this.scheduler.advance(Duration.ofSeconds(2));
+		Truth.assertThat(this.entries.selectsSelf()).isFalse();
+	}
+
 	@Test
 	void leavingDaemonReturnsTheOthers() {
 		Truth.assertThat(this.entries.addresses(true, PreferredDaemons.ANY)).containsExactly("b:80", "c:80");
@@ -188,6 +207,8 @@
 
 		private final Set<VmId> unresponsive = new HashSet<>();
 
+		private final Set<VmId> cutOff = new HashSet<>();
+
 		private boolean configured = true;
 
 		private OptionalInt largestListed = OptionalInt.of(NO_OTHER_VM);
@@ -207,6 +228,11 @@
 			return this.unresponsive.contains(vm);
 		}
 
+		@Override
+		public Set<VmId> cutOff(Collection<VmId> daemons) {
+			return this.cutOff;
+		}
+
 		@Override
 		public EntrySelection selection() {
 			return new EntrySelection(true, Set.of());
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/PeerSetupTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/PeerSetupTests.java
@@ -33,7 +33,7 @@
 					Map.entry(16, "InquiryResult"), Map.entry(17, "Probe"), Map.entry(18, "ProbeReply"),
 					Map.entry(101, "CopiesHeld"), Map.entry(102, "CopiesTold"), Map.entry(103, "LoadTold"),
 					Map.entry(104, "LoadSummed"), Map.entry(105, "CrashesTold"), Map.entry(106, "LimitsTold"),
-					Map.entry(107, "LeavingTold")));
+					Map.entry(107, "LeavingTold"), Map.entry(108, "UnreachableTold")));
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedEntries.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedEntries.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
@@ -34,17 +35,22 @@
 	 * @param network the daemon's connections
 	 * @param relays the relays, or empty if the fleet is a full mesh
 	 * @param activeRequests the active requests of the whole fleet
+	 * @param cutOff determines which of several daemons are cut off from endpoints
 	 */
 	public SimulatedEntries(Scheduler scheduler, VmId self, Supplier<List<Member>> members, PeerNetwork network,
-			Set<VmId> relays, IntSupplier activeRequests) {
+			Set<VmId> relays, IntSupplier activeRequests, Function<Collection<VmId>, Set<VmId>> cutOff) {
 		this.entries = new EntryList(scheduler, new RunningDaemons(self, members), network,
-				new View(relays, activeRequests), DecisionLog.NONE);
+				new View(relays, activeRequests, cutOff), DecisionLog.NONE);
 	}
 
 	public List<String> addresses() {
 		return this.entries.addresses(false, PreferredDaemons.ANY);
 	}
 
+	public boolean selectsSelf() {
+		return this.entries.selectsSelf();
+	}
+
 	/**
 	 * A membership in which all running daemons are alive.
 	 *
@@ -90,8 +96,10 @@
 	 *
 	 * @param relays see {@link SimulatedEntries}
 	 * @param active see {@link SimulatedEntries}
+	 * @param reachability see {@link SimulatedEntries}
 	 */
-	private record View(Set<VmId> relays, IntSupplier active) implements FleetView {
+	private record View(Set<VmId> relays, IntSupplier active,
+			Function<Collection<VmId>, Set<VmId>> reachability) implements FleetView {
 
 		@Override
 		public boolean configured() {
@@ -108,6 +116,11 @@
 			return false;
 		}
 
+		@Override
+		public Set<VmId> cutOff(Collection<VmId> daemons) {
+			return this.reachability.apply(daemons);
+		}
+
 		@Override
 		public EntrySelection selection() {
 			return new EntrySelection(this.relays.isEmpty(), this.relays);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/reachability/CutOffDaemonsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/reachability/CutOffDaemonsTests.java
@@ -48,7 +48,6 @@
 	/** Guards against callers that are sent to daemons without a path to any endpoint. */
 	@ParameterizedTest
 	@MethodSource("cuts")
-	@Tag("known-red")
 	void callersAreServedAsOftenAsElsewhere(int daemons, PathFault fault, Share share) {
 		SimulatedCallers callers = play(daemons, fault, share.cutOff(daemons));
 		List<SimulatedCallers.FirstTry> tries = callers.firstTries(CUT + CONTACT, HEALED);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
@@ -44,6 +44,7 @@
 import org.bramleyscale.internal.gateway.placement.EnginePlacement;
 import org.bramleyscale.internal.gateway.placement.PlacementPolicy;
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.reachability.EndpointPaths;
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
@@ -123,7 +124,7 @@
 		DecisionLog log = this::logged;
 		GatewayPorts ports = new GatewayPorts(this.scheduler, new DataCentre("east"), this::send,
 				(request) -> (request.service().engine().isPresent() ? engines : plain).place(request),
-				new EndpointNotices(this.backends, health), health, loads, demands,
+				new EndpointNotices(this.backends, health), health, EndpointPaths.INTACT, loads, demands,
 				new ContentionQueues(this.scheduler, new ContentionMetrics(new MetricRegistry())),
 				new RetryBudget(this.scheduler, Duration.ofSeconds(10), 0.5, 100, () -> 1),
 				EndpointRules.builder()
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -52,6 +52,7 @@
 import org.bramleyscale.internal.gateway.placement.PlacementPolicy;
 import org.bramleyscale.internal.gateway.placement.PlacementRequest;
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
+import org.bramleyscale.internal.gateway.reachability.EndpointPaths;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
 import org.bramleyscale.internal.time.ManualScheduler;
 
@@ -88,6 +89,11 @@
 	/** The ids of endpoints in evacuated data centres. */
 	final Set<String> evacuated = new HashSet<>();
 
+	/** Whether the fixture's daemon has lost the path to all endpoints. */
+	boolean pathLost;
+
+	private final EndpointPaths paths = new LostPath();
+
 	final RecordingQuota quota = new RecordingQuota();
 
 	PlacementRequest lastPlacementRequest;
@@ -106,7 +112,7 @@
 		Random random = new Random(1);
 		GatewayPorts ports = new GatewayPorts(this.scheduler, new DataCentre("east"), this::send,
 				scriptedOr(new PlainPlacement(this.backends, this.health, this.loads, random)),
-				new EndpointNotices(this.backends, this.health), this.health, this.loads, this.demands,
+				new EndpointNotices(this.backends, this.health), this.health, this.paths, this.loads, this.demands,
 				new ContentionQueues(this.scheduler, new ContentionMetrics(new MetricRegistry())),
 				new RetryBudget(this.scheduler, Duration.ofSeconds(10), 0, RETRY_CONSTANT, () -> 1),
 				EndpointRules.builder()
@@ -198,6 +204,28 @@
 				EndpointNotice.NONE, Optional.empty());
 	}
 
+	/**
+	 * A path to all endpoints that the test may break.
+	 */
+	private final class LostPath implements EndpointPaths {
+
+		@Override
+		public boolean lost(ServiceName service) {
+			return RelayFixture.this.pathLost;
+		}
+
+		@Override
+		public Duration retryAfter() {
+			return Duration.ofMillis(10);
+		}
+
+		@Override
+		public void answered(Backend endpoint) {
+			// The test alone breaks and repairs the path.
+		}
+
+	}
+
 	/**
 	 * Withdraws the endpoints that the test evacuates.
 	 */
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -77,6 +77,31 @@
 		Truth.assertThat(this.fixture.sent).hasSize(sent);
 	}
 
+	/** Guards against callers that wait at a daemon which reaches no endpoint. */
+	@ParameterizedTest
+	@ValueSource(strings = { "/book/1", "/log/1", "/stream/1" })
+	void requestWithoutAPathIsRefusedAtOnce(String path) {
+		this.fixture.pathLost = true;
+		RelayFixture.RecordingCaller caller = this.fixture.call(path);
+		Truth.assertThat(caller.received.toString()).isEqualTo("own 503");
+		Truth.assertThat(caller.retryAfter).isEqualTo(Duration.ofMillis(10));
+		Truth.assertThat(this.fixture.sent).isEmpty();
+	}
+
+	/** Guards against a hung request that holds its caller until the deadline. */
+	@ParameterizedTest
+	@CsvSource({ "0, own 502", "2, begin s200 1 2 abort" })
+	void silentRequestWithoutAPathEndsWithoutAnotherTry(int events, String got) {
+		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		if (events > 0) {
+			this.fixture.last().sendEvents(1, events);
+		}
+		this.fixture.pathLost = true;
+		this.fixture.scheduler.advance(Duration.ofSeconds(2));
+		Truth.assertThat(caller.received.toString()).isEqualTo(got);
+		Truth.assertThat(this.fixture.sent).hasSize(1);
+	}
+
 	@Test
 	void reportsNotRunOnlyIfEveryEndpointConfirmsIt() {
 		RelayFixture.RecordingCaller caller = this.fixture.call("/book/1");
