Retract a crash that an answer to any daemon contradicts

What callers saw: a daemon that had lost the path to some endpoints only, and reached the others, reported these as crashed, and all daemons believed it.

Cause: one observer decided for the fleet; only its own later answers could take the report back, and it got none over its broken path.

Change: an answer of the endpoint to a request that any daemon sent after it learnt of the crash retracts it on all daemons, within 1.5 s of the report: a crashed endpoint takes longer to start again under its id, so that an answer of its next start can't be taken for its own. The reporting daemon forgets the crash too.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
@@ -127,6 +127,14 @@
 		}
 	}
 
+	/**
+	 * Records that a peer has had an answer of an endpoint that counted as crashed.
+	 * @param endpoint the endpoint
+	 */
+	void foundAliveByPeer(EndpointStart endpoint) {
+		this.crashedAt.remove(endpoint);
+	}
+
 	/**
 	 * Counts the endpoints that may have crashed while they ran a request and whose first
 	 * check is pending.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashExchange.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
@@ -40,16 +41,21 @@
 
 	private final CrashRegistry registry;
 
+	private final Consumer<EndpointStart> aliveListener;
+
 	/**
 	 * Creates the exchange and starts it.
 	 * @param scheduler the daemon's scheduler
 	 * @param network the connections to peers
 	 * @param routes the peers that updates are sent to
 	 * @param registry the known crashes
+	 * @param aliveListener called with endpoints that turn out to be alive
 	 */
-	CrashExchange(Scheduler scheduler, PeerNetwork network, UpdateRoutes routes, CrashRegistry registry) {
+	CrashExchange(Scheduler scheduler, PeerNetwork network, UpdateRoutes routes, CrashRegistry registry,
+			Consumer<EndpointStart> aliveListener) {
 		this.network = network;
 		this.registry = registry;
+		this.aliveListener = aliveListener;
 		this.gossip = new FleetGossip<>(scheduler, network, routes, CrashUpdate.class, this);
 	}
 
@@ -93,6 +99,7 @@
 		List<String> cleared = new ArrayList<>(orEmpty(message.cleared()));
 		cleared.removeIf((request) -> !this.registry.clear(new RequestDigest(request)));
 		List<String> living = new ArrayList<>(orEmpty(message.living()));
+		living.forEach((endpoint) -> this.aliveListener.accept(EndpointStart.parse(endpoint)));
 		living.removeIf((endpoint) -> !this.registry.retractCrashes(EndpointStart.parse(endpoint)));
 		boolean changed = !crashes.isEmpty() || !cleared.isEmpty() || !living.isEmpty();
 		return changed ? Optional.of(new CrashUpdate(crashes, cleared, living)) : Optional.empty();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRegistry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRegistry.java
@@ -47,6 +47,12 @@
 	 */
 	static final Duration CLEARANCE_PERIOD = Duration.ofSeconds(15);
 
+	/**
+	 * How long after the report of a crash an answer shows that there was none. An
+	 * endpoint that has crashed takes longer to start again under its id.
+	 */
+	static final Duration CONTRADICTION_PERIOD = Duration.ofMillis(1_500);
+
 	/**
 	 * How long a crash is repeated to peers. A peer that missed it for longer is sent it
 	 * in reply to a message that names the request.
@@ -63,6 +69,8 @@
 
 	private final Map<RequestDigest, Crashes> crashes = new LinkedHashMap<>();
 
+	private final Map<EndpointStart, Long> reportedAt = new HashMap<>();
+
 	private final Map<RequestDigest, StoredRecord> records = new HashMap<>();
 
 	private final Map<RequestDigest, Clearance> clearances = new LinkedHashMap<>() {
@@ -97,6 +105,9 @@
 			this.crashes.put(request, known);
 		}
 		boolean added = known.endpoints.add(endpoint);
+		if (added) {
+			this.reportedAt.put(endpoint, this.clock.nanos());
+		}
 		known.latestAt = added ? this.clock.nanos() : known.latestAt;
 		return added;
 	}
@@ -141,12 +152,33 @@
 		return clearance != null && this.clock.nanos() - clearance.at() < CLEARANCE_PERIOD.toNanos();
 	}
 
+	/**
+	 * Whether an answer shows that an endpoint has not crashed, whoever reported it.
+	 * @param endpoint the endpoint
+	 * @param sentAt when the answered request was sent
+	 * @return true if a crash of it was reported shortly before the request was sent
+	 */
+	boolean contradicted(EndpointStart endpoint, long sentAt) {
+		Long reported = this.reportedAt.get(endpoint);
+		return reported != null && sentAt - reported > 0
+				&& this.clock.nanos() - reported < CONTRADICTION_PERIOD.toNanos();
+	}
+
+	/**
+	 * Removes what answers can't contradict any more; called a few times a second.
+	 */
+	void expire() {
+		long now = this.clock.nanos();
+		this.reportedAt.values().removeIf((reported) -> now - reported >= CONTRADICTION_PERIOD.toNanos());
+	}
+
 	/**
 	 * Retracts the crashes of an endpoint that turns out to be alive.
 	 * @param endpoint the endpoint
 	 * @return false if no crash of it was known
 	 */
 	boolean retractCrashes(EndpointStart endpoint) {
+		this.reportedAt.remove(endpoint);
 		boolean known = false;
 		for (Crashes each : this.crashes.values()) {
 			known |= each.endpoints.remove(endpoint);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -24,7 +24,9 @@
  * {@link CrashRegistry#TRIAL_THRESHOLD} endpoints have crashed under gets a record in the
  * platform's store, which all daemons watch and which survives their restarts; from then
  * on the request is sent only as a trial. A request that has run to completion is cleared
- * on all daemons. Confined to the scheduler's thread. <pre>
+ * on all daemons. An endpoint that answers any daemon after its crash was reported has
+ * not crashed: the daemon that reported it had lost its path. Confined to the scheduler's
+ * thread. <pre>
  * guard.connectionLost(digest, endpoint);
  * if (guard.verdict(digest) == Verdict.BLOCKED) { refuse(); }
  * </pre>
@@ -61,7 +63,8 @@
 		this.metrics = ports.metrics();
 		this.registry = new CrashRegistry(ports.scheduler());
 		this.detector = new CrashDetector(ports.scheduler(), check, listed, this);
-		this.exchange = new CrashExchange(ports.scheduler(), ports.network(), ports.routes(), this.registry);
+		this.exchange = new CrashExchange(ports.scheduler(), ports.network(), ports.routes(), this.registry,
+				this.detector::foundAliveByPeer);
 		this.records = new CrashRecords(ports.scheduler(), ports.store(), this.registry, maintainsRecords, this.log);
 		ports.scheduler().repeat(MAINTENANCE_PERIOD, this.records::writeMissing);
 		this.metrics.gauge("gateway.crashes.suspects", () -> this.registry::suspectCount);
@@ -97,6 +100,7 @@
 	 */
 	public void expire() {
 		this.detector.expire();
+		this.registry.expire();
 	}
 
 	@Override
@@ -129,6 +133,9 @@
 	@Override
 	public void answered(EndpointStart endpoint, long sentAt) {
 		this.detector.answered(endpoint, sentAt);
+		if (this.registry.contradicted(endpoint, sentAt)) {
+			foundAlive(endpoint);
+		}
 	}
 
 	@Override
