Keep connections to endpoints that are silent for a second

What callers would see: a booking or a stream whose endpoint is sound and was silent for a second or so ends with 502 or is broken off.

Cause: connections set TCP_USER_TIMEOUT to 1.5 s, and on Linux the user timeout also decides when keep-alive probes give up, whatever their count. With a probe after 1 s and each second, a silence of 1.0 s that begins just before the first probe was fatal.

Change: TcpLiveness states what the options amount to; a user timeout of 2.5 s makes 2.0 s the shortest fatal silence. The number of probes has no effect beside a user timeout and isn't set any more. A dead endpoint is noticed 1 s later by requests that may run only once, which can't be sent again anyway.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/Backend.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/Backend.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.gateway.backend;
 
+import java.time.Duration;
+
 import com.google.common.net.HostAndPort;
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.EndpointId;
@@ -23,6 +25,9 @@
 public record Backend(EndpointStart start, ServiceName service, HostAndPort address, DataCentre dataCentre, int slots,
 		boolean draining) {
 
+	/** An endpoint that is silent for no longer than this isn't at fault. */
+	public static final Duration LONGEST_SOUND_SILENCE = Duration.ofMillis(1_300);
+
 	/**
 	 * The endpoint's id.
 	 * @return the id, the same for each of its starts
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -45,10 +45,9 @@
 	 */
 	static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
-	/**
-	 * How long sent bytes may remain unacknowledged before the connection counts as dead.
-	 */
-	static final Duration UNACKNOWLEDGED_TIMEOUT = Duration.ofMillis(1_500);
+	/** When a connection counts as dead. A sound endpoint may be silent for a while. */
+	static final TcpLiveness LIVENESS = new TcpLiveness(Duration.ofMillis(2_500), Duration.ofSeconds(1),
+			Duration.ofSeconds(1));
 
 	/**
 	 * How long an idle connection is kept. A device between the two ends may drop its
@@ -57,10 +56,6 @@
 	 */
 	static final Duration IDLE_TIMEOUT = Duration.ofMillis(1_500);
 
-	private static final int KEEPALIVE_PROBE_SECONDS = 1;
-
-	private static final int MAX_KEEPALIVE_PROBES = 2;
-
 	private static final int MAX_INITIAL_LINE_LENGTH = 8_192;
 
 	private static final int MAX_HEADER_SIZE = 65_536;
@@ -200,10 +195,9 @@
 
 			});
 		if (this.loop.epoll()) {
-			bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, (int) UNACKNOWLEDGED_TIMEOUT.toMillis())
-				.option(EpollChannelOption.TCP_KEEPIDLE, KEEPALIVE_PROBE_SECONDS)
-				.option(EpollChannelOption.TCP_KEEPINTVL, KEEPALIVE_PROBE_SECONDS)
-				.option(EpollChannelOption.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES);
+			bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, LIVENESS.userTimeoutMillis())
+				.option(EpollChannelOption.TCP_KEEPIDLE, LIVENESS.idleSeconds())
+				.option(EpollChannelOption.TCP_KEEPINTVL, LIVENESS.intervalSeconds());
 		}
 		long startedAt = this.loop.nanos();
 		ChannelFuture connected = bootstrap.connect(to.address().getHost(), to.address().getPort());
