Wait for sound endpoints that are silent for a second

What callers would see: a sound endpoint falls silent for a second or so and goes on; its streams and requests had been sent to a second endpoint by then, which runs them again and takes from the retry budget of all.

Cause: 0.8 to 1.0 s of silence counted as a failure.

Change: repeatable requests wait for 1.4 s: 1.3 s of a sound endpoint's silence and the time of its next event; a caller that gives up after 2 s leaves 0.6 s for the second endpoint (0.7 of its time instead of 0.6). Requests with a shorter deadline move on at half of it, as before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -35,8 +35,11 @@
 
 	private static final Duration TARGET_SLACK = Duration.ofMillis(300);
 
-	/** The shortest silence between events that counts as a failure. */
-	private static final Duration MIN_SILENCE_TIMEOUT = Duration.ofMillis(800);
+	/**
+	 * The shortest silence that counts as a failure: that of a sound endpoint, and the
+	 * time until it would have sent its next event.
+	 */
+	private static final Duration MIN_SILENCE_TIMEOUT = Backend.LONGEST_SOUND_SILENCE.plusMillis(100);
 
 	/**
 	 * A silence of this many times the longest pause that callers accept counts as a
@@ -48,7 +51,7 @@
 	 * Fraction of the caller timeout that an attempt may use. The caller gives up when
 	 * the timeout ends, and a second endpoint needs the rest of it.
 	 */
-	private static final double CALLER_TIMEOUT_FRACTION = 0.6;
+	private static final double CALLER_TIMEOUT_FRACTION = 0.7;
 
 	/**
 	 * Fraction of the time left that an attempt without events may use; a retry needs the
@@ -309,7 +312,9 @@
 		if (!route.streaming()) {
 			limit = TIME_LEFT_FRACTION * this.request.timeLeft().toMillis();
 		}
-		return Duration.ofNanos((long) (Math.min(Math.max(predicted, target), limit) * NANOS_PER_MILLI));
+		return Duration
+			.ofNanos((long) (Math.min(Math.max(Math.max(predicted, target), MIN_SILENCE_TIMEOUT.toMillis()), limit)
+					* NANOS_PER_MILLI));
 	}
 
 	private Duration silenceTimeout() {
