--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -84,9 +84,6 @@
 	 */
 	private static final Duration OUTAGE_WINDOW = Duration.ofSeconds(3);
 
-	/** Another daemon can be tried at once; with zero, no retry time would be sent. */
-	private static final Duration OTHER_DAEMON_RETRY_AFTER = Duration.ofMillis(10);
-
 	private final GatewaySettings settings;
 
 	private final Dependencies dependencies;
@@ -115,9 +112,7 @@
 
 	private final ColdEndpoints cold;
 
-	private final PathMonitor paths;
-
-	private final FleetReachability reachability;
+	private final NodeReachability reachability;
 
 	private final Incarnation self;
 
@@ -135,8 +130,6 @@
 
 	private final LoadExchange loadExchange;
 
-	private final ContentionQueues contention;
-
 	private final PeerCopies copies;
 
 	private final LeaveSequence leave;
@@ -177,14 +170,17 @@
 			.build();
 		this.directory = new FleetDirectory(this.membership);
 		BackendConnectionPool connections = new BackendConnectionPool(loop, dependencies.dialect());
-		this.paths = new PathMonitor(loop, connections, this.backends, this.random, log);
-		connections.onConnection(this.paths);
-		this.reachability = new FleetReachability(loop, this.network, this.directory, this.self, this.paths::lostByPeer,
-				log);
+		ContentionQueues contention = new ContentionQueues(loop, new ContentionMetrics(dependencies.metrics()));
+		PathMonitor paths = new PathMonitor(loop, connections, this.backends, this.random, log);
+		connections.onConnection(paths);
+		this.reachability = new NodeReachability(paths,
+				new FleetReachability(loop, this.network, this.directory, this.self, paths::lostByPeer, log),
+				this.backends, this.health, contention);
+		this.reachability.register(dependencies.metrics());
 		this.crashes = new FleetCrashGuard(
 				new FleetCrashGuard.Ports(loop, this.network, this.directory, dependencies.store(), log,
 						dependencies.metrics()),
-				new ComparingEndpointCheck(connections, this.paths), this.backends::acceptsRequests,
+				new ComparingEndpointCheck(connections, paths), this.backends::acceptsRequests,
 				() -> this.directory.storeRank() == 0);
 		this.limits = new FleetLimits(loop, this.network, this.directory, this.directory, log, dependencies.metrics());
 		this.cold = ColdEndpoints.create(loop, this.network,
@@ -206,8 +202,8 @@
 		DemandTracker demands = new DemandTracker(loop);
 		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
 		this.entries = new EntryList(loop, this.membership, this.network, new NodeFleetView(settings.vm(),
-				this::configured, daemons, this.loadExchange, this.reachability, this.directory, this.loads), log,
-				this.random);
+				this::configured, daemons, this.loadExchange, this.reachability.fleet(), this.directory, this.loads),
+				log, this.random);
 		PlacementPolicy plainPlacement = new PlainPlacement(this.backends, this.health, this.loads, this.random);
 		PlacementPolicy enginePlacement = new EnginePlacement(this.backends, this.health, this.loads, demands,
 				this.random);
@@ -225,13 +221,11 @@
 		MemoryHolds holds = new MemoryHolds(loop, dependencies.orders(), this.backends::hasRestarted,
 				(engine) -> notices.acceptsRequests(engine) && !rules.blocks(engine, RequestScope.ANY),
 				this.self.toString(), log);
-		this.contention = new ContentionQueues(loop, new ContentionMetrics(dependencies.metrics()));
-		demands.onPeerChange(this.contention::capacityMayBeFree);
+		demands.onPeerChange(contention::capacityMayBeFree);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
 				(request) -> (request.service().engine().isPresent() ? enginePlacement : plainPlacement).place(request),
-				notices, this.health, this.paths, this.loads, demands, this.contention, retryBudget(), rules,
-				this.limits, this.crashes, holds, this.loadExchange::sendUpdate, log,
-				new GatewayMetrics(dependencies.metrics()));
+				notices, this.health, paths, this.loads, demands, contention, retryBudget(), rules, this.limits,
+				this.crashes, holds, this.loadExchange::sendUpdate, log, new GatewayMetrics(dependencies.metrics()));
 		this.service = new GatewayService(ports, this.catalogs, this::accepts, this.random);
 		StartupQueue requests = new StartupQueue(loop, this::configured, this.service);
 		this.callers = new CallerServer(loop, requests, dependencies.dialect(),
@@ -243,8 +237,6 @@
 		dependencies.metrics().gauge("gateway.connections.callers", () -> this.callers::connections);
 		dependencies.metrics().gauge("gateway.connections.opened", () -> connections::openedCount);
 		dependencies.metrics().gauge("gateway.connections.reused", () -> connections::reusedCount);
-		dependencies.metrics().gauge("gateway.services.unreachable", () -> () -> this.paths.broken().size());
-		dependencies.metrics().gauge("gateway.daemons.cut_off", () -> this.reachability::announcingCount);
 		dependencies.metrics().gauge("gateway.unfinished", () -> this.service::activeRequestCount);
 	}
 
@@ -369,8 +361,8 @@
 		this.membership.start();
 		this.copies.start();
 		this.loadExchange.start();
-		this.paths.start(this.entries::selectsSelf, this::lostPathRetryAfter,
-				new PathChanges(this.reachability, this.backends, this.health, this.contention));
+		this.reachability.start(this.entries::selectsSelf, () -> this.membership.eligible().size(),
+				this.settings.addressKeepFor());
 		this.dependencies.loop().repeat(SWEEP_INTERVAL, () -> {
 			this.backends.expire();
 			this.crashes.expire();
@@ -408,18 +400,6 @@
 				|| this.copies.sinceOutage().compareTo(OUTAGE_WINDOW) < 0;
 	}
 
-	/**
-	 * When callers of a service that this daemon can't reach should retry. A caller that
-	 * retries at once picks another of the addresses that it keeps; if most of these are
-	 * cut off too, it does better with a new answer.
-	 * @return the time
-	 */
-	private Duration lostPathRetryAfter() {
-		int daemons = this.membership.eligible().size();
-		return (2 * this.reachability.announcingCount() < daemons) ? OTHER_DAEMON_RETRY_AFTER
-				: this.settings.addressKeepFor();
-	}
-
 	private boolean accepts(Duration timeLeft) {
 		return this.leave.accepts(timeLeft);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -42,7 +42,7 @@
 import org.bramleyscale.internal.gateway.load.DemandTracker;
 import org.bramleyscale.internal.gateway.load.LoadTracker;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
-import org.bramleyscale.internal.gateway.node.PathChanges;
+import org.bramleyscale.internal.gateway.node.NodeReachability;
 import org.bramleyscale.internal.gateway.node.SimulatedEntries;
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
 import org.bramleyscale.internal.gateway.reachability.ComparingEndpointCheck;
@@ -70,7 +70,7 @@
 	/** Latency of a message between daemons. */
 	private static final Duration PEER_LATENCY = Duration.ofMillis(60);
 
-	private static final Duration RETRY_AFTER_LOST_PATH = Duration.ofMillis(10);
+	private static final Duration ADDRESSES_KEPT = Duration.ofSeconds(1);
 
 	private static final int LARGE_MILLICORES = 1_500;
 
@@ -153,8 +153,8 @@
 		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
 		this.entries = new SimulatedEntries(clock, this.vm, this.fleet::members, this, this.fleet.relays(),
 				this.fleet::activeRequests, this.reachability::cutOff);
-		this.paths.start(this.entries::selectsSelf, () -> RETRY_AFTER_LOST_PATH,
-				new PathChanges(this.reachability, this.backends, health, contention));
+		new NodeReachability(this.paths, this.reachability, this.backends, health, contention)
+			.start(this.entries::selectsSelf, this.fleet.daemons::size, ADDRESSES_KEPT);
 	}
 
 	private static Route.Builder route(String name, String prefix) {
