Move what a caller has of a stream out of RelayedRequest

RelayedStream holds the begin of a stream, the last event that the caller has, and its end; both invariants stand on the class. Behaviour is unchanged: the tests of relayed requests, turns, evacuation, regions and the callers' server pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -68,11 +68,9 @@
 
 	private final RetryState retryState;
 
-	private boolean responseStarted;
-
 	private boolean finished;
 
-	private String lastEventId;
+	private final RelayedStream stream;
 
 	private Attempt attempt;
 
@@ -90,7 +88,7 @@
 		this.deadline = this.arrivedAt + request.timeWithin(resolved.route().timeout()).toNanos();
 		this.longPrompt = resolved.isLong(request.promptTokens());
 		this.retryState = new RetryState(ports.retryBudget(), resolved);
-		this.lastEventId = request.lastEventId().orElse(null);
+		this.stream = new RelayedStream(reply, request.lastEventId().orElse(null));
 		this.deferral = new DeferredRequest(ports, request.id(), resolved.service().name(),
 				resolved.prefillMillis(request.promptTokens()));
 		this.turn = resolved.contends() ? Optional.of(new QueueTurn(ports, resolved, request, this)) : Optional.empty();
@@ -169,13 +167,13 @@
 		}
 		Backend target = placement.target().get();
 		this.retryState.recordAttempt(target.start());
-		this.log.sent(placement, this.retryState.attempts(), timeLeft(), this.resolved.version(), this.lastEventId,
-				this.turn);
+		this.log.sent(placement, this.retryState.attempts(), timeLeft(), this.resolved.version(),
+				this.stream.lastEventId(), this.turn);
 		this.gate.sent();
 		this.attempt = new Attempt(this, target, placement, this.ports);
 		this.attempt.send((helpers) -> new OutgoingRequest(this.request, this.resolved.account().map(Account::id),
-				timeLeft(), Optional.ofNullable(this.lastEventId), helpers, this.resolved.priority(this.longPrompt),
-				!this.resolved.route().repeatable()));
+				timeLeft(), Optional.ofNullable(this.stream.lastEventId()), helpers,
+				this.resolved.priority(this.longPrompt), !this.resolved.route().repeatable()));
 		if (this.longPrompt) {
 			this.ports.onLongPromptSent().run();
 		}
@@ -233,21 +231,16 @@
 	 * @param event the event
 	 */
 	void eventReceived(Attempt from, BackendHead head, EventSplitter.Event event) {
-		if (!event.isAfter(this.lastEventId)) {
+		if (this.stream.has(event)) {
 			return;
 		}
-		if (!this.responseStarted) {
-			this.responseStarted = true;
+		if (!this.stream.started()) {
 			Duration elapsed = elapsed();
 			this.ports.metrics().recordFirstEvent(this.longPrompt, elapsed.toNanos());
 			this.log.firstEvent(from.target(), elapsed, from.predictedMillis());
-			this.reply.onWritable(this::callerWritable);
-			this.reply.startStream(head.status(), head.headers());
-		}
-		if (event.id() != null) {
-			this.lastEventId = event.id();
+			this.stream.start(head, this::callerWritable);
 		}
-		if (!this.reply.write(event.bytes())) {
+		if (!this.stream.write(event)) {
 			from.setReading(false);
 		}
 	}
@@ -266,17 +259,10 @@
 	 */
 	void streamCompleted(Attempt from, BackendHead head, byte[] rest) {
 		this.retryState.recordPossibleRun();
-		if (!this.responseStarted) {
-			this.responseStarted = true;
-			this.reply.startStream(head.status(), head.headers());
-		}
-		if (rest.length > 0) {
-			this.reply.write(rest);
-		}
 		this.ports.health().served(from.target().start());
 		this.gate.endpointSurvived();
-		this.reply.endStream();
-		finish("completed", "completed", "endpoint", from.target().id(), "last_event", this.lastEventId);
+		this.stream.complete(head, rest);
+		finish("completed", "completed", "endpoint", from.target().id(), "last_event", this.stream.lastEventId());
 	}
 
 	/**
@@ -295,7 +281,7 @@
 		}
 		this.retryState.recordPossibleRun();
 		this.ports.health().failed(from.target().start());
-		this.log.attemptFailed(from.target(), cause, this.lastEventId);
+		this.log.attemptFailed(from.target(), cause, this.stream.lastEventId());
 		this.gate.endpointFailed(from.target());
 		responseInterrupted(from, cause);
 	}
@@ -317,7 +303,7 @@
 		this.ports.health().unreachable(from.target().start(), "silent");
 		this.ports.health().failed(from.target().start());
 		this.ports.metrics().requestResent("silent");
-		this.log.attemptTimedOut(from.target(), this.lastEventId);
+		this.log.attemptTimedOut(from.target(), this.stream.lastEventId());
 		from.cancel();
 		send();
 	}
@@ -367,7 +353,7 @@
 	 */
 	private Duration callerTimeLeft() {
 		Duration callerTimeoutLeft = this.resolved.route().callerTimeout().minus(elapsed());
-		return (!this.responseStarted && callerTimeoutLeft.compareTo(timeLeft()) < 0) ? callerTimeoutLeft : timeLeft();
+		return (!this.stream.started() && callerTimeoutLeft.compareTo(timeLeft()) < 0) ? callerTimeoutLeft : timeLeft();
 	}
 
 	private void refusedBy(Attempt from, BackendHead head) {
@@ -382,7 +368,7 @@
 
 	private void resend(Attempt from, String cause) {
 		this.ports.metrics().requestResent("failed");
-		this.log.resent(from.target(), cause, this.lastEventId);
+		this.log.resent(from.target(), cause, this.stream.lastEventId());
 		from.cancel();
 		send();
 	}
@@ -434,7 +420,7 @@
 	private void giveUp(int status, String reason, Duration retryAfter) {
 		boolean ran = mayHaveRun();
 		int reportedStatus = (ran && status == UNAVAILABLE) ? BAD_GATEWAY : status;
-		if (this.responseStarted) {
+		if (this.stream.started()) {
 			this.reply.abort();
 		}
 		else {
@@ -442,7 +428,7 @@
 		}
 		finish(ran ? "failed" : "refused", ran ? "failed" : "refused", "status", reportedStatus, "reason", reason,
 				"ran", ran ? "unknown" : "no", "retry_after_ms", retryAfter.toMillis(), "asked",
-				this.retryState.attempts(), "begun", this.responseStarted, "priority",
+				this.retryState.attempts(), "begun", this.stream.started(), "priority",
 				this.turn.map(QueueTurn::priority).orElse(null), "rank", this.turn.map(QueueTurn::rank).orElse(null));
 	}
 
