Take the services of paths from the table of endpoints

PathMonitor collected the services from all endpoints four times a second, which grows with the fleet, and pruned paths in an accessor. The table has the services at hand; the marks of checks in progress moved from ServicePath's open fields into PathMonitor.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -169,6 +169,14 @@
 		return this.usable.getOrDefault(service, List.of());
 	}
 
+	/**
+	 * The services that have endpoints which may be sent new requests.
+	 * @return the services
+	 */
+	public Set<ServiceName> services() {
+		return Collections.unmodifiableSet(this.usable.keySet());
+	}
+
 	public Collection<Backend> all() {
 		return Collections.unmodifiableCollection(this.backends.values());
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/PathMonitor.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/PathMonitor.java
@@ -4,11 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -66,6 +66,12 @@
 
 	private final Map<ServiceName, ServicePath> paths = new HashMap<>();
 
+	/** The services of which one endpoint is being tried. */
+	private final Set<ServiceName> checked = new HashSet<>();
+
+	/** The services of which several endpoints are being tried after one has failed. */
+	private final Set<ServiceName> verified = new HashSet<>();
+
 	private BooleanSupplier used = () -> false;
 
 	private Supplier<Duration> retryAfter = () -> CHECK_INTERVAL;
@@ -155,7 +161,7 @@
 	 */
 	CompletableFuture<Boolean> reachesAnyExcept(Backend except) {
 		List<Backend> others = new ArrayList<>();
-		services().forEach((service) -> others.addAll(this.backends.usable(service)));
+		this.backends.services().forEach((service) -> others.addAll(this.backends.usable(service)));
 		others.remove(except);
 		return others.isEmpty() ? CompletableFuture.completedFuture(true) : tryAny(others);
 	}
@@ -175,8 +181,9 @@
 	}
 
 	private void checkPaths() {
+		removeEndedServices();
 		long now = this.scheduler.nanos();
-		for (ServiceName service : services()) {
+		for (ServiceName service : this.backends.services()) {
 			ServicePath path = path(service);
 			if (path.stabilize(now)) {
 				this.log.belief("service", service, "path", "stable");
@@ -191,26 +198,21 @@
 		}
 	}
 
-	private Set<ServiceName> services() {
-		Set<ServiceName> services = new TreeSet<>((left, right) -> left.value().compareTo(right.value()));
-		this.backends.all().forEach((backend) -> services.add(backend.service()));
-		if (this.paths.keySet().retainAll(services)) {
+	private void removeEndedServices() {
+		if (this.paths.keySet().retainAll(this.backends.services())) {
 			this.listener.changed(broken());
 		}
-		return services;
 	}
 
 	private void checkOne(ServiceName service) {
 		List<Backend> usable = this.backends.usable(service);
-		ServicePath path = path(service);
-		if (usable.isEmpty() || path.checking) {
+		if (usable.isEmpty() || !this.checked.add(service)) {
 			return;
 		}
-		path.checking = true;
 		long startedAt = this.scheduler.nanos();
 		Backend endpoint = usable.get(this.random.nextInt(usable.size()));
 		this.check.connect(endpoint).thenAccept((outcome) -> {
-			path.checking = false;
+			this.checked.remove(service);
 			if (outcome == ConnectionOutcome.ACCEPTED) {
 				connected(endpoint);
 			}
@@ -227,15 +229,14 @@
 	 */
 	private void verify(ServiceName service, Backend failed) {
 		ServicePath path = path(service);
-		if (path.verifying || path.lost()) {
+		if (path.lost() || !this.verified.add(service)) {
 			return;
 		}
-		path.verifying = true;
 		long startedAt = this.scheduler.nanos();
 		List<Backend> others = new ArrayList<>(this.backends.usable(service));
 		others.remove(failed);
 		tryAny(others).thenAccept((accepted) -> {
-			path.verifying = false;
+			this.verified.remove(service);
 			if (!accepted && !path.connectedSince(startedAt) && !this.backends.usable(service).isEmpty()) {
 				lose(service, path);
 			}
@@ -268,7 +269,7 @@
 		this.log.belief("service", service, "path", "lost", "endpoints", this.backends.usable(service).size());
 		this.listener.changed(broken());
 		long recent = this.scheduler.nanos() - RECENT.toNanos();
-		for (ServiceName other : services()) {
+		for (ServiceName other : this.backends.services()) {
 			if (!path(other).connectedSince(recent)) {
 				checkOne(other);
 			}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/ServicePath.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/ServicePath.java
@@ -26,12 +26,6 @@
 
 	private long recoveringSince;
 
-	/** Whether a check of several endpoints is in progress. */
-	boolean verifying;
-
-	/** Whether a check of one endpoint is in progress. */
-	boolean checking;
-
 	/**
 	 * Records a new connection.
 	 * @param now the time
