End responses without a length only by the endpoint's own close

A response without length or chunks also counted as ended when this side closed the connection, as the shutdown of the loop does: the decoder ends it at any end of its channel. Callers whose connections close a moment later could get a part as the whole. Same class as the streams that end inside an event: the end of a connection is taken for the end of a message.

Change: connections to endpoints may be half closed, so that the end of input is an event of its own. EndOfInputDetector, before the decoder, notes it; a response without a length ends only after that, and not after a failure. The connection isn't pooled from then on and is closed at once.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,7 +23,8 @@
  * Endpoints may respond to a request twice, or so late that the response arrives in place
  * of the next one. A response to another request is dropped, the right one is awaited,
  * and the connection isn't reused. A response without a length ends with its connection,
- * and only if the connection is closed in an orderly way. Confined to the loop's thread.
+ * and only if it was the endpoint that closed it in an orderly way; a reset, and closing
+ * the connection on this side, break the response off. Confined to the loop's thread.
  */
 final class BackendChannel extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -46,6 +48,8 @@
 
 	private boolean delimited;
 
+	private boolean closedByEndpoint;
+
 	private boolean unmatched;
 
 	private boolean interim;
@@ -113,6 +117,21 @@
 		}
 	}
 
+	/**
+	 * Called when there is nothing more to read, before the decoder is told so.
+	 */
+	void inputEnded() {
+		this.reusable = false;
+		this.closedByEndpoint = this.failure == null;
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			close();
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		if (!(cause instanceof IOException)) {
@@ -156,7 +175,6 @@
 			return;
 		}
 		if (this.failure != null) {
-			// A reset also ends a response without a length, but doesn't complete it.
 			return;
 		}
 		int length = content.content().readableBytes();
@@ -165,7 +183,7 @@
 			content.content().readBytes(data);
 			this.call.data(data);
 		}
-		if (content instanceof LastHttpContent && this.call != null) {
+		if (content instanceof LastHttpContent && this.call != null && (this.delimited || this.closedByEndpoint)) {
 			BackendCall endedCall = this.call;
 			this.call = null;
 			this.inResponse = false;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -184,13 +184,16 @@
 		}
 		Bootstrap bootstrap = bootstrap().option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.handler(new ChannelInitializer<>() {
 
 				@Override
 				protected void initChannel(Channel channel) {
+					BackendChannel backend = new BackendChannel(BackendConnectionPool.this, to.start(), channel);
 					channel.pipeline()
+						.addLast(new EndOfInputDetector(backend))
 						.addLast(new HttpClientCodec(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_CHUNK_SIZE))
-						.addLast(new BackendChannel(BackendConnectionPool.this, to.start(), channel));
+						.addLast(backend);
 				}
 
 			});
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
@@ -63,6 +63,17 @@
 		}
 	}
 
+	/** Guards against taking the end that this side makes for the end of the response. */
+	@Test
+	void responseWithoutLengthIsBrokenOffIfThePoolShutsDown() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(List.of(OK + "\r\naa"))) {
+			RecordingListener listener = sendTo(server, EndpointStart.withUnknownStart("e1"), "r1", false, "GET");
+			listener.firstData.get(20, TimeUnit.SECONDS);
+			this.loop.close();
+			Truth.assertThat(listener.ended.get(20, TimeUnit.SECONDS)).isEqualTo("200 aa failed");
+		}
+	}
+
 	/** Guards against doubting a response that has no body, whatever its headers say. */
 	@ParameterizedTest
 	@CsvSource({ "GET, 204 No Content", "GET, 304 Not Modified", "HEAD, 200 OK" })
@@ -175,6 +186,8 @@
 
 		private final CompletableFuture<String> ended = new CompletableFuture<>();
 
+		private final CompletableFuture<Void> firstData = new CompletableFuture<>();
+
 		private final List<String> received = new ArrayList<>();
 
 		@Override
@@ -185,6 +198,7 @@
 		@Override
 		public void data(byte[] data) {
 			this.received.add(new String(data, StandardCharsets.UTF_8));
+			this.firstData.complete(null);
 		}
 
 		@Override
