Read the store's responses only if they are whole

A response of the store whose connection was closed between two chunks was read as whole, and so was one without a length when this side closed the connection. Cause: the aggregator removes the transfer coding from a head that the decoder still consults at the end of the connection. An empty body was read as a list or watch without objects at revision 0. Same class as the streams that were broken off: the end of a connection is taken for the end of a message.

ResponseFraming tells responses that show their own end.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -1,7 +1,6 @@
 package org.bramleyscale.internal.gateway.http;
 
 import java.io.IOException;
-import java.util.Set;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,7 +9,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
@@ -32,24 +30,20 @@
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
-	/** Statuses whose responses end with their head. */
-	private static final Set<HttpResponseStatus> BODILESS_STATUSES = Set.of(HttpResponseStatus.NO_CONTENT,
-			HttpResponseStatus.NOT_MODIFIED);
-
 	private final BackendConnectionPool connections;
 
 	private final EndpointStart endpoint;
 
 	private final Channel channel;
 
+	private final EndOfInputDetector input;
+
 	private BackendCall call;
 
 	private boolean inResponse;
 
 	private boolean delimited;
 
-	private boolean closedByEndpoint;
-
 	private boolean unmatched;
 
 	private boolean interim;
@@ -58,7 +52,16 @@
 
 	private String failure;
 
-	BackendChannel(BackendConnectionPool connections, EndpointStart endpoint, Channel channel) {
+	/**
+	 * Creates a connection without a call.
+	 * @param connections the pool
+	 * @param endpoint the endpoint
+	 * @param channel the channel
+	 * @param input notes the end of its input
+	 */
+	BackendChannel(BackendConnectionPool connections, EndpointStart endpoint, Channel channel,
+			EndOfInputDetector input) {
+		this.input = input;
 		this.connections = connections;
 		this.endpoint = endpoint;
 		this.channel = channel;
@@ -84,7 +87,7 @@
 	}
 
 	boolean isReusable() {
-		return this.reusable && this.call == null && this.channel.isActive();
+		return this.reusable && this.call == null && this.channel.isActive() && !this.input.ended();
 	}
 
 	void close() {
@@ -117,14 +120,6 @@
 		}
 	}
 
-	/**
-	 * Called when there is nothing more to read, before the decoder is told so.
-	 */
-	void inputEnded() {
-		this.reusable = false;
-		this.closedByEndpoint = this.failure == null;
-	}
-
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof ChannelInputShutdownEvent) {
@@ -164,8 +159,7 @@
 			return;
 		}
 		this.inResponse = true;
-		this.delimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
-				|| this.call.headOnly() || BODILESS_STATUSES.contains(head.status());
+		this.delimited = ResponseFraming.isDelimited(head, this.call.headOnly());
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(head);
 		this.call.head(head);
 	}
@@ -183,7 +177,7 @@
 			content.content().readBytes(data);
 			this.call.data(data);
 		}
-		if (content instanceof LastHttpContent && this.call != null && (this.delimited || this.closedByEndpoint)) {
+		if (content instanceof LastHttpContent && this.call != null && (this.delimited || this.input.closedByPeer())) {
 			BackendCall endedCall = this.call;
 			this.call = null;
 			this.inResponse = false;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -189,11 +189,11 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					BackendChannel backend = new BackendChannel(BackendConnectionPool.this, to.start(), channel);
+					EndOfInputDetector input = new EndOfInputDetector();
 					channel.pipeline()
-						.addLast(new EndOfInputDetector(backend))
+						.addLast(input)
 						.addLast(new HttpClientCodec(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_CHUNK_SIZE))
-						.addLast(backend);
+						.addLast(new BackendChannel(BackendConnectionPool.this, to.start(), channel, input));
 				}
 
 			});
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndOfInputDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndOfInputDetector.java
@@ -5,7 +5,8 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 
 /**
- * Tells a connection that its other end has sent its last byte.
+ * Notes the end of a connection's input, and whether the other end has made it in an
+ * orderly way.
  *
  * <p>
  * It stands before the decoder, which ends a response without a length at any end of the
@@ -14,18 +15,47 @@
  */
 final class EndOfInputDetector extends ChannelInboundHandlerAdapter {
 
-	private final BackendChannel connection;
+	private boolean failed;
 
-	EndOfInputDetector(BackendChannel connection) {
-		this.connection = connection;
+	private boolean closedByPeer;
+
+	private boolean ended;
+
+	/**
+	 * Whether there is nothing more to read, for whatever reason.
+	 * @return true once the decoder has all bytes that have arrived
+	 */
+	boolean ended() {
+		return this.ended;
+	}
+
+	/**
+	 * Whether the other end has closed the connection after its last byte.
+	 * @return false also after a reset and if this side has closed the connection
+	 */
+	boolean closedByPeer() {
+		return this.closedByPeer;
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.failed = true;
+		context.fireExceptionCaught(cause);
 	}
 
 	@Override
-	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof ChannelInputShutdownEvent) {
-			this.connection.inputEnded();
+			this.ended = true;
+			this.closedByPeer = !this.failed;
 		}
-		super.userEventTriggered(context, event);
+		context.fireUserEventTriggered(event);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.ended = true;
+		context.fireChannelInactive();
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -99,12 +100,16 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
 					(int) Math.min(CONNECT_TIMEOUT_MILLIS, Math.max(1, limit.toMillis())))
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.handler(new ChannelInitializer<>() {
 
 				@Override
 				protected void initChannel(Channel channel) {
+					EndOfInputDetector input = new EndOfInputDetector();
 					channel.pipeline()
+						.addLast(input)
 						.addLast(new HttpClientCodec())
+						.addLast(new WholeResponseFilter(input))
 						.addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
 						.addLast(new Connection(channel));
 				}
@@ -198,6 +203,13 @@
 			completed.complete(new Response(response.status().code(), response.headers(), body));
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof ChannelInputShutdownEvent) {
+				fail("connection closed by the server");
+			}
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 			fail(cause.toString());
