Read replies of plain services only if they are whole

A reply of a plain service in chunks whose connection was closed between two of them reached the caller as whole, through the product's own interface. Cause: as for the store, the aggregator makes the decoder take the end of the connection for the end of the reply.

Change: replies are read piece by piece, with the same limit of size, and a reply that was broken off is unknown to have run.

Control replies of engines and the product's own store client still aggregate; their servers send a length.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
@@ -222,8 +222,11 @@
 		}
 		HttpClient client = ServiceCallHttp.safe(call.method()) ? this.connections.forCall(endpoint)
 				: this.connections.fresh();
-		return send(endpoint, Step.START, call.timeLeft(), client, call.path(),
-				(spec) -> ServiceCallHttp.write(call, spec), ServiceCallHttp::reply);
+		return result(endpoint, Step.START,
+				this.http.call(call.timeLeft(), () -> client.requestStream(uri(endpoint, call.path()), (spec) -> {
+					configure(spec, call.timeLeft().plus(READ_MARGIN));
+					ServiceCallHttp.write(call, spec);
+				}).flatMap(ServiceCallHttp::reply)));
 	}
 
 	private static ServingException notSent(EndpointEntry endpoint, ErrorCode code, String message) {
@@ -247,11 +250,15 @@
 
 	private <T> CompletableFuture<T> send(EndpointEntry endpoint, Step step, Duration limit, HttpClient client,
 			String path, Action<RequestSpec> request, Reader<ReceivedResponse, T> reader) {
-		CompletableFuture<T> result = new CompletableFuture<>();
-		this.http.call(limit, () -> client.request(uri(endpoint, path), (spec) -> {
+		return result(endpoint, step, this.http.call(limit, () -> client.request(uri(endpoint, path), (spec) -> {
 			configure(spec, limit.plus(READ_MARGIN));
 			request.execute(spec);
-		}).map(reader::read)).whenComplete((value, failure) -> {
+		}).map(reader::read)));
+	}
+
+	private <T> CompletableFuture<T> result(EndpointEntry endpoint, Step step, CompletableFuture<T> call) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		call.whenComplete((value, failure) -> {
 			if (failure == null) {
 				result.complete(value);
 				return;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/ServiceCallHttp.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/ServiceCallHttp.java
@@ -1,13 +1,17 @@
 package org.bramleyscale.internal.http;
 
+import java.io.IOException;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.util.Set;
 
+import io.netty.buffer.ByteBuf;
 import org.bramleyscale.internal.endpoint.ServiceCall;
 import org.bramleyscale.internal.endpoint.ServiceReply;
-import ratpack.http.client.ReceivedResponse;
+import ratpack.exec.Promise;
 import ratpack.http.client.RequestSpec;
+import ratpack.http.client.StreamedResponse;
+import ratpack.stream.bytebuf.ByteBufStreams;
 
 /**
  * The HTTP form of calls to plain services.
@@ -43,7 +47,7 @@
 	}
 
 	static void write(ServiceCall call, RequestSpec spec) {
-		spec.method(call.method()).maxContentLength(LARGEST_REPLY);
+		spec.method(call.method());
 		call.headers().forEach(spec.getHeaders()::set);
 		spec.getHeaders().set(CallOptions.REQUEST_ID, call.id().toString());
 		spec.getHeaders().set(CallOptions.TIMEOUT, call.timeLeft().toMillis());
@@ -52,9 +56,33 @@
 		}
 	}
 
-	static ServiceReply reply(ReceivedResponse response) {
-		return new ServiceReply(response.getStatusCode(), PassedHeaders.of(response.getHeaders()),
-				response.getBody().getBytes());
+	/**
+	 * Reads a reply piece by piece: a reply that is aggregated before it is read seems to
+	 * be whole also if its connection was closed between two chunks.
+	 * @param response the head and the pieces
+	 * @return the whole reply, or a failure if it was broken off or is too large
+	 */
+	static Promise<ServiceReply> reply(StreamedResponse response) {
+		return ByteBufStreams.toByteArray(response.getBody().map(new SizeLimit()::count))
+			.map((body) -> new ServiceReply(response.getStatusCode(), PassedHeaders.of(response.getHeaders()), body));
+	}
+
+	/**
+	 * Ends a reply that is too large. Confined to the reply's execution.
+	 */
+	private static final class SizeLimit {
+
+		private long bytes;
+
+		private ByteBuf count(ByteBuf piece) throws IOException {
+			this.bytes += piece.readableBytes();
+			if (this.bytes > LARGEST_REPLY) {
+				piece.release();
+				throw new IOException("reply larger than " + LARGEST_REPLY + " bytes");
+			}
+			return piece;
+		}
+
 	}
 
 }
--- a/standins/src/test/java/org/bramleyscale/standins/service/ServiceClientContractTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/service/ServiceClientContractTests.java
@@ -91,6 +91,24 @@
 		Truth.assertThat(executions()).isEqualTo(executions);
 	}
 
+	/** Guards against taking the end of a connection for the end of a reply. */
+	@ParameterizedTest
+	@CsvSource({ "'', CLOSE, true", "'', RESET, false", "Content-Length: 4\\r\\n, CLOSE, false",
+			"Content-Length: 4\\r\\n, RESET, false", "Transfer-Encoding: chunked\\r\\n, CLOSE, false",
+			"Transfer-Encoding: chunked\\r\\n, RESET, false" })
+	void replyThatIsBrokenOffIsNoReply(String framing, ReplyServer.End end, boolean whole) throws Exception {
+		String body = framing.startsWith("Transfer") ? "2\r\nok\r\n" : "ok";
+		try (ReplyServer server = new ReplyServer(
+				"HTTP/1.1 201 Created\r\n" + framing.replace("\\r\\n", "\r\n") + "\r\n" + body, end)) {
+			if (whole) {
+				Truth.assertThat(text(call(server.port(), "POST", "/bookings", "x"))).isEqualTo("ok");
+			}
+			else {
+				Truth.assertThat(failure(server.port(), "POST", "/bookings", LIMIT).ran()).isEqualTo(Ran.UNKNOWN);
+			}
+		}
+	}
+
 	@Test
 	void tellsThatNothingRanWhereNobodyListens() throws Exception {
 		this.service.kill();
