--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedFleet.java
@@ -271,7 +271,7 @@
 		}
 
 		boolean knows(String name) {
-			return this.copies.changedAfter(0).stream().anyMatch((copy) -> copy.name().equals(name));
+			return this.copies.changedAfter(0).stream().anyMatch((copy) -> copy.name().equals(name) && !copy.deleted());
 		}
 
 		@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedStore.java
@@ -34,6 +34,8 @@
 
 	private final Map<String, StoredObject> stored = new TreeMap<>();
 
+	private final Map<String, Long> deletions = new TreeMap<>();
+
 	private final List<PendingWatch> pendingWatches = new ArrayList<>();
 
 	private long revision = 1;
@@ -60,9 +62,49 @@
 		this.revision++;
 		StoredObject object = new StoredObject(new ObjectKey(KIND, name), this.revision, new byte[1]);
 		this.stored.put(name, object);
+		this.deletions.remove(name);
+		answerWatches(new WatchBatch(this.revision, false, List.of(object)));
+	}
+
+	private void answerWatches(WatchBatch batch) {
 		List<PendingWatch> answered = this.pendingWatches.stream().filter((call) -> !call.silent).toList();
 		this.pendingWatches.removeAll(answered);
-		answered.forEach((call) -> call.answer(new WatchBatch(this.revision, false, List.of(object))));
+		answered.forEach((call) -> call.answer(batch));
+	}
+
+	/**
+	 * Deletes an object, which completes the pending watches.
+	 * @param name the object's name
+	 */
+	void delete(String name) {
+		this.revision++;
+		this.stored.remove(name);
+		this.deletions.put(name, this.revision);
+		answerWatches(new WatchBatch(this.revision, false, List.of(), List.of(name)));
+	}
+
+	/**
+	 * Returns a copy of the store, which keeps working.
+	 * @return the copy
+	 */
+	Backup backup() {
+		return new Backup(this.revision, Map.copyOf(this.stored), Map.copyOf(this.deletions));
+	}
+
+	/**
+	 * Continues from an older copy: what was written since is lost, and its revisions are
+	 * given out again.
+	 * @param backup the copy
+	 */
+	void restore(Backup backup) {
+		this.revision = backup.revision();
+		this.stored.clear();
+		this.stored.putAll(backup.stored());
+		this.deletions.clear();
+		this.deletions.putAll(backup.deletions());
+		List<PendingWatch> cut = List.copyOf(this.pendingWatches);
+		this.pendingWatches.clear();
+		cut.forEach((watch) -> failLater(watch.call, REFUSAL));
 	}
 
 	/** Makes the connection of every pending watch silent. */
@@ -81,6 +123,16 @@
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "no answer")));
 	}
 
+	/**
+	 * A copy of the store.
+	 *
+	 * @param revision its revision
+	 * @param stored the objects
+	 * @param deletions the revisions of deletions
+	 */
+	record Backup(long revision, Map<String, StoredObject> stored, Map<String, Long> deletions) {
+	}
+
 	/**
 	 * The outcome of a daemon's calls to the store.
 	 */
@@ -158,12 +210,24 @@
 		}
 
 		private CompletableFuture<WatchBatch> answered(long after, Duration wait) {
+			if (after > SimulatedStore.this.revision) {
+				CompletableFuture<WatchBatch> gone = new CompletableFuture<>();
+				SimulatedStore.this.scheduler.schedule(REFUSAL,
+						() -> gone.complete(new WatchBatch(after, true, List.of())));
+				return gone;
+			}
 			List<StoredObject> changed = SimulatedStore.this.stored.values()
 				.stream()
 				.filter((object) -> object.version() > after)
 				.toList();
-			if (!changed.isEmpty()) {
-				return CompletableFuture.completedFuture(new WatchBatch(SimulatedStore.this.revision, false, changed));
+			List<String> deleted = SimulatedStore.this.deletions.entrySet()
+				.stream()
+				.filter((deletion) -> deletion.getValue() > after)
+				.map(Map.Entry::getKey)
+				.toList();
+			if (!changed.isEmpty() || !deleted.isEmpty()) {
+				return CompletableFuture
+					.completedFuture(new WatchBatch(SimulatedStore.this.revision, false, changed, deleted));
 			}
 			CompletableFuture<WatchBatch> call = new CompletableFuture<>();
 			SimulatedStore.this.pendingWatches.add(new PendingWatch(call, wait));
