Keep endpoints left that an older copy of the store brings back

In the first state of an era, an entry may say that its endpoint is ready although it has said that it leaves, or may be back although it was removed, and its address may be another's by now. Cause: entries were believed as they came; the same trust in what only ever grew.

Change: EndpointDepartures remembers, by entry, the last departure of a start. In the first state of a later era an endpoint that was leaving stays left, and one that was removed is used only after it has written again or has stayed listed for longer than the platform keeps the entry of an endpoint that is gone (10 s). A later write in that era is believed.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/Backend.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/Backend.java
@@ -40,7 +40,7 @@
 	 * Returns a draining copy of this endpoint.
 	 * @return the copy
 	 */
-	Backend drained() {
+	public Backend drained() {
 		return new Backend(this.start, this.service, this.address, this.dataCentre, this.slots, true);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -38,7 +38,13 @@
 	 * Time that endpoints need to return to the list after an outage, as documented by
 	 * the platform.
 	 */
-	static final Duration LAPSE_GRACE_PERIOD = Duration.ofSeconds(2);
+	public static final Duration LAPSE_GRACE_PERIOD = Duration.ofSeconds(2);
+
+	/**
+	 * Time after which the platform has removed the entry of an endpoint that is gone:
+	 * three heartbeats, of up to three seconds.
+	 */
+	public static final Duration REMOVAL_PERIOD = Duration.ofSeconds(10);
 
 	/**
 	 * Maximum number of leaving starts that are kept. They are kept after their removal
@@ -56,6 +62,8 @@
 
 	private final Map<EndpointId, Long> lapsedUntil = new HashMap<>();
 
+	private final Map<EndpointId, Withheld> withheld = new HashMap<>();
+
 	private final Map<ServiceName, List<Backend>> usable = new HashMap<>();
 
 	private Consumer<EndpointStart> endListener = (start) -> {
@@ -79,6 +87,7 @@
 	 * @param entry the entry
 	 */
 	public void put(Backend entry) {
+		this.withheld.remove(entry.id());
 		Backend backend = this.leaving.contains(entry.start()) ? entry.drained() : entry;
 		this.lapsedUntil.remove(backend.id());
 		Backend previous = this.backends.put(backend.id(), backend);
@@ -92,6 +101,16 @@
 		}
 	}
 
+	/**
+	 * Adds an entry only if it stays on the list for as long as the platform needs to
+	 * remove that of an endpoint that is gone.
+	 * @param entry the entry
+	 */
+	public void putIfItStays(Backend entry) {
+		this.withheld.put(entry.id(), new Withheld(entry, this.clock.nanos() + REMOVAL_PERIOD.toNanos()));
+		this.log.belief("endpoint", entry.start(), "withheld", true, "reason", "gone before the store came back");
+	}
+
 	@Override
 	public void announceLeaving(EndpointStart endpoint) {
 		markLeaving(endpoint, "its answer");
@@ -134,6 +153,7 @@
 	 * @param afterOutage true if the store has only just become available again
 	 */
 	public void remove(EndpointId id, boolean afterOutage) {
+		this.withheld.remove(id);
 		Backend backend = this.backends.get(id);
 		if (backend == null) {
 			return;
@@ -147,8 +167,8 @@
 	}
 
 	/**
-	 * Removes the endpoints that didn't return within the grace period; called a few
-	 * times a second.
+	 * Removes the endpoints that didn't return within the grace period, and adds those
+	 * that were withheld and stayed on the list; called a few times a second.
 	 */
 	public void expire() {
 		long now = this.clock.nanos();
@@ -158,6 +178,12 @@
 			.map(Map.Entry::getKey)
 			.toList();
 		expired.forEach((id) -> removeEntry(id, "lapsed and not back"));
+		this.withheld.values()
+			.stream()
+			.filter((each) -> now - each.until() >= 0)
+			.map(Withheld::entry)
+			.toList()
+			.forEach(this::put);
 	}
 
 	/**
@@ -233,4 +259,13 @@
 		return (2 * withStart.size() > entries.size()) ? withStart : List.copyOf(entries);
 	}
 
+	/**
+	 * An entry that isn't believed yet.
+	 *
+	 * @param entry the entry
+	 * @param until when it is believed if it is still listed
+	 */
+	private record Withheld(Backend entry, long until) {
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/BackendEntries.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/BackendEntries.java
@@ -22,7 +22,8 @@
  * <p>
  * Invariants: an entry that can't be read provides no endpoint, even if an earlier
  * version could be read, since its current content is unknown; the other entries stay in
- * use. No state of one start of an endpoint applies to its next start. Confined to the
+ * use. No state of one start of an endpoint applies to its next start. An endpoint that
+ * has left stays left if the store comes back from an older copy. Confined to the
  * scheduler's thread.
  */
 final class BackendEntries {
@@ -45,6 +46,8 @@
 
 	private final Set<String> unreadable = new HashSet<>();
 
+	private final EndpointDepartures departures = new EndpointDepartures();
+
 	/**
 	 * Creates the listener for entries.
 	 * @param documents reads entries
@@ -82,6 +85,7 @@
 			this.unreadable.remove(object.name());
 			EndpointStart start = this.starts.remove(object.name());
 			if (start != null) {
+				this.departures.removed(object, start);
 				this.backends.remove(start.id(), this.afterOutage.getAsBoolean());
 				remove(start);
 			}
@@ -93,20 +97,24 @@
 				// Reported first, so that an endpoint is never offered as warm.
 				this.cold.get().reported(backend, this.documents.coldRemaining(object.name(), object.value()));
 			}
-			apply(object.name(), backend);
+			apply(object, backend);
 		}
 		catch (Documents.DocumentException ex) {
 			markUnreadable(object, ex.getMessage());
 		}
 	}
 
-	private void apply(String name, Backend backend) {
-		this.unreadable.remove(name);
-		EndpointStart previous = this.starts.put(name, backend.start());
+	private void apply(ObjectCopy object, Backend backend) {
+		this.unreadable.remove(object.name());
+		EndpointStart previous = this.starts.put(object.name(), backend.start());
 		if (previous != null && !previous.equals(backend.start())) {
 			remove(previous);
 		}
-		this.backends.put(backend);
+		switch (this.departures.judge(object, backend)) {
+			case BELIEVED -> this.backends.put(backend);
+			case DRAINING -> this.backends.put(backend.drained());
+			case DOUBTFUL -> this.backends.putIfItStays(backend);
+		}
 	}
 
 	/**
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/BackendEntriesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/BackendEntriesTests.java
@@ -26,9 +26,11 @@
 import org.bramleyscale.internal.gateway.load.EndpointLoad;
 import org.bramleyscale.internal.gateway.load.LoadTracker;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.time.ManualScheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -39,6 +41,8 @@
 
 	private static final ServiceName SERVICE = new ServiceName("quotes");
 
+	private static final String LEAVES = " leaves";
+
 	private final ManualScheduler scheduler = new ManualScheduler();
 
 	private final List<String> lines = new ArrayList<>();
@@ -146,6 +150,57 @@
 		return this.backends.usable(SERVICE).stream().map((backend) -> backend.id().value()).toList();
 	}
 
+	/**
+	 * Guards against a leaving endpoint that the store's older copy makes ready again.
+	 */
+	@Test
+	void endpointThatLeavesStaysLeavingInTheFirstStateOfAnEra() {
+		putAt(StoreRevision.of(1, 50), "1000");
+		putAt(StoreRevision.of(1, 60), "1000" + LEAVES);
+		putAt(StoreRevision.of(2, 50), "1000");
+		Truth.assertThat(ids()).isEmpty();
+		putAt(StoreRevision.of(3, 50), "1000");
+		Truth.assertThat(ids()).isEmpty();
+		putAt(StoreRevision.of(3, 55), "1000");
+		Truth.assertThat(ids()).containsExactly("a");
+	}
+
+	/** Guards against sending to what uses the address of an endpoint that is gone. */
+	@ParameterizedTest
+	@CsvSource({ "stays, true", "writes, true", "expires, false" })
+	void endpointThatWasGoneReturnsOnlyIfItStaysListedOrWritesAgain(String then, boolean returns) {
+		putAt(StoreRevision.of(1, 50), "1000");
+		this.entries.changed(new ObjectCopy("a", StoreRevision.of(1, 60), null));
+		this.scheduler.advance(BackendTable.LAPSE_GRACE_PERIOD);
+		this.backends.expire();
+		putAt(StoreRevision.of(2, 50), "1000");
+		Truth.assertThat(ids()).isEmpty();
+		if (then.equals("writes")) {
+			putAt(StoreRevision.of(2, 55), "1000");
+			Truth.assertThat(ids()).containsExactly("a");
+		}
+		if (then.equals("expires")) {
+			this.entries.changed(new ObjectCopy("a", StoreRevision.of(2, 55), null));
+		}
+		this.scheduler.advance(BackendTable.REMOVAL_PERIOD);
+		this.backends.expire();
+		Truth.assertThat(ids().contains("a")).isEqualTo(returns);
+	}
+
+	/** Guards against withholding an endpoint that registers after the store's return. */
+	@ParameterizedTest
+	@CsvSource({ "1000, 70", "2000, 50" })
+	void endpointThatRegistersAgainOrRestartsIsUsedAtOnce(String text, long revisionAfter) {
+		putAt(StoreRevision.of(1, 50), "1000");
+		this.entries.changed(new ObjectCopy("a", StoreRevision.of(1, 60), null));
+		putAt(StoreRevision.of(2, revisionAfter), text);
+		Truth.assertThat(ids()).containsExactly("a");
+	}
+
+	private void putAt(long at, String text) {
+		this.entries.changed(new ObjectCopy("a", at, text.getBytes(StandardCharsets.UTF_8)));
+	}
+
 	private void put(String name, String text) {
 		this.entries.changed(new ObjectCopy(name, ++this.revision, text.getBytes(StandardCharsets.UTF_8)));
 	}
@@ -191,8 +246,10 @@
 		public Backend backend(String name, byte[] value) throws DocumentException {
 			String text = new String(value, StandardCharsets.UTF_8);
 			try {
-				return new Backend(new EndpointStart(new EndpointId(name), Long.parseLong(text)), SERVICE,
-						HostAndPort.fromParts("10.0.0.1", 80), new DataCentre("east"), 4, false);
+				boolean draining = text.endsWith(LEAVES);
+				long start = Long.parseLong(text.replace(LEAVES, ""));
+				return new Backend(new EndpointStart(new EndpointId(name), start), SERVICE,
+						HostAndPort.fromParts("10.0.0.1", 80), new DataCentre("east"), 4, draining);
 			}
 			catch (NumberFormatException ex) {
 				throw new DocumentException("entry " + name + " was " + text, ex);
