Keep evacuations that an older copy of the store lacks

An evacuation that began after the copy was made would have ended the moment the store came back, and requests gone to the data centre until the operator had requested it again. Cause: an object missing in the first state of an era counted as deleted.

Change: it stays in force for 2 s, the time in which what is written again is back, and beyond if it is requested again. One that was lifted and comes back with the copy is in force until the operator lifts it again: the safe side.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/evacuation/EvacuatedDataCentres.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/evacuation/EvacuatedDataCentres.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import org.bramleyscale.internal.gateway.follow.ObjectCopy;
 import org.bramleyscale.internal.gateway.follow.StoreFollower;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
@@ -46,6 +48,12 @@
 	/** A process without a check for this long was suspended. */
 	static final Duration SUSPENDED_AFTER = Duration.ofSeconds(1);
 
+	/**
+	 * How long an evacuation stays in force that is missing after the store has come back
+	 * from an older copy. The operator requests it again within this time.
+	 */
+	static final Duration REQUESTED_AGAIN_WITHIN = Duration.ofSeconds(2);
+
 	/** The end of an evacuation isn't known; callers may ask again after this. */
 	private static final Duration EVACUATION_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -69,6 +77,8 @@
 
 	private final Set<DataCentre> inForce = new TreeSet<>(Comparator.comparing(DataCentre::value));
 
+	private final Map<DataCentre, Long> requestedAt = new HashMap<>();
+
 	private StoreFollower follower;
 
 	private boolean known;
@@ -182,7 +192,7 @@
 	private void setKnown(boolean nowKnown, String reason) {
 		this.known = nowKnown;
 		this.log.belief("evacuations", this.inForce.toString(), "known", nowKnown, "reason", reason, "revision",
-				this.copies.complete());
+				StoreRevision.text(this.copies.complete()));
 	}
 
 	/**
@@ -210,7 +220,7 @@
 		Map<String, Object> state = new LinkedHashMap<>();
 		state.put("known", known());
 		state.put("inForce", this.inForce.stream().map(DataCentre::value).toList());
-		state.put("revision", this.copies.complete());
+		state.put("revision", StoreRevision.text(this.copies.complete()));
 		return state;
 	}
 
@@ -248,6 +258,35 @@
 			return;
 		}
 		boolean evacuated = !object.deleted();
+		if (evacuated) {
+			this.requestedAt.put(dataCentre, object.revision());
+		}
+		else if (isLost(dataCentre, object)) {
+			this.scheduler.schedule(REQUESTED_AGAIN_WITHIN, () -> endUnlessRequestedAgain(dataCentre, object));
+			return;
+		}
+		setInForce(dataCentre, evacuated, object);
+	}
+
+	/**
+	 * Whether an object is missing only because the store has come back from a copy that
+	 * was made before it.
+	 * @param dataCentre the data centre
+	 * @param deletion the tombstone
+	 * @return true if the evacuation was requested in an earlier era
+	 */
+	private boolean isLost(DataCentre dataCentre, ObjectCopy deletion) {
+		Long known = this.requestedAt.get(dataCentre);
+		return known != null && StoreRevision.isOfEarlierEra(known, deletion.revision());
+	}
+
+	private void endUnlessRequestedAgain(DataCentre dataCentre, ObjectCopy deletion) {
+		if (isLost(dataCentre, deletion)) {
+			setInForce(dataCentre, false, deletion);
+		}
+	}
+
+	private void setInForce(DataCentre dataCentre, boolean evacuated, ObjectCopy object) {
 		if (evacuated ? this.inForce.add(dataCentre) : this.inForce.remove(dataCentre)) {
 			List<String> affected = this.endpoints.get()
 				.stream()
@@ -255,8 +294,9 @@
 				.map((endpoint) -> endpoint.id().value())
 				.sorted()
 				.toList();
-			this.log.belief("evacuation", dataCentre, "in_force", evacuated, "revision", object.revision(), "count",
-					affected.size(), "endpoints", affected.stream().limit(MAX_LOGGED).toList());
+			this.log.belief("evacuation", dataCentre, "in_force", evacuated, "revision",
+					StoreRevision.text(object.revision()), "count", affected.size(), "endpoints",
+					affected.stream().limit(MAX_LOGGED).toList());
 		}
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/evacuation/EvacuatedDataCentresTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/evacuation/EvacuatedDataCentresTests.java
@@ -13,6 +13,7 @@
 import org.bramleyscale.internal.gateway.follow.StoreFollower;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.platform.ObjectKey;
+import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.platform.StoredObject;
 import org.bramleyscale.internal.platform.WatchBatch;
 import org.bramleyscale.internal.time.ManualScheduler;
@@ -119,6 +120,25 @@
 		Truth.assertThat(this.evacuated.known()).isTrue();
 	}
 
+	/** Guards against requests to a data centre whose evacuation an older copy lacks. */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void evacuationThatAnOlderCopyLacksStaysUntilItIsRequestedAgain(boolean requestedAgain) {
+		ObjectKey east = new ObjectKey(EvacuationStore.KIND, "east");
+		long requestedAt = StoreRevision.of(1, 20);
+		this.evacuated.copies()
+			.applyList(new WatchBatch(requestedAt, false, List.of(new StoredObject(east, requestedAt, new byte[0]))));
+		this.evacuated.copies().applyList(new WatchBatch(StoreRevision.of(2, 10), false, List.of()));
+		Truth.assertThat(this.evacuated.count()).isEqualTo(1);
+		if (requestedAgain) {
+			long again = StoreRevision.of(2, 12);
+			this.evacuated.copies()
+				.applyChanges(new WatchBatch(again, false, List.of(new StoredObject(east, again, new byte[0]))));
+		}
+		this.scheduler.advance(EvacuatedDataCentres.REQUESTED_AGAIN_WITHIN);
+		Truth.assertThat(this.evacuated.count()).isEqualTo(requestedAgain ? 1 : 0);
+	}
+
 	/**
 	 * Guards against an evacuation that returns for good. Sequence: a watch is answered,
 	 * then the object is deleted, and a peer's later state arrives before the answer.
