--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -46,17 +46,6 @@
 	/** The interval between checks whether to call the store. */
 	static final Duration TICK = Duration.ofMillis(100);
 
-	/**
-	 * The first pause after a failure: a transient one must cost less than a heartbeat.
-	 */
-	static final Duration MIN_BACKOFF = Duration.ofMillis(50);
-
-	/**
-	 * The longest pause of a watcher. Entries that expired in an outage are removed two
-	 * seconds later unless the watcher has seen them return by then.
-	 */
-	static final Duration MAX_BACKOFF = Duration.ofMillis(400);
-
 	/** How long a daemon that starts waits for the copies of its peers. */
 	static final Duration PEER_WAIT = Duration.ofMillis(500);
 
@@ -81,12 +70,6 @@
 	/** The wait of a watch that is to return at once. */
 	private static final Duration NO_WAIT = Duration.ofMillis(1);
 
-	/**
-	 * The retry interval divided by this is the range of the jitter that spreads the
-	 * calls of the fleet while the store is unavailable.
-	 */
-	private static final int JITTER_DIVISOR = 8;
-
 	/** How much later each next rank queries, since updates need some ms to propagate. */
 	private static final Duration RANK_DELAY = Duration.ofMillis(100);
 
@@ -100,7 +83,7 @@
 
 	private final Scheduler scheduler;
 
-	private final RandomGenerator random;
+	private final RetryPauses pauses;
 
 	private final ObjectStore store;
 
@@ -149,7 +132,7 @@
 			ObjectCopies copies, FollowOrder order, FollowTimes times, DecisionLog log) {
 		this.kind = kind;
 		this.scheduler = scheduler;
-		this.random = random;
+		this.pauses = new RetryPauses(times, random);
 		this.store = store;
 		this.copies = copies;
 		this.order = order;
@@ -460,14 +443,14 @@
 	 */
 	private long retryAt(long now, StoreCall call) {
 		if (!this.copies.listed() || this.awaitsConfirmation) {
-			return now + watcherBackoff();
+			return now + this.pauses.ofWatcher(this.availability.failures());
 		}
 		if (!isWatcher(now)) {
-			return call.startedAt() + retryInterval();
+			return call.startedAt() + this.pauses.ofOthers();
 		}
 		boolean confirmedByPeers = this.copies.confirmedAt() - this.availability.lastAnswerAt() > 0;
 		long unconfirmedAt = this.copies.confirmedAt() + this.times.checkAfter().toNanos();
-		long soon = now + watcherBackoff();
+		long soon = now + this.pauses.ofWatcher(this.availability.failures());
 		return (confirmedByPeers && unconfirmedAt - soon > 0) ? unconfirmedAt : soon;
 	}
 
@@ -482,17 +465,6 @@
 		return now - this.copies.confirmedAt() > this.times.retryAfter().toNanos();
 	}
 
-	private long watcherBackoff() {
-		long pause = Math.min(MIN_BACKOFF.toNanos() << Math.min(this.availability.failures() - 1, 10),
-				MAX_BACKOFF.toNanos());
-		return pause / 2 + this.random.nextLong(pause);
-	}
-
-	private long retryInterval() {
-		long interval = this.times.retryAfter().toNanos();
-		return interval + this.random.nextLong(interval / JITTER_DIVISOR);
-	}
-
 	private void answered() {
 		if (unavailable()) {
 			this.log.belief("store", this.kind, "state", "back", "failures", this.availability.failures(), "away_ms",
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -130,7 +130,7 @@
 	void watcherMakesShortCallsUntilTheStoreAnswersAgain() {
 		this.store.watches.poll()
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "silent"));
-		this.scheduler.advance(StoreFollower.MIN_BACKOFF.multipliedBy(2));
+		this.scheduler.advance(RetryPauses.MIN_BACKOFF.multipliedBy(2));
 		Truth.assertThat(this.store.waited).isLessThan(Duration.ofMillis(10));
 		this.store.watches.poll().complete(new WatchBatch(11, false, List.of()));
 		Truth.assertThat(this.store.waited).isEqualTo(TIMES.watch());
@@ -184,7 +184,7 @@
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "busy"));
 		Truth.assertThat(this.follower.unavailable()).isTrue();
 		Truth.assertThat(this.store.watches).isEmpty();
-		this.scheduler.advance(StoreFollower.MIN_BACKOFF.multipliedBy(2));
+		this.scheduler.advance(RetryPauses.MIN_BACKOFF.multipliedBy(2));
 		this.store.watches.poll().complete(new WatchBatch(11, false, List.of()));
 		Truth.assertThat(this.follower.unavailable()).isFalse();
 		Truth.assertThat(this.follower.sinceFailure()).isLessThan(Duration.ofSeconds(3));
@@ -218,7 +218,7 @@
 		this.store.watches.poll()
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "cut off"));
 		Truth.assertThat(this.follower.sinceOutage()).isGreaterThan(Duration.ofSeconds(3));
-		this.scheduler.advance(StoreFollower.MIN_BACKOFF.multipliedBy(2));
+		this.scheduler.advance(RetryPauses.MIN_BACKOFF.multipliedBy(2));
 		this.store.watches.poll()
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "busy"));
 		Truth.assertThat(this.follower.sinceOutage()).isLessThan(Duration.ofSeconds(3));
@@ -275,7 +275,7 @@
 		Truth.assertThat(this.store.watches).hasSize(1);
 		this.store.watches.poll()
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "busy"));
-		this.scheduler.advance(StoreFollower.MAX_BACKOFF.multipliedBy(2));
+		this.scheduler.advance(RetryPauses.MAX_BACKOFF.multipliedBy(2));
 		Truth.assertThat(this.store.watches).hasSize(1);
 	}
 
