Name the shared parts of prompts in the lines of requests

The lines named a request only by its digest, so that crashes under requests no two of which are alike couldn't be told from crashes by load. No decision uses them yet. The simulated fleet knows parts, and keeps its arrivals and crashes in ArrivalLog.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
@@ -21,10 +21,12 @@
  * @param promptTokens the declared length of the prompt, 0 if none is declared
  * @param outputTokens the declared maximum length of the output, 0 if none is declared
  * @param lastEventId the event after which the caller wants to resume a stream
+ * @param sharedParts the ids of the parts of the prompt that other requests may have as
+ * well, in order; empty if none are declared
  */
 public record CallerRequest(String id, String method, String target, String host, List<Header> headers, byte[] body,
 		Optional<String> key, Optional<Duration> timeLeft, long promptTokens, long outputTokens,
-		Optional<String> lastEventId) {
+		Optional<String> lastEventId, List<String> sharedParts) {
 
 	/**
 	 * Returns the path without its query.
@@ -42,8 +44,8 @@
 	 */
 	CallerRequest afterWaiting(Duration waited) {
 		return new CallerRequest(this.id, this.method, this.target, this.host, this.headers, this.body, this.key,
-				this.timeLeft.map((time) -> time.minus(waited)), this.promptTokens, this.outputTokens,
-				this.lastEventId);
+				this.timeLeft.map((time) -> time.minus(waited)), this.promptTokens, this.outputTokens, this.lastEventId,
+				this.sharedParts);
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
@@ -41,8 +41,9 @@
 			.collect(Collectors.joining(" "));
 		write("sent", "endpoint", placement.target().orElseThrow().id(), "reason", placement.reason(), "helpers",
 				helpers, "predicted_ms", Math.round(placement.firstEventMillis()), "asked", attempts, "left_ms",
-				left.toMillis(), "catalog", catalog, "after_event", lastEventId, "digest", this.digest, "priority",
-				turn.map(QueueTurn::priority).orElse(null), "rank", turn.map(QueueTurn::rank).orElse(null));
+				left.toMillis(), "catalog", catalog, "after_event", lastEventId, "digest", this.digest, "parts",
+				parts(), "priority", turn.map(QueueTurn::priority).orElse(null), "rank",
+				turn.map(QueueTurn::rank).orElse(null));
 	}
 
 	void firstEvent(Backend endpoint, Duration elapsed, double predictedMillis) {
@@ -67,7 +68,8 @@
 	}
 
 	void attemptFailed(Backend endpoint, String cause, String lastEventId) {
-		write("fell", "endpoint", endpoint.id(), "cause", cause, "digest", this.digest, "after_event", lastEventId);
+		write("fell", "endpoint", endpoint.id(), "cause", cause, "digest", this.digest, "parts", parts(), "after_event",
+				lastEventId);
 	}
 
 	void attemptTimedOut(Backend endpoint, String lastEventId) {
@@ -96,6 +98,10 @@
 		write(decision, Stream.concat(Stream.of(fields), Stream.of(lastFields)).toArray());
 	}
 
+	private String parts() {
+		return String.join(" ", this.request.sharedParts());
+	}
+
 	private void write(String decision, Object... fields) {
 		this.log.request(this.request.id(), decision, fields);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashFaultsTests.java
@@ -60,7 +60,7 @@
 			fleet.scheduler.advance(Duration.ofMillis(20));
 		}
 		for (int i = 0; i < crashing; i++) {
-			Truth.assertThat(fleet.lateArrivals(SimulatedEndpoint.CRASHING + i)).isAtMost(MAX_FURTHER_ARRIVALS);
+			Truth.assertThat(fleet.arrivals.late(SimulatedEndpoint.CRASHING + i)).isAtMost(MAX_FURTHER_ARRIVALS);
 		}
 		Truth.assertThat(others.stream().filter(SimulatedCaller::suspected).count()).isEqualTo(0);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.ArrivalLog;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
 import org.bramleyscale.internal.gateway.fleet.SimulatedCaller;
 import org.bramleyscale.internal.gateway.fleet.SimulatedEndpoint;
@@ -48,8 +49,8 @@
 			restarts.at(millis, fleet);
 			fleet.scheduler.advance(Duration.ofMillis(50));
 		}
-		List<Long> arrivals = fleet.arrivals(CRASHING);
-		long known = arrivals.get(GatewayFleet.CRASH_THRESHOLD - 1) + GatewayFleet.SETTLING_TIME.toMillis();
+		List<Long> arrivals = fleet.arrivals.of(CRASHING);
+		long known = arrivals.get(ArrivalLog.REQUEST_THRESHOLD - 1) + GatewayFleet.SETTLING_TIME.toMillis();
 		Truth.assertThat(arrivals.stream().filter((millis) -> millis > known).count()).isAtMost(MAX_FURTHER_ARRIVALS);
 	}
 
@@ -64,12 +65,12 @@
 			fleet.call(CRASHING);
 			fleet.scheduler.advance(Duration.ofSeconds(1));
 		}
-		int arrived = fleet.arrivals(CRASHING).size();
+		int arrived = fleet.arrivals.of(CRASHING).size();
 		SimulatedCaller caller = fleet.call(CRASHING);
 		Truth.assertThat(caller.response()).isEqualTo("own 503");
 		Truth.assertThat(caller.retryAfter()).isAtLeast(Duration.ofSeconds(30));
 		fleet.scheduler.advance(Duration.ofSeconds(5));
-		Truth.assertThat(fleet.arrivals(CRASHING)).hasSize(arrived);
+		Truth.assertThat(fleet.arrivals.of(CRASHING)).hasSize(arrived);
 	}
 
 	/** Guards against trials that aren't counted while the store is unavailable. */
@@ -81,8 +82,8 @@
 			fleet.call(CRASHING);
 			fleet.scheduler.advance(Duration.ofMillis(300));
 		}
-		List<Long> arrivals = fleet.arrivals(CRASHING);
-		long known = arrivals.get(GatewayFleet.CRASH_THRESHOLD - 1) + GatewayFleet.SETTLING_TIME.toMillis();
+		List<Long> arrivals = fleet.arrivals.of(CRASHING);
+		long known = arrivals.get(ArrivalLog.REQUEST_THRESHOLD - 1) + GatewayFleet.SETTLING_TIME.toMillis();
 		Truth.assertThat(arrivals.stream().filter((millis) -> millis > known).count()).isEqualTo(0);
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -40,9 +40,6 @@
 
 	static final Duration REMOVAL_DELAY = Duration.ofMillis(2_700);
 
-	/** Number of crashes after which a request is known to crash endpoints. */
-	public static final int CRASH_THRESHOLD = 3;
-
 	/**
 	 * Time after which a daemon is settled, if it has run and the store has been
 	 * available throughout.
@@ -81,7 +78,7 @@
 	public Consumer<PeerMessage> onPeerMessage = (message) -> {
 	};
 
-	final List<Arrival> arrivals = new ArrayList<>();
+	public final ArrivalLog arrivals = new ArrivalLog();
 
 	public final SimulatedStore store = new SimulatedStore(this.scheduler);
 
@@ -93,6 +90,9 @@
 
 	double messageLoss;
 
+	/** Time that an endpoint takes to serve a request. */
+	public Duration serviceTime = Duration.ofMillis(200);
+
 	private final Map<String, Long> callerSentAt = new HashMap<>();
 
 	private int started;
@@ -129,9 +129,25 @@
 	}
 
 	SimulatedCaller call(int daemon, String path, String text) {
+		return call(daemon, path, text, List.of());
+	}
+
+	/**
+	 * Sends a request with a prompt to a daemon drawn at random.
+	 * @param text the request's body
+	 * @param parts the shared parts of its prompt; {@link SimulatedEndpoint#CRASHING}
+	 * parts crash each endpoint that runs it
+	 * @return the caller, which records the answer
+	 */
+	public SimulatedCaller callWithParts(String text, String... parts) {
+		return call(this.random.nextInt(this.daemons.size()), REPEATABLE, text, List.of(parts));
+	}
+
+	private SimulatedCaller call(int daemon, String path, String text, List<String> parts) {
 		SimulatedCaller caller = new SimulatedCaller();
 		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", path + "1", "hire.example", List.of(),
-				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty());
+				text.getBytes(), Optional.of("key"), Optional.of(Duration.ofSeconds(10)), 0, 0, Optional.empty(),
+				parts);
 		this.callerSentAt.put(request.id(), this.scheduler.nanos());
 		this.daemons.get(daemon).service.handle(request, caller);
 		return caller;
@@ -295,6 +311,25 @@
 		return !running.isEmpty();
 	}
 
+	/**
+	 * Crashes all endpoints, for a reason other than the requests.
+	 */
+	public void crashAll() {
+		List.copyOf(this.endpoints.values()).forEach(SimulatedEndpoint::crash);
+	}
+
+	/**
+	 * Crashes the endpoint that runs the most requests, for a reason other than these.
+	 */
+	public void crashBusiest() {
+		this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.alive)
+			.max(Comparator.<SimulatedEndpoint>comparingInt((endpoint) -> endpoint.running.size())
+				.thenComparing((endpoint) -> endpoint.backend.id().value()))
+			.ifPresent(SimulatedEndpoint::crash);
+	}
+
 	/**
 	 * Crashes one of the endpoints on which a request runs.
 	 * @param text the request's body
@@ -321,33 +356,6 @@
 		}
 	}
 
-	/**
-	 * The times at which a request arrived at endpoints.
-	 * @param text the request's body
-	 * @return the times, in ms
-	 */
-	public List<Long> arrivals(String text) {
-		return this.arrivals.stream().filter((arrival) -> arrival.text.equals(text)).map(Arrival::millis).toList();
-	}
-
-	/**
-	 * Counts the arrivals of a request at endpoints after all daemons must know that it
-	 * crashes them. Only arrivals from settled daemons count: those that have run, with
-	 * the store available, for {@link #SETTLING_TIME}.
-	 * @param text the request's body
-	 * @return the number of arrivals
-	 */
-	public int lateArrivals(String text) {
-		List<Long> times = arrivals(text);
-		if (times.size() < CRASH_THRESHOLD) {
-			return 0;
-		}
-		long known = times.get(CRASH_THRESHOLD - 1) + SETTLING_TIME.toMillis();
-		return (int) this.arrivals.stream()
-			.filter((arrival) -> arrival.text.equals(text) && arrival.settled && arrival.millis > known)
-			.count();
-	}
-
 	public int crashedEndpoints() {
 		return (int) this.endpoints.values().stream().filter((endpoint) -> !endpoint.alive).count();
 	}
@@ -384,14 +392,4 @@
 		this.daemons.forEach((daemon) -> daemon.putEntry(endpoint));
 	}
 
-	/**
-	 * A request that reached an endpoint.
-	 *
-	 * @param text the request's body
-	 * @param millis the time of its arrival, in ms
-	 * @param settled whether it came from a settled daemon
-	 */
-	public record Arrival(String text, long millis, boolean settled) {
-	}
-
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
@@ -39,6 +39,19 @@
 		return new String(this.request.original().body());
 	}
 
+	List<String> parts() {
+		return this.request.original().sharedParts();
+	}
+
+	/**
+	 * Whether this request crashes the endpoint that runs it.
+	 * @param marker marks bodies and parts that crash endpoints
+	 * @return true if it does
+	 */
+	boolean crashes(String marker) {
+		return text().contains(marker) || parts().stream().anyMatch((part) -> part.contains(marker));
+	}
+
 	void fail(boolean sent, String cause) {
 		if (!this.cancelled) {
 			this.listener.failed(sent, cause);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedEndpoint.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedEndpoint.java
@@ -16,7 +16,10 @@
  */
 public final class SimulatedEndpoint {
 
-	/** A request whose body contains this text crashes each endpoint that runs it. */
+	/**
+	 * A request whose body, or one of whose parts, contains this text crashes each
+	 * endpoint that runs it.
+	 */
 	public static final String CRASHING = "deadly";
 
 	/**
@@ -25,12 +28,11 @@
 	 */
 	private static final Duration LIMIT_GRACE = Duration.ofMillis(500);
 
-	/** Time that an endpoint takes to serve a request. */
-	private static final Duration SERVICE_TIME = Duration.ofMillis(200);
-
 	/** Time after which a crashing request ends the endpoint that runs it. */
 	private static final Duration CRASH_DELAY = Duration.ofMillis(90);
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	static final Duration REFUSAL_LATENCY = Duration.ofMillis(2);
 
 	private final GatewayFleet fleet;
@@ -159,8 +161,7 @@
 					refuses() ? () -> sent.fail(true, "reset") : sent::answerMisdirected);
 			return;
 		}
-		this.fleet.arrivals
-			.add(new GatewayFleet.Arrival(sent.text(), this.fleet.scheduler.nanos() / 1_000_000, sent.from.settled()));
+		this.fleet.arrivals.arrived(sent, this.fleet.scheduler.nanos() / NANOS_PER_MILLI);
 		recordArrival(sent.from);
 		this.notices.arrives(sent.from, this.fleet.callerSentAt(sent), this.fleet.scheduler.nanos());
 		if (this.backoff.isPresent()) {
@@ -168,7 +169,7 @@
 			return;
 		}
 		this.running.add(sent);
-		if (sent.text().contains(CRASHING)) {
+		if (sent.crashes(CRASHING)) {
 			this.fleet.scheduler.schedule(CRASH_DELAY, () -> {
 				if (this.running.contains(sent)) {
 					crash();
@@ -176,7 +177,7 @@
 			});
 		}
 		else {
-			this.fleet.scheduler.schedule(SERVICE_TIME, () -> {
+			this.fleet.scheduler.schedule(this.fleet.serviceTime, () -> {
 				if (this.running.remove(sent)) {
 					sent.answer();
 				}
@@ -228,6 +229,7 @@
 		this.crashedAt = this.fleet.scheduler.nanos();
 		List<SentRequest> failed = List.copyOf(this.running);
 		this.running.clear();
+		this.fleet.arrivals.crashed(failed, this.crashedAt / NANOS_PER_MILLI);
 		failed.forEach((sent) -> sent.fail(true, "connection closed by the endpoint"));
 		this.fleet.scheduler.schedule(GatewayFleet.DOWNTIME, this.fleet::startEndpoint);
 		this.fleet.scheduler.schedule(GatewayFleet.REMOVAL_DELAY,
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
@@ -168,7 +168,7 @@
 				new DataCentre("east"), 4, false);
 		CallerRequest request = new CallerRequest(id, method, "/quotes?x=1%202", "hire.example",
 				List.of(new Header("Host", "hire.example"), new Header("Colour", "red")), new byte[0], Optional.empty(),
-				Optional.empty(), 0, 0, Optional.empty());
+				Optional.empty(), 0, 0, Optional.empty(), List.of());
 		RecordingListener listener = new RecordingListener();
 		this.loop.execute(() -> this.connections.send(to, new OutgoingRequest(request, Optional.empty(),
 				Duration.ofSeconds(5), Optional.empty(), List.of(), 5, fresh), listener));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.internal.gateway.http;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -26,7 +27,7 @@
 		}
 		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.uri(),
 				head.headers().get(HttpHeaderNames.HOST, ""), EndToEndHeaders.of(head.headers(), Set.of("key")), body,
-				Optional.empty(), Optional.of(Duration.ofSeconds(5)), 0, 0, Optional.empty());
+				Optional.empty(), Optional.of(Duration.ofSeconds(5)), 0, 0, Optional.empty(), List.of());
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
@@ -193,9 +193,9 @@
 					.allowedRegions()
 					.and(catalog.account("key" + account).orElseThrow().allowedRegions()));
 		RecordingCaller caller = new RecordingCaller();
-		this.service.handle(new CallerRequest(id, "POST", path, HOST, List.of(), new byte[0],
-				Optional.of("key" + account), Optional.of(Duration.ofSeconds(12)), promptTokens, 200, Optional.empty()),
-				caller);
+		this.service
+			.handle(new CallerRequest(id, "POST", path, HOST, List.of(), new byte[0], Optional.of("key" + account),
+					Optional.of(Duration.ofSeconds(12)), promptTokens, 200, Optional.empty(), List.of()), caller);
 		return caller;
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -177,7 +177,7 @@
 	RecordingCaller call(String path, Duration left) {
 		RecordingCaller caller = new RecordingCaller();
 		CallerRequest request = new CallerRequest("r1", "POST", path, "hire.example", List.of(), new byte[0],
-				Optional.of("key"), Optional.of(left), 0, 0, Optional.empty());
+				Optional.of("key"), Optional.of(left), 0, 0, Optional.empty(), List.of());
 		caller.onDisconnect = this.service.handle(request, caller);
 		return caller;
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -328,7 +328,7 @@
 
 	private static CallerRequest request(String path, String key) {
 		return new CallerRequest("r1", "GET", path, "hire.example", List.of(), new byte[0], Optional.of(key),
-				Optional.empty(), 0, 0, Optional.empty());
+				Optional.empty(), 0, 0, Optional.empty(), List.of());
 	}
 
 	private static void fail(RelayFixture.SentRequest sent, String failure) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
@@ -67,7 +67,7 @@
 
 	private static CallerRequest request(String id) {
 		return new CallerRequest(id, "POST", "/quotes/1", "hire.example", List.of(), new byte[0], Optional.empty(),
-				Optional.of(Duration.ofSeconds(1)), 0, 0, Optional.empty());
+				Optional.of(Duration.ofSeconds(1)), 0, 0, Optional.empty(), List.of());
 	}
 
 	private Runnable handle(CallerRequest request, CallerReply reply) {
