Compare a crashed endpoint with more than three others

A crash counts only if another endpoint accepts connections, so that a daemon that lost its own path blames nobody. Three others were tried, drawn among all that are listed, crashed ones included: while most endpoints of a service are down, a daemon took crashes for a lost path of its own and forgot them.

Now up to three rounds of three are tried before the path counts as lost, one round as before where the path itself is checked.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/PathMonitor.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/PathMonitor.java
@@ -54,6 +54,12 @@
 	/** The number of further endpoints that are tried before a path counts as lost. */
 	private static final int MAX_VERIFIED = 3;
 
+	/**
+	 * Rounds of connections that tell a crashed endpoint from a lost path: half of the
+	 * endpoints may have crashed.
+	 */
+	private static final int COMPARING_ROUNDS = 3;
+
 	private final Scheduler scheduler;
 
 	private final ConnectionCheck check;
@@ -163,7 +169,7 @@
 		List<Backend> others = new ArrayList<>();
 		this.backends.services().forEach((service) -> others.addAll(this.backends.usable(service)));
 		others.remove(except);
-		return others.isEmpty() ? CompletableFuture.completedFuture(true) : tryAny(others);
+		return others.isEmpty() ? CompletableFuture.completedFuture(true) : tryAny(others, COMPARING_ROUNDS);
 	}
 
 	/**
@@ -235,7 +241,7 @@
 		long startedAt = this.scheduler.nanos();
 		List<Backend> others = new ArrayList<>(this.backends.usable(service));
 		others.remove(failed);
-		tryAny(others).thenAccept((accepted) -> {
+		tryAny(others, 1).thenAccept((accepted) -> {
 			this.verified.remove(service);
 			if (!accepted && !path.connectedSince(startedAt) && !this.backends.usable(service).isEmpty()) {
 				lose(service, path);
@@ -244,11 +250,13 @@
 	}
 
 	/**
-	 * Tries to connect to a few of several endpoints.
+	 * Tries to connect to a few of several endpoints, and to a few others if none of them
+	 * accepts.
 	 * @param endpoints the endpoints
+	 * @param rounds how often a few are tried at most
 	 * @return completes with true if one of them accepts
 	 */
-	private CompletableFuture<Boolean> tryAny(List<Backend> endpoints) {
+	private CompletableFuture<Boolean> tryAny(List<Backend> endpoints, int rounds) {
 		List<CompletableFuture<Boolean>> outcomes = new ArrayList<>();
 		List<Backend> remaining = new ArrayList<>(endpoints);
 		while (outcomes.size() < MAX_VERIFIED && !remaining.isEmpty()) {
@@ -260,8 +268,11 @@
 				return outcome == ConnectionOutcome.ACCEPTED;
 			}));
 		}
-		return CompletableFuture.allOf(outcomes.toArray(CompletableFuture[]::new))
-			.thenApply((all) -> outcomes.stream().anyMatch(CompletableFuture::join));
+		return CompletableFuture.allOf(outcomes.toArray(CompletableFuture[]::new)).thenCompose((all) -> {
+			boolean accepted = outcomes.stream().anyMatch(CompletableFuture::join);
+			boolean ends = accepted || rounds == 1 || remaining.isEmpty();
+			return ends ? CompletableFuture.completedFuture(accepted) : tryAny(remaining, rounds - 1);
+		});
 	}
 
 	private void lose(ServiceName service, ServicePath path) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests that daemons stop a request that crashes each endpoint which runs it, and no
@@ -127,6 +128,26 @@
 		Truth.assertThat(callers.stream().filter(SimulatedCaller::suspected).count()).isEqualTo(0);
 	}
 
+	/** Guards against taking a crash for a lost path because others are down as well. */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void crashIsFoundWhileMostEndpointsAreDown(long seed) {
+		GatewayFleet fleet = new GatewayFleet(1, ENDPOINTS, seed);
+		Random random = new Random(seed);
+		for (int i = 0; i < 8; i++) {
+			fleet.endpoint(random.nextInt(ENDPOINTS - i)).crash();
+		}
+		boolean crashed = false;
+		for (int i = 0; i < 50 && !crashed; i++) {
+			fleet.call(HARMLESS);
+			fleet.scheduler.advance(Duration.ofMillis(20));
+			crashed = fleet.crashAllRunning(HARMLESS);
+		}
+		fleet.scheduler.advance(Duration.ofMillis(500));
+		Truth.assertThat(crashed).isTrue();
+		Truth.assertThat(fleet.reportedCrashes()).isAtLeast(1);
+	}
+
 	/** Guards against treating connection resets as crashes. */
 	@Test
 	void connectionResetsAreNotCrashes() {
