Try parts again that were only tried beside others

Drawn faults found sound parts blocked for ever: requests with the crashing part used up the trials of all their parts; a trial claimed for one part of a request and not for the next was used up unmade; a vouched-for part lost its record here and not in the store; mass losses counted, and ended trials.

Now a record keeps what all its trials had in common, and a request that lacks one of these is a further trial, four in all (three if five endpoints had ended before the first); a trial without outcome may be repeated within that; one claimed in vain is given back; a part at its service isn't judged while the part is; a moment in which at least four endpoints ended, more of them without the cause, doesn't count. Lost connections that are still being checked don't stall parts that were answered lately. Names of records hold no colons.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/AnsweredParts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/AnsweredParts.java
@@ -55,7 +55,18 @@
 	 * @return false if it wasn't answered since the last call
 	 */
 	boolean vouch(CrashCause part) {
-		Long at = this.answeredAt.remove(part);
+		boolean answered = answeredLately(part);
+		this.answeredAt.remove(part);
+		return answered;
+	}
+
+	/**
+	 * Whether there is an answer that vouches for a part.
+	 * @param part the part
+	 * @return true if it was answered since it was last vouched for
+	 */
+	boolean answeredLately(CrashCause part) {
+		Long at = this.answeredAt.get(part);
 		return at != null && this.clock.nanos() - at < RETENTION.toNanos();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashCause.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashCause.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.gateway.crash;
 
+import java.util.Optional;
+
 import org.bramleyscale.ServiceName;
 
 /**
@@ -11,11 +13,14 @@
  * service it can be blocked there alone, while another service answers it. Immutable and
  * safe for use by multiple threads.
  *
- * @param value the digest of a request, or {@code part:ID} or {@code part:ID:SERVICE}
+ * @param value the digest of a request, or {@code part-ID} or {@code part-ID-SERVICE};
+ * ids hold no hyphen
  */
 public record CrashCause(String value) {
 
-	private static final String PART = "part:";
+	private static final String PART = "part-";
+
+	private static final char SEPARATOR = '-';
 
 	/**
 	 * Returns the cause that is one request, however often it is sent.
@@ -42,7 +47,7 @@
 	 * @return the cause
 	 */
 	public static CrashCause part(String id, ServiceName service) {
-		return new CrashCause(PART + id + ":" + service);
+		return new CrashCause(PART + id + SEPARATOR + service);
 	}
 
 	/**
@@ -53,6 +58,15 @@
 		return this.value.startsWith(PART);
 	}
 
+	/**
+	 * Returns the cause that includes this one.
+	 * @return the part, for a part at one service
+	 */
+	Optional<CrashCause> wider() {
+		int service = shared() ? this.value.indexOf(SEPARATOR, PART.length()) : -1;
+		return (service >= 0) ? Optional.of(new CrashCause(this.value.substring(0, service))) : Optional.empty();
+	}
+
 	/**
 	 * Returns the subject of log lines about this cause.
 	 * @return {@code part} or {@code request}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
@@ -148,6 +148,14 @@
 			.count();
 	}
 
+	/**
+	 * Whether lost connections are kept that may turn out to be crashes.
+	 * @return false if no first check is pending
+	 */
+	boolean checksPending() {
+		return !this.failedConnections.isEmpty();
+	}
+
 	/**
 	 * Removes expired failures and crashes; called a few times a second.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
@@ -22,10 +22,10 @@
  * A crash fails every request in flight at the endpoint, so a single crash implicates
  * many causes and proves nothing about any of them. Invariants: an answer clears a cause
  * of all earlier crashes; crashes are counted by endpoint, however many daemons report
- * them; the crashes of one moment count as two at most, since whatever loses many
- * endpoints at once is not what they run; the evidence is bounded, and evicts the causes
- * with the fewest crashes first, the oldest of these before the others. Confined to the
- * scheduler's thread.
+ * them; the crashes of one moment count as two at most, and as none if more endpoints
+ * crashed without the cause, since whatever loses many at once is not what they run; the
+ * evidence is bounded, and evicts the causes with the fewest crashes first, the oldest of
+ * these before the others. Confined to the scheduler's thread.
  */
 final class CrashEvidence {
 
@@ -59,6 +59,15 @@
 	/** How many crashes of one moment count. */
 	static final int MAX_COUNTED_OF_MOMENT = 2;
 
+	/**
+	 * Number of endpoints that crash in one moment for a reason of their own, unless half
+	 * of them ran the same: two causes at once seldom crash as many.
+	 */
+	static final int MASS_LOSS = 4;
+
+	/** Number of crashed endpoints whose times are kept. */
+	private static final int MAX_CRASH_TIMES = 200;
+
 	/**
 	 * Maximum number of cleared causes that are kept, for crash reports that arrive late.
 	 */
@@ -72,6 +81,18 @@
 
 	private final Map<EndpointStart, Long> reportedAt = new HashMap<>();
 
+	/** The times at which this daemon learnt of crashes, whatever ran there. */
+	private final Map<EndpointStart, Long> crashTimes = new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<EndpointStart, Long> eldest) {
+			return size() > MAX_CRASH_TIMES;
+		}
+
+	};
+
 	private final Map<CrashCause, Clearance> clearances = new LinkedHashMap<>() {
 
 		private static final long serialVersionUID = 1L;
@@ -104,8 +125,9 @@
 			known = new Crashes();
 			this.crashes.put(cause, known);
 		}
-		long reported = this.reportedAt.computeIfAbsent(endpoint, (key) -> this.clock.nanos());
-		boolean added = known.crashedAt.putIfAbsent(endpoint, reported) == null;
+		this.reportedAt.putIfAbsent(endpoint, this.clock.nanos());
+		long learntAt = this.crashTimes.computeIfAbsent(endpoint, (key) -> this.clock.nanos());
+		boolean added = known.crashedAt.putIfAbsent(endpoint, learntAt) == null;
 		known.latestAt = added ? this.clock.nanos() : known.latestAt;
 		return added;
 	}
@@ -186,6 +208,7 @@
 	 */
 	boolean retractCrashes(EndpointStart endpoint) {
 		this.reportedAt.remove(endpoint);
+		this.crashTimes.remove(endpoint);
 		boolean known = false;
 		for (Crashes each : this.crashes.values()) {
 			known |= each.crashedAt.remove(endpoint) != null;
@@ -205,12 +228,22 @@
 		return (known != null) ? Set.copyOf(known.crashedAt.keySet()) : Set.of();
 	}
 
+	/**
+	 * Counts the endpoints that have crashed under a cause.
+	 * @param cause the cause
+	 * @return their number
+	 */
+	int size(CrashCause cause) {
+		Crashes known = this.crashes.get(cause);
+		return (known != null) ? known.crashedAt.size() : 0;
+	}
+
 	/**
 	 * Counts the crashes under a cause that speak against it.
 	 * @param cause the cause
 	 * @param explained endpoints that have crashed for another cause
 	 * @return the number, in which a moment counts as {@link #MAX_COUNTED_OF_MOMENT} at
-	 * most
+	 * most, and a mass loss that hit more endpoints without the cause not at all
 	 */
 	int count(CrashCause cause, Predicate<EndpointStart> explained) {
 		Crashes known = this.crashes.get(cause);
@@ -224,14 +257,24 @@
 			.sorted()
 			.toArray();
 		int count = 0;
-		int moment = 0;
-		for (int i = 0; i < times.length; i++) {
-			moment = (times[i] - times[moment] < MOMENT.toNanos()) ? moment : i;
-			count += (i - moment < MAX_COUNTED_OF_MOMENT) ? 1 : 0;
+		int first = 0;
+		for (int i = 1; i <= times.length; i++) {
+			if (i == times.length || times[i] - times[first] >= MOMENT.toNanos()) {
+				count += countOfMoment(times[first], i - first);
+				first = i;
+			}
 		}
 		return count;
 	}
 
+	private int countOfMoment(long start, int crashes) {
+		long lost = this.crashTimes.values()
+			.stream()
+			.filter((time) -> time - start >= 0 && time - start < MOMENT.toNanos())
+			.count();
+		return (lost >= MASS_LOSS && lost > 2 * crashes) ? 0 : Math.min(crashes, MAX_COUNTED_OF_MOMENT);
+	}
+
 	/**
 	 * The crashes to repeat to peers: of the causes whose latest crash was learnt within
 	 * {@link #REPEAT_PERIOD} and that weren't cleared lately, those with the most crashes
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
@@ -17,9 +16,9 @@
  * A request is judged by the worst of its causes. Invariants: a cause under which
  * {@link #TRIAL_THRESHOLD} endpoints have crashed without an answer is sent only as a
  * trial, {@link #MAX_TRIALS} times; one that was answered shortly before is suspected
- * later, and not for crashes that another cause explains; a cause that was always beside
- * a blocked one has one more trial, which it gets without that one. Confined to the
- * scheduler's thread.
+ * later, and not for crashes that another cause explains; a cause that was only tried
+ * beside others is tried again without them, {@link #MAX_TRIALS_APART} times in all.
+ * Confined to the scheduler's thread.
  */
 final class CrashJudge {
 
@@ -38,6 +37,13 @@
 	 */
 	static final int MAX_TRIALS = 2;
 
+	/**
+	 * The same for a cause that requests share, with trials that had no outcome, and
+	 * those of requests that lack a cause which all earlier trials had in common. A cause
+	 * that crashes endpoints reaches three after the fifth at most.
+	 */
+	static final int MAX_TRIALS_APART = 4;
+
 	private final Clock clock;
 
 	private final CrashEvidence evidence;
@@ -87,7 +93,16 @@
 	 */
 	boolean suspected(CrashCause cause) {
 		boolean cleared = this.evidence.recentlyCleared(cause);
-		return count(cause, cleared) >= threshold(cleared);
+		return count(cause, cleared) >= threshold(cleared) && !judgedByWider(cause);
+	}
+
+	/**
+	 * Whether a cause needs no verdict, since one that includes it is suspected already.
+	 * @param cause the cause
+	 * @return false for the widest causes
+	 */
+	private boolean judgedByWider(CrashCause cause) {
+		return cause.wider().filter((wider) -> this.records.contains(wider) || suspected(wider)).isPresent();
 	}
 
 	/**
@@ -108,7 +123,7 @@
 	 */
 	int crashes(CrashCause cause) {
 		int stored = this.records.get(cause).map((known) -> known.record().crashes()).orElse(0);
-		return Math.max(this.evidence.endpoints(cause).size(), stored);
+		return Math.max(this.evidence.size(cause), stored);
 	}
 
 	private Verdict verdict(CrashCause cause, CrashCauses causes, ToIntFunction<CrashCause> pendingChecks) {
@@ -116,20 +131,41 @@
 		int pending = cleared ? 0 : pendingChecks.applyAsInt(cause);
 		int count = count(cause, cleared);
 		boolean suspected = count + pending >= threshold(cleared);
+		if (suspected && judgedByWider(cause)) {
+			return Verdict.CLEAR;
+		}
 		Optional<StoredRecords.StoredRecord> record = this.records.get(cause).filter((known) -> suspected || !cleared);
 		if (record.isEmpty() && !suspected) {
 			return (count + pending == 0) ? Verdict.CLEAR : Verdict.SUSPECT;
 		}
-		boolean inProgress = record.filter(trialInProgress(cause)).isPresent();
-		int trials = record.map((known) -> known.record().trials()).orElse(0);
-		if (!inProgress && trials >= MAX_TRIALS && (trials > MAX_TRIALS || !explainedWithout(cause, causes))) {
+		boolean inProgress = record.filter((known) -> known.trialInProgress(crashes(cause), this.clock.nanos()))
+			.isPresent();
+		if (!inProgress
+				&& record.filter((known) -> known.record().trials() >= maxTrials(cause, known, causes)).isPresent()) {
 			return Verdict.BLOCKED;
 		}
 		return (inProgress || pending > 0) ? Verdict.WAIT : Verdict.TRIAL;
 	}
 
-	private Predicate<StoredRecords.StoredRecord> trialInProgress(CrashCause cause) {
-		return (known) -> known.trialInProgress(crashes(cause), this.clock.nanos());
+	private int maxTrials(CrashCause cause, StoredRecords.StoredRecord known, CrashCauses causes) {
+		boolean undecided = known.trialLost(crashes(cause), this.clock.nanos()) || known.record().differs(causes)
+				|| lostWithOthers(cause, known.record());
+		if (!cause.shared() || !undecided) {
+			return MAX_TRIALS;
+		}
+		boolean lateTrials = known.record().crashes() - known.record().trials() >= CLEARED_THRESHOLD;
+		return lateTrials ? MAX_TRIALS_APART - 1 : MAX_TRIALS_APART;
+	}
+
+	/**
+	 * Whether losses of many endpoints, which don't count, have ended trials of a cause.
+	 * @param cause the cause
+	 * @param record its record
+	 * @return false if this daemon doesn't know all crashes in the record
+	 */
+	private boolean lostWithOthers(CrashCause cause, CrashRecord record) {
+		return this.evidence.size(cause) >= record.crashes()
+				&& this.evidence.count(cause, (endpoint) -> false) < TRIAL_THRESHOLD + MAX_TRIALS;
 	}
 
 	private static int threshold(boolean cleared) {
@@ -137,6 +173,10 @@
 	}
 
 	private int count(CrashCause cause, boolean cleared) {
+		int endpoints = this.evidence.size(cause);
+		if (endpoints < TRIAL_THRESHOLD) {
+			return endpoints;
+		}
 		int count = this.evidence.count(cause, (endpoint) -> false);
 		if (!cleared || count < CLEARED_THRESHOLD) {
 			return count;
@@ -149,26 +189,4 @@
 		return this.evidence.count(cause, explained::contains);
 	}
 
-	/**
-	 * Whether all crashes under a cause are explained by a blocked one that a request
-	 * lacks.
-	 * @param cause the cause
-	 * @param causes the causes of the request
-	 * @return true if the request would tell the two apart
-	 */
-	private boolean explainedWithout(CrashCause cause, CrashCauses causes) {
-		Set<EndpointStart> endpoints = this.evidence.endpoints(cause);
-		return !endpoints.isEmpty() && this.records.causes()
-			.stream()
-			.filter((other) -> !causes.contains(other) && blocked(other))
-			.anyMatch((other) -> this.evidence.endpoints(other).containsAll(endpoints));
-	}
-
-	private boolean blocked(CrashCause cause) {
-		return this.records.get(cause)
-			.filter((known) -> known.record().trials() >= MAX_TRIALS)
-			.filter(trialInProgress(cause).negate())
-			.isPresent();
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecord.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -19,8 +21,9 @@
  * written
  * @param trials number of trials since the record was created
  * @param trying whether the last trial may still be running
+ * @param with the other suspected causes that the request had at each trial so far
  */
-record CrashRecord(int crashes, int trials, boolean trying) {
+record CrashRecord(int crashes, int trials, boolean trying, Set<String> with) {
 
 	/** The kind of these records in the store. */
 	static final String KIND = "crashing-requests";
@@ -34,6 +37,60 @@
 	private static final ObjectMapper mapper = new ObjectMapper()
 		.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
+	CrashRecord {
+		with = (with != null) ? Set.copyOf(with) : Set.of();
+	}
+
+	/**
+	 * Returns the record of a cause that hasn't been tried.
+	 * @param crashes the number of endpoints that have crashed under it
+	 * @return the record
+	 */
+	static CrashRecord untried(int crashes) {
+		return new CrashRecord(crashes, 0, false, Set.of());
+	}
+
+	/**
+	 * Returns this record after further crashes, which end a trial.
+	 * @param crashed the number of endpoints that have crashed
+	 * @return a new record
+	 */
+	CrashRecord withCrashes(int crashed) {
+		return new CrashRecord(crashed, this.trials, false, this.with);
+	}
+
+	/**
+	 * Returns this record during its next trial.
+	 * @param crashed the number of endpoints that have crashed
+	 * @param others the other suspected causes of the request
+	 * @return a new record
+	 */
+	CrashRecord withTrial(int crashed, Set<String> others) {
+		Set<String> always = new HashSet<>(others);
+		if (this.trials > 0) {
+			always.retainAll(this.with);
+		}
+		return new CrashRecord(crashed, this.trials + 1, true, always);
+	}
+
+	/**
+	 * Returns the record as it was before a trial that was claimed and not made.
+	 * @param before the record before the trial
+	 * @return a new record
+	 */
+	CrashRecord withoutTrial(CrashRecord before) {
+		return new CrashRecord(this.crashes, before.trials, before.trying, before.with);
+	}
+
+	/**
+	 * Whether a request lacks a cause that could explain all trials so far.
+	 * @param causes the request's causes
+	 * @return false if all trials speak against the request
+	 */
+	boolean differs(CrashCauses causes) {
+		return this.with.stream().anyMatch((other) -> !causes.contains(new CrashCause(other)));
+	}
+
 	static CrashRecord read(byte[] json) throws IOException {
 		return mapper.readValue(json, CrashRecord.class);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
@@ -159,15 +159,27 @@
 	/**
 	 * Claims a trial of a cause.
 	 * @param cause the cause
+	 * @param others the other suspected causes of the request
 	 * @param granted called once with whether the request may be sent
 	 */
-	void claimTrial(CrashCause cause, Consumer<Boolean> granted) {
+	void claimTrial(CrashCause cause, Set<String> others, Consumer<Boolean> granted) {
 		if (writeBlocked(cause)) {
 			granted.accept(false);
 			return;
 		}
-		int trials = this.records.get(cause).map((known) -> known.record().trials()).orElse(0);
-		write(cause, new CrashRecord(this.judge.crashes(cause), trials + 1, true), granted);
+		write(cause, known(cause).withTrial(this.judge.crashes(cause), others), granted);
+	}
+
+	/**
+	 * Returns a trial that was claimed and is not made.
+	 * @param cause the cause
+	 * @param before its record before the claim
+	 */
+	void returnTrial(CrashCause cause, CrashRecord before) {
+		if (!writeBlocked(cause) && this.records.contains(cause)) {
+			write(cause, known(cause).withoutTrial(before), (written) -> {
+			});
+		}
 	}
 
 	/**
@@ -178,11 +190,19 @@
 		if (writeBlocked(cause)) {
 			return;
 		}
-		int trials = this.records.get(cause).map((known) -> known.record().trials()).orElse(0);
-		write(cause, new CrashRecord(this.judge.crashes(cause), trials, false), (written) -> {
+		write(cause, known(cause).withCrashes(this.judge.crashes(cause)), (written) -> {
 		});
 	}
 
+	/**
+	 * Returns the record of a cause as it is known here.
+	 * @param cause the cause
+	 * @return the record; one without crashes if there is none
+	 */
+	CrashRecord known(CrashCause cause) {
+		return this.records.get(cause).map(StoredRecords.StoredRecord::record).orElseGet(() -> CrashRecord.untried(0));
+	}
+
 	/**
 	 * Deletes the record of a cause that an answer has cleared here, and those that other
 	 * daemons write before they learn of it.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -1,13 +1,13 @@
 package org.bramleyscale.internal.gateway.crash;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.internal.gateway.backend.Backend;
@@ -123,25 +123,49 @@
 
 	@Override
 	public Verdict verdict(CrashCauses causes) {
-		Verdict verdict = this.judge.verdict(causes, this.detector::pendingChecks);
+		if (this.evidence.suspectCount() == 0 && this.stored.causes().isEmpty() && !this.detector.checksPending()) {
+			return Verdict.CLEAR;
+		}
+		Verdict verdict = this.judge.verdict(causes, this::pendingChecks);
 		boolean blocked = verdict == Verdict.TRIAL
 				&& this.judge.withVerdict(causes, Verdict.TRIAL).stream().anyMatch(this.records::writeBlocked);
 		return blocked ? Verdict.WAIT : verdict;
 	}
 
+	/**
+	 * Counts the checks that may turn out against a cause. Lost connections alone don't
+	 * stall a part that was answered lately: popular parts are in flight everywhere.
+	 * @param cause the cause
+	 * @return the number of endpoints
+	 */
+	private int pendingChecks(CrashCause cause) {
+		return this.answeredParts.answeredLately(cause) ? 0 : this.detector.pendingChecks(cause);
+	}
+
 	@Override
 	public void claimTrial(CrashCauses causes, Consumer<Boolean> granted) {
-		claimTrials(this.judge.withVerdict(causes, Verdict.TRIAL).iterator(), granted);
+		List<CrashCause> suspects = this.judge.withVerdict(causes, Verdict.TRIAL);
+		claimTrials(suspects, 0, granted);
 	}
 
-	private void claimTrials(Iterator<CrashCause> causes, Consumer<Boolean> granted) {
-		this.records.claimTrial(causes.next(), (claimed) -> {
-			if (claimed && causes.hasNext()) {
-				claimTrials(causes, granted);
-			}
-			else {
+	private void claimTrials(List<CrashCause> suspects, int next, Consumer<Boolean> granted) {
+		CrashCause cause = suspects.get(next);
+		Set<String> others = suspects.stream()
+			.filter((other) -> !other.equals(cause))
+			.map(CrashCause::value)
+			.collect(Collectors.toSet());
+		CrashRecord before = this.records.known(cause);
+		this.records.claimTrial(cause, others, (claimed) -> {
+			if (!claimed || next + 1 == suspects.size()) {
 				granted.accept(claimed);
+				return;
 			}
+			claimTrials(suspects, next + 1, (rest) -> {
+				if (!rest) {
+					this.records.returnTrial(cause, before);
+				}
+				granted.accept(rest);
+			});
 		});
 	}
 
@@ -184,7 +208,7 @@
 		this.metrics.counter("gateway.crashes.seen").inc(added.stream().filter((cause) -> !cause.shared()).count());
 		List<CrashCause> vouchedFor = added.stream().filter(this.answeredParts::vouch).toList();
 		this.exchange.crashed(added, vouchedFor);
-		vouchedFor.forEach(this.evidence::clear);
+		vouchedFor.forEach(this::clearHere);
 		for (CrashCause cause : added) {
 			int crashes = this.judge.crashes(cause);
 			if (crashes > 0) {
@@ -221,21 +245,23 @@
 	}
 
 	private void clear(List<CrashCause> causes) {
-		List<CrashCause> cleared = new ArrayList<>();
-		for (CrashCause cause : causes) {
-			int crashes = this.judge.crashes(cause);
-			long version = this.stored.get(cause).map(StoredRecords.StoredRecord::version).orElse(0L);
-			if (this.evidence.clear(cause)) {
-				cleared.add(cause);
-				this.log.belief(cause.kind(), cause, "cleared", true, "crashes", crashes);
-				this.records.clear(cause, version);
-			}
-		}
+		List<CrashCause> cleared = causes.stream().filter(this::clearHere).toList();
 		if (!cleared.isEmpty()) {
 			this.exchange.cleared(cleared);
 		}
 	}
 
+	private boolean clearHere(CrashCause cause) {
+		int crashes = this.judge.crashes(cause);
+		long version = this.stored.get(cause).map(StoredRecords.StoredRecord::version).orElse(0L);
+		if (!this.evidence.clear(cause)) {
+			return false;
+		}
+		this.log.belief(cause.kind(), cause, "cleared", true, "crashes", crashes);
+		this.records.clear(cause, version);
+		return true;
+	}
+
 	/**
 	 * The daemon's services that the guard uses.
 	 *
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/StoredRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/StoredRecords.java
@@ -71,8 +71,21 @@
 		 * @return false once another endpoint has crashed or the trial has timed out
 		 */
 		boolean trialInProgress(int known, long now) {
-			return this.record.trying() && known <= this.record.crashes()
-					&& now - this.at < CrashRecord.TRIAL_TIMEOUT.toNanos();
+			return unfinished(known) && now - this.at < CrashRecord.TRIAL_TIMEOUT.toNanos();
+		}
+
+		/**
+		 * Whether the last trial of the cause had no outcome.
+		 * @param known the number of endpoints that have crashed under it
+		 * @param now the time
+		 * @return true once it has timed out, and no other endpoint has crashed
+		 */
+		boolean trialLost(int known, long now) {
+			return unfinished(known) && !trialInProgress(known, now);
+		}
+
+		private boolean unfinished(int known) {
+			return this.record.trying() && known <= this.record.crashes();
 		}
 
 	}
