Believe a response that only its close ends once its endpoint answers

An endpoint that crashes between two events of a response without a length looks as if it had finished: the part that crashed it would be cleared by the crash itself. Such a response now clears the request as before, and the parts of its prompt once the endpoint answers a later request; if a connection to it breaks or can't be opened meanwhile, its requests are suspected like those that were in flight. No connection more is made for it. 500s clear no parts either.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashGuard.java
@@ -42,6 +42,16 @@
 			// Nothing is recorded.
 		}
 
+		@Override
+		public void closed(CrashCauses causes, EndpointStart endpoint) {
+			// Nothing is recorded.
+		}
+
+		@Override
+		public void unreachable(Backend endpoint) {
+			// Nothing is recorded.
+		}
+
 		@Override
 		public CrashCause refused(CrashCauses causes) {
 			return causes.request();
@@ -92,6 +102,22 @@
 	 */
 	void survived(CrashCauses causes);
 
+	/**
+	 * Records that a response looks whole, and was a success, but that only the end of
+	 * its connection shows its end. Clears the request; clears the parts of its prompt
+	 * once the endpoint answers again, and counts against them if it turns out to have
+	 * crashed.
+	 * @param causes the request's causes
+	 * @param endpoint the endpoint
+	 */
+	void closed(CrashCauses causes, EndpointStart endpoint);
+
+	/**
+	 * Records that an endpoint can't be connected to.
+	 * @param endpoint the endpoint
+	 */
+	void unreachable(Backend endpoint);
+
 	/**
 	 * Records that a blocked request is refused.
 	 * @param causes the request's causes
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -54,6 +54,8 @@
 
 	private final AnsweredParts answeredParts;
 
+	private final ClosedResponses closedResponses;
+
 	private final CrashDetector detector;
 
 	private final CrashExchange exchange;
@@ -79,6 +81,7 @@
 		this.evidence = new CrashEvidence(ports.scheduler(), this.stored);
 		this.judge = new CrashJudge(ports.scheduler(), this.evidence, this.stored);
 		this.answeredParts = new AnsweredParts(ports.scheduler());
+		this.closedResponses = new ClosedResponses(ports.scheduler());
 		this.detector = new CrashDetector(ports.scheduler(), check, listed, this);
 		this.exchange = new CrashExchange(ports.scheduler(), ports.network(), ports.routes(), this.evidence,
 				this.stored, this);
@@ -119,6 +122,7 @@
 	public void expire() {
 		this.detector.expire();
 		this.evidence.expire();
+		this.closedResponses.expire();
 	}
 
 	@Override
@@ -172,6 +176,21 @@
 	@Override
 	public void connectionLost(CrashCauses causes, Backend endpoint) {
 		this.detector.connectionLost(causes, endpoint);
+		unreachable(endpoint);
+	}
+
+	@Override
+	public void unreachable(Backend endpoint) {
+		this.closedResponses.doubt(endpoint.start())
+			.forEach((causes) -> this.detector.connectionLost(causes, endpoint));
+	}
+
+	@Override
+	public void closed(CrashCauses causes, EndpointStart endpoint) {
+		survived(causes);
+		if (!causes.parts().isEmpty()) {
+			this.closedResponses.add(causes, endpoint);
+		}
 	}
 
 	@Override
@@ -194,6 +213,7 @@
 	@Override
 	public void answered(EndpointStart endpoint, long sentAt) {
 		this.detector.answered(endpoint, sentAt);
+		this.closedResponses.confirm(endpoint, sentAt).forEach(this::completed);
 		if (this.evidence.contradicted(endpoint, sentAt)) {
 			foundAlive(endpoint);
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -208,7 +208,7 @@
 
 	void responseReceived(Attempt from, BackendHead head, byte[] body) {
 		if (head.genuine() && !head.notRun()) {
-			this.gate.endpointSurvived(head.success() && from.endedByFraming());
+			recordSurvival(from, head);
 		}
 		if (head.notRun()) {
 			refusedBy(from, head);
@@ -233,6 +233,18 @@
 		}
 	}
 
+	private void recordSurvival(Attempt from, BackendHead head) {
+		if (!head.success()) {
+			this.gate.endpointSurvived();
+		}
+		else if (from.endedByFraming()) {
+			this.gate.completed();
+		}
+		else {
+			this.gate.closed(from.target().start());
+		}
+	}
+
 	/**
 	 * Called with a complete event of a stream.
 	 * @param from the attempt that received it
@@ -269,7 +281,7 @@
 	void streamCompleted(Attempt from, BackendHead head, byte[] rest) {
 		this.retryState.recordPossibleRun();
 		this.ports.health().served(from.target().start());
-		this.gate.endpointSurvived(from.endedByFraming());
+		recordSurvival(from, head);
 		this.stream.complete(head, rest);
 		finish("completed", "completed", "endpoint", from.target().id(), "last_event", this.stream.lastEventId(),
 				"ended_by", from.endedBy());
@@ -284,6 +296,7 @@
 	void attemptFailed(Attempt from, boolean sent, String cause) {
 		if (!sent) {
 			this.ports.health().unreachable(from.target().start(), cause);
+			this.gate.endpointUnreachable(from.target());
 			this.ports.metrics().requestResent("unreachable");
 			this.log.unreachable(from.target(), cause);
 			retryOrGiveUp(false, cause);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -135,17 +135,29 @@
 	}
 
 	/**
-	 * Records that an endpoint has responded itself.
-	 * @param whole whether its framing shows that the response was whole, and it was a
-	 * success
+	 * Records that an endpoint has responded itself, but not with a whole answer.
 	 */
-	void endpointSurvived(boolean whole) {
-		if (whole) {
-			this.crashes.completed(this.causes);
-		}
-		else {
-			this.crashes.survived(this.causes);
-		}
+	void endpointSurvived() {
+		this.crashes.survived(this.causes);
+	}
+
+	/**
+	 * Records that an endpoint has sent a whole answer.
+	 */
+	void completed() {
+		this.crashes.completed(this.causes);
+	}
+
+	/**
+	 * Records an answer whose end only the end of its connection shows.
+	 * @param endpoint the endpoint
+	 */
+	void closed(EndpointStart endpoint) {
+		this.crashes.closed(this.causes, endpoint);
+	}
+
+	void endpointUnreachable(Backend endpoint) {
+		this.crashes.unreachable(endpoint);
 	}
 
 	void close() {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingPartTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingPartTests.java
@@ -68,6 +68,26 @@
 		Truth.assertThat(servedShare(fifth + SERVED_AFTER.toMillis(), RARE)).isAtLeast(MIN_SERVED);
 	}
 
+	/**
+	 * Guards against taking the end of a crashing endpoint's connection for an answer.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 4, 1", "2, 4, 2", "9, 4, 3" })
+	void crashingPartIsFoundThoughItsResponsesLookWhole(int daemons, int crashingPerSecond, long seed) {
+		start(daemons, seed);
+		this.fleet.unframed = true;
+		for (int millis = 0; millis < 20_000; millis += STEP_MILLIS) {
+			if (millis > 3_000 && occurs(crashingPerSecond)) {
+				this.fleet.callWithParts("unlike " + millis, Position.MIDDLE.parts());
+			}
+			step(millis);
+		}
+		Truth.assertThat(this.fleet.arrivals.lateWithPart(CRASHING, GatewayFleet.SETTLING_TIME))
+			.isAtMost(MAX_FURTHER_ARRIVALS);
+		long fifth = this.fleet.arrivals.crashesUnder(CRASHING).get(4);
+		Truth.assertThat(servedShare(fifth + SERVED_AFTER.toMillis(), POPULAR)).isAtLeast(MIN_SERVED);
+	}
+
 	/** Guards against refusing parts because all their endpoints were lost at once. */
 	@ParameterizedTest
 	@CsvSource({ "1, 1", "9, 2", "100, 3" })
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/PassingCrashGuard.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/PassingCrashGuard.java
@@ -39,6 +39,16 @@
 		// Crashes are not traced to requests here.
 	}
 
+	@Override
+	public void closed(CrashCauses causes, EndpointStart endpoint) {
+		// Only responses are recorded here.
+	}
+
+	@Override
+	public void unreachable(Backend endpoint) {
+		// Only responses are recorded here.
+	}
+
 	@Override
 	public CrashCause refused(CrashCauses causes) {
 		return causes.request();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -425,12 +425,20 @@
 
 		final List<EndpointStart> answeredEndpoints = new ArrayList<>();
 
+		/** What was recorded of requests that ended. */
+		final List<String> outcomes = new ArrayList<>();
+
 		boolean trialsOnly;
 
+		boolean blocked;
+
 		private boolean claimed;
 
 		@Override
 		public Verdict verdict(CrashCauses causes) {
+			if (this.blocked) {
+				return Verdict.BLOCKED;
+			}
 			if (!this.trialsOnly) {
 				return Verdict.CLEAR;
 			}
@@ -450,11 +458,21 @@
 
 		@Override
 		public void completed(CrashCauses causes) {
-			// Only responses are recorded here.
+			this.outcomes.add("completed");
 		}
 
 		@Override
 		public void survived(CrashCauses causes) {
+			this.outcomes.add("survived");
+		}
+
+		@Override
+		public void closed(CrashCauses causes, EndpointStart endpoint) {
+			this.outcomes.add("closed");
+		}
+
+		@Override
+		public void unreachable(Backend endpoint) {
 			// Only responses are recorded here.
 		}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SendGateTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SendGateTests.java
@@ -89,6 +89,16 @@
 			throw new UnsupportedOperationException();
 		}
 
+		@Override
+		public void closed(CrashCauses causes, EndpointStart endpoint) {
+			// Only responses are recorded here.
+		}
+
+		@Override
+		public void unreachable(Backend endpoint) {
+			// Only responses are recorded here.
+		}
+
 		@Override
 		public CrashCause refused(CrashCauses causes) {
 			return causes.request();
