Take the timeouts of silence out of Attempt

What a response tells the crash guard is decided in SendGate. A test double that repeated CrashGuard.NONE is gone. No change of behaviour.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -8,7 +8,6 @@
 
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
-import org.bramleyscale.internal.gateway.catalog.Route;
 import org.bramleyscale.internal.gateway.eligibility.Reservation;
 import org.bramleyscale.internal.gateway.hold.MemoryHolds;
 import org.bramleyscale.internal.gateway.placement.PlacedWork;
@@ -30,40 +29,10 @@
 	 */
 	private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
-	/** Added to twice the predicted time of the first event to get its timeout. */
-	private static final Duration FIRST_EVENT_SLACK = Duration.ofMillis(600);
-
-	private static final Duration TARGET_SLACK = Duration.ofMillis(300);
-
-	/**
-	 * The shortest silence that counts as a failure: that of a sound endpoint, and the
-	 * time until it would have sent its next event.
-	 */
-	private static final Duration MIN_SILENCE_TIMEOUT = Backend.LONGEST_SOUND_SILENCE.plusMillis(100);
-
-	/**
-	 * A silence of this many times the longest pause that callers accept counts as a
-	 * failure.
-	 */
-	private static final int MAX_PAUSE_MULTIPLE = 4;
-
-	/**
-	 * Fraction of the caller timeout that an attempt may use. The caller gives up when
-	 * the timeout ends, and a second endpoint needs the rest of it.
-	 */
-	private static final double CALLER_TIMEOUT_FRACTION = 0.7;
-
-	/**
-	 * Fraction of the time left that an attempt without events may use; a retry needs the
-	 * other half.
-	 */
-	private static final double TIME_LEFT_FRACTION = 0.5;
-
 	/**
 	 * An endpoint with at least this much prompt left to prefill, ms, counts as busy and
 	 * not as failed. Moving a long prompt to another endpoint makes engines that are as
-	 * busy prefill it a second time: in one overload of 12 s, 20 of 46 long prompts were
-	 * restarted and none of these finished in time.
+	 * busy prefill it a second time.
 	 */
 	private static final double BUSY_PREFILL_MILLIS = 200;
 
@@ -73,8 +42,6 @@
 	 */
 	private static final int MAX_EXTENSIONS = 2;
 
-	private static final double NANOS_PER_MILLI = 1_000_000;
-
 	private final RelayedRequest request;
 
 	private final Backend target;
@@ -167,7 +134,8 @@
 		this.dispatched = true;
 		this.sentAt = this.ports.scheduler().nanos();
 		this.exchange = this.ports.client().send(this.target, outgoing, this);
-		restartSilenceTimer(firstEventTimeout());
+		restartSilenceTimer(SilenceTimeouts.ofFirstEvent(this.request.route(), this.placement.firstEventMillis(),
+				this.request.timeLeft()));
 	}
 
 	private List<Helper> helpers(String hold) {
@@ -223,7 +191,7 @@
 		if (!this.closed && this.exchange != null) {
 			this.exchange.setReading(on);
 			if (on) {
-				restartSilenceTimer(silenceTimeout());
+				restartSilenceTimer(SilenceTimeouts.betweenEvents(this.request.route()));
 			}
 			else {
 				this.silenceTimer.cancel();
@@ -267,7 +235,7 @@
 		List<EventSplitter.Event> events = this.splitter.append(data);
 		if (!events.isEmpty()) {
 			this.work.prefillDone();
-			restartSilenceTimer(silenceTimeout());
+			restartSilenceTimer(SilenceTimeouts.betweenEvents(this.request.route()));
 		}
 		for (EventSplitter.Event event : events) {
 			if (!this.closed) {
@@ -332,33 +300,6 @@
 		}
 	}
 
-	/**
-	 * Returns the timeout of a first event or of a complete response. After this time the
-	 * endpoint is more likely to have lost the request than to be slow, and a second
-	 * endpoint can still respond before the caller gives up.
-	 * @return the timeout
-	 */
-	private Duration firstEventTimeout() {
-		Route route = this.request.route();
-		double predicted = 2 * this.placement.firstEventMillis() + FIRST_EVENT_SLACK.toMillis();
-		double target = 2 * route.targetLatency().toMillis() + TARGET_SLACK.toMillis();
-		double limit = CALLER_TIMEOUT_FRACTION * route.callerTimeout().toMillis();
-		if (!route.streaming()) {
-			limit = TIME_LEFT_FRACTION * this.request.timeLeft().toMillis();
-		}
-		return Duration
-			.ofNanos((long) (Math.min(Math.max(Math.max(predicted, target), MIN_SILENCE_TIMEOUT.toMillis()), limit)
-					* NANOS_PER_MILLI));
-	}
-
-	private Duration silenceTimeout() {
-		Route route = this.request.route();
-		long longestSilence = Math.max(MIN_SILENCE_TIMEOUT.toMillis(),
-				MAX_PAUSE_MULTIPLE * route.longestPause().toMillis());
-		return Duration
-			.ofMillis((long) Math.min(longestSilence, CALLER_TIMEOUT_FRACTION * route.callerTimeout().toMillis()));
-	}
-
 	private void restartSilenceTimer(Duration limit) {
 		this.extensions = 0;
 		scheduleSilenceTimer(limit);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -208,7 +208,7 @@
 
 	void responseReceived(Attempt from, BackendHead head, byte[] body) {
 		if (head.genuine() && !head.notRun()) {
-			recordSurvival(from, head);
+			this.gate.responded(from, head);
 		}
 		if (head.notRun()) {
 			refusedBy(from, head);
@@ -233,18 +233,6 @@
 		}
 	}
 
-	private void recordSurvival(Attempt from, BackendHead head) {
-		if (!head.success()) {
-			this.gate.endpointSurvived();
-		}
-		else if (from.endedByFraming()) {
-			this.gate.completed();
-		}
-		else {
-			this.gate.closed(from.target().start());
-		}
-	}
-
 	/**
 	 * Called with a complete event of a stream.
 	 * @param from the attempt that received it
@@ -281,7 +269,7 @@
 	void streamCompleted(Attempt from, BackendHead head, byte[] rest) {
 		this.retryState.recordPossibleRun();
 		this.ports.health().served(from.target().start());
-		recordSurvival(from, head);
+		this.gate.responded(from, head);
 		this.stream.complete(head, rest);
 		finish("completed", "completed", "endpoint", from.target().id(), "last_event", this.stream.lastEventId(),
 				"ended_by", from.endedBy());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -135,25 +135,20 @@
 	}
 
 	/**
-	 * Records that an endpoint has responded itself, but not with a whole answer.
+	 * Records that an endpoint has responded itself and to the end.
+	 * @param from the attempt
+	 * @param head the head of its response
 	 */
-	void endpointSurvived() {
-		this.crashes.survived(this.causes);
-	}
-
-	/**
-	 * Records that an endpoint has sent a whole answer.
-	 */
-	void completed() {
-		this.crashes.completed(this.causes);
-	}
-
-	/**
-	 * Records an answer whose end only the end of its connection shows.
-	 * @param endpoint the endpoint
-	 */
-	void closed(EndpointStart endpoint) {
-		this.crashes.closed(this.causes, endpoint);
+	void responded(Attempt from, BackendHead head) {
+		if (!head.success()) {
+			this.crashes.survived(this.causes);
+		}
+		else if (from.endedByFraming()) {
+			this.crashes.completed(this.causes);
+		}
+		else {
+			this.crashes.closed(this.causes, from.target().start());
+		}
 	}
 
 	void endpointUnreachable(Backend endpoint) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
@@ -33,6 +33,7 @@
 import org.bramleyscale.internal.gateway.catalog.Service;
 import org.bramleyscale.internal.gateway.contention.ContentionMetrics;
 import org.bramleyscale.internal.gateway.contention.ContentionQueues;
+import org.bramleyscale.internal.gateway.crash.CrashGuard;
 import org.bramleyscale.internal.gateway.eligibility.EndpointRules;
 import org.bramleyscale.internal.gateway.eligibility.RequestedBackoff;
 import org.bramleyscale.internal.gateway.hold.EngineOrders;
@@ -132,7 +133,7 @@
 					.rule(new AllowedRegionRule(REGIONS,
 							() -> this.catalogs.current().filter(Catalog::regionsRestricted).isPresent()))
 					.build(),
-				EndpointLimits.NONE, new PassingCrashGuard(),
+				EndpointLimits.NONE, CrashGuard.NONE,
 				new MemoryHolds(this.scheduler, new Orders(), this.backends::hasRestarted, (engine) -> true, "d", log),
 				() -> {
 				}, log, new GatewayMetrics(new MetricRegistry()));
