Log parts at one service only from their record on

Each crash wrote two lines for each shared part of each request there, the second of which says nothing more until the part at its service has a record of its own.

Measured: not by itself; the tests of crash run with the build.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -231,7 +231,7 @@
 		vouchedFor.forEach(this::clearHere);
 		for (CrashCause cause : added) {
 			int crashes = this.judge.crashes(cause);
-			if (crashes > 0) {
+			if (crashes > 0 && cause.wider().isEmpty()) {
 				this.log.belief(cause.kind(), cause, "crashed", endpoint, "crashes", crashes);
 			}
 			if (this.judge.suspected(cause)) {
@@ -277,7 +277,9 @@
 		if (!this.evidence.clear(cause)) {
 			return false;
 		}
-		this.log.belief(cause.kind(), cause, "cleared", true, "crashes", crashes);
+		if (version > 0 || cause.wider().isEmpty()) {
+			this.log.belief(cause.kind(), cause, "cleared", true, "crashes", crashes);
+		}
 		this.records.clear(cause, version);
 		return true;
 	}
