Count a crash as reported once, as before

Reports that peers repeat each second opened anew the 1.5 s within which an answer contradicts a crash. Found by reading; not seen in a run.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
@@ -46,7 +46,7 @@
 
 	/**
 	 * How long a crash is repeated to peers. A peer that missed it for longer is sent it
-	 * in reply to a message that names the request.
+	 * in reply to a message that names the cause.
 	 */
 	static final Duration REPEAT_PERIOD = Duration.ofSeconds(30);
 
@@ -125,10 +125,12 @@
 			known = new Crashes();
 			this.crashes.put(cause, known);
 		}
-		this.reportedAt.putIfAbsent(endpoint, this.clock.nanos());
 		long learntAt = this.crashTimes.computeIfAbsent(endpoint, (key) -> this.clock.nanos());
 		boolean added = known.crashedAt.putIfAbsent(endpoint, learntAt) == null;
-		known.latestAt = added ? this.clock.nanos() : known.latestAt;
+		if (added) {
+			this.reportedAt.put(endpoint, this.clock.nanos());
+			known.latestAt = this.clock.nanos();
+		}
 		return added;
 	}
 
