Let answers under way clear a part before it is refused

Cause: the block began with the crash that ended the last trial, although runs with the part were in flight at other endpoints.

Change: for 2 s after the last crash that was learnt of, requests wait as during a trial; nothing is sent meanwhile. A record read after a start blocks at once.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
@@ -316,6 +316,17 @@
 			.toList();
 	}
 
+	/**
+	 * Whether a crash under a cause was learnt of lately.
+	 * @param cause the cause
+	 * @param time how long ago at most
+	 * @return false also if no crash is known
+	 */
+	boolean crashedWithin(CrashCause cause, Duration time) {
+		Crashes known = this.crashes.get(cause);
+		return known != null && this.clock.nanos() - known.latestAt < time.toNanos();
+	}
+
 	int suspectCount() {
 		return this.crashes.size();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.gateway.crash;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -44,6 +45,12 @@
 	 */
 	static final int MAX_TRIALS_APART = 4;
 
+	/**
+	 * How long after a crash answers may be under way that clear a cause. A block refuses
+	 * nothing until then; short requests end within this time.
+	 */
+	static final Duration ANSWERS_UNDER_WAY = Duration.ofSeconds(2);
+
 	private final Clock clock;
 
 	private final CrashEvidence evidence;
@@ -142,7 +149,7 @@
 			.isPresent();
 		if (!inProgress
 				&& record.filter((known) -> known.record().trials() >= maxTrials(cause, known, causes)).isPresent()) {
-			return Verdict.BLOCKED;
+			return this.evidence.crashedWithin(cause, ANSWERS_UNDER_WAY) ? Verdict.WAIT : Verdict.BLOCKED;
 		}
 		return (inProgress || pending > 0) ? Verdict.WAIT : Verdict.TRIAL;
 	}
--- /dev/null
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/WrongfulBlockTests.java
@@ -0,0 +1,61 @@
+package org.bramleyscale.internal.gateway.crash;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.SimulatedCaller;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests of sequences of crashes after which a part that all prompts have was refused
+ * though it crashes nothing.
+ */
+class WrongfulBlockTests {
+
+	private static final String POPULAR = "popular";
+
+	private static final int ENDPOINTS = 14;
+
+	private static final long SEED = 1;
+
+	private GatewayFleet fleet;
+
+	/** Guards against refusing a part while runs are in flight that clear it. */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 3, 9 })
+	void answersUnderWayClearAPartBeforeItIsRefused(int daemons) {
+		start(daemons, Duration.ofMillis(1_300));
+		List<SimulatedCaller> callers = new ArrayList<>();
+		for (int i = 0; i < 3 * ENDPOINTS; i++) {
+			callers.add(call("first " + i));
+		}
+		for (int i = 0; i < 7; i++) {
+			advance(120);
+			this.fleet.crashBusiest();
+			callers.add(call("later " + i));
+		}
+		advance(4_000);
+		Truth.assertThat(callers.stream().filter(SimulatedCaller::suspected).count()).isEqualTo(0);
+		SimulatedCaller last = call("last");
+		advance(2_000);
+		Truth.assertThat(last.response()).isEqualTo("200");
+	}
+
+	private void start(int daemons, Duration serviceTime) {
+		this.fleet = new GatewayFleet(daemons, ENDPOINTS, SEED);
+		this.fleet.serviceTime = serviceTime;
+	}
+
+	private SimulatedCaller call(String text) {
+		return this.fleet.callWithParts(text, POPULAR, "usual");
+	}
+
+	private void advance(long millis) {
+		this.fleet.scheduler.advance(Duration.ofMillis(millis));
+	}
+
+}
