End a trial with its own run only

Cause: a trial had no identity. Any further crash under its cause ended it, also of a run from before, and a claimed trial counted whether its request had reached an endpoint or not.

Change: the daemon that holds a trial remembers the endpoint that ran it; only that one's end ends the trial, and the write is repeated until confirmed. A trial whose request reached no endpoint is returned.

Measured: the new tests fail before and pass after.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashGuard.java
@@ -32,6 +32,16 @@
 			// Nothing is recorded.
 		}
 
+		@Override
+		public void trialFailed(CrashCauses causes, Backend endpoint) {
+			// Nothing is recorded.
+		}
+
+		@Override
+		public void trialNotMade(CrashCauses causes) {
+			// Nothing is recorded.
+		}
+
 		@Override
 		public void completed(CrashCauses causes) {
 			// Nothing is recorded.
@@ -88,6 +98,21 @@
 	 */
 	void connectionLost(CrashCauses causes, Backend endpoint);
 
+	/**
+	 * Records that the connection of a trial broke or became unresponsive. Whether the
+	 * endpoint has crashed is the outcome of the trial. To be called before
+	 * {@link #connectionLost}.
+	 * @param causes the request's causes
+	 * @param endpoint the endpoint
+	 */
+	void trialFailed(CrashCauses causes, Backend endpoint);
+
+	/**
+	 * Returns a trial that was claimed and whose request reached no endpoint.
+	 * @param causes the request's causes
+	 */
+	void trialNotMade(CrashCauses causes);
+
 	/**
 	 * Records that an endpoint has run a request to completion: its response was whole,
 	 * by its framing, and a success. Clears the request and the parts of its prompt.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
@@ -145,7 +145,7 @@
 		if (record.isEmpty() && !suspected) {
 			return (count + pending == 0) ? Verdict.CLEAR : Verdict.SUSPECT;
 		}
-		boolean inProgress = record.filter((known) -> known.trialInProgress(crashes(cause), this.clock.nanos()))
+		boolean inProgress = record.filter((known) -> known.trialInProgress(this.clock.nanos()))
 			.isPresent();
 		if (!inProgress
 				&& record.filter((known) -> known.record().trials() >= maxTrials(cause, known, causes)).isPresent()) {
@@ -155,7 +155,7 @@
 	}
 
 	private int maxTrials(CrashCause cause, StoredRecords.StoredRecord known, CrashCauses causes) {
-		boolean undecided = known.trialLost(crashes(cause), this.clock.nanos()) || known.record().differs(causes)
+		boolean undecided = known.trialLost(this.clock.nanos()) || known.record().differs(causes)
 				|| lostWithOthers(cause, known.record());
 		if (!cause.shared() || !undecided) {
 			return MAX_TRIALS;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecord.java
@@ -51,11 +51,20 @@
 	}
 
 	/**
-	 * Returns this record after further crashes, which end a trial.
+	 * Returns this record after further crashes.
 	 * @param crashed the number of endpoints that have crashed
 	 * @return a new record
 	 */
 	CrashRecord withCrashes(int crashed) {
+		return new CrashRecord(crashed, this.trials, this.trying, this.with);
+	}
+
+	/**
+	 * Returns this record after its trial has ended with the endpoint that ran it.
+	 * @param crashed the number of endpoints that have crashed
+	 * @return a new record
+	 */
+	CrashRecord afterTrial(int crashed) {
 		return new CrashRecord(crashed, this.trials, false, this.with);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
@@ -183,7 +183,27 @@
 	}
 
 	/**
-	 * Writes the number of crashes of a cause, which also ends its trial.
+	 * Writes that the trial of a cause has ended with the endpoint that ran it, again and
+	 * again until the store has confirmed it or the record is gone.
+	 * @param cause the cause
+	 */
+	void endTrial(CrashCause cause) {
+		if (!known(cause).trying()) {
+			return;
+		}
+		if (writeBlocked(cause)) {
+			this.scheduler.schedule(PAUSE_AFTER_CONFLICT, () -> endTrial(cause));
+			return;
+		}
+		write(cause, known(cause).afterTrial(this.judge.crashes(cause)), (written) -> {
+			if (!written) {
+				this.scheduler.schedule(PAUSE_AFTER_CONFLICT, () -> endTrial(cause));
+			}
+		});
+	}
+
+	/**
+	 * Writes the number of crashes of a cause.
 	 * @param cause the cause
 	 */
 	void recordCrashes(CrashCause cause) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -62,6 +62,8 @@
 
 	private final CrashRecords records;
 
+	private final HeldTrials trials;
+
 	private final DecisionLog log;
 
 	private final MetricRegistry metrics;
@@ -80,6 +82,7 @@
 		this.stored = new StoredRecords(ports.scheduler());
 		this.evidence = new CrashEvidence(ports.scheduler(), this.stored);
 		this.judge = new CrashJudge(ports.scheduler(), this.evidence, this.stored);
+		this.trials = new HeldTrials(ports.scheduler());
 		this.answeredParts = new AnsweredParts(ports.scheduler());
 		this.closedResponses = new ClosedResponses(ports.scheduler());
 		this.detector = new CrashDetector(ports.scheduler(), check, listed, this);
@@ -160,19 +163,36 @@
 			.collect(Collectors.toSet());
 		CrashRecord before = this.records.known(cause);
 		this.records.claimTrial(cause, others, (claimed) -> {
+			if (claimed) {
+				this.trials.claimed(cause, before);
+			}
 			if (!claimed || next + 1 == suspects.size()) {
 				granted.accept(claimed);
 				return;
 			}
 			claimTrials(suspects, next + 1, (rest) -> {
 				if (!rest) {
-					this.records.returnTrial(cause, before);
+					returnTrial(cause);
 				}
 				granted.accept(rest);
 			});
 		});
 	}
 
+	private void returnTrial(CrashCause cause) {
+		this.trials.remove(cause).ifPresent((before) -> this.records.returnTrial(cause, before));
+	}
+
+	@Override
+	public void trialFailed(CrashCauses causes, Backend endpoint) {
+		causes.all().forEach((cause) -> this.trials.lostAt(cause, endpoint.start()));
+	}
+
+	@Override
+	public void trialNotMade(CrashCauses causes) {
+		causes.all().forEach(this::returnTrial);
+	}
+
 	@Override
 	public void connectionLost(CrashCauses causes, Backend endpoint) {
 		this.detector.connectionLost(causes, endpoint);
@@ -222,9 +242,16 @@
 	@Override
 	public void crashed(Collection<CrashCause> causes, EndpointStart endpoint) {
 		List<CrashCause> added = causes.stream().filter((cause) -> this.evidence.crashed(cause, endpoint)).toList();
-		if (added.isEmpty()) {
-			return;
+		if (!added.isEmpty()) {
+			crashedFirst(added, endpoint);
 		}
+		causes.stream().filter((cause) -> this.trials.ranAt(cause, endpoint)).forEach((cause) -> {
+			this.trials.remove(cause);
+			this.records.endTrial(cause);
+		});
+	}
+
+	private void crashedFirst(List<CrashCause> added, EndpointStart endpoint) {
 		this.metrics.counter("gateway.crashes.seen").inc(added.stream().filter((cause) -> !cause.shared()).count());
 		List<CrashCause> vouchedFor = added.stream().filter(this.answeredParts::vouch).toList();
 		this.exchange.crashed(added, vouchedFor);
@@ -234,7 +261,7 @@
 			if (crashes > 0 && cause.wider().isEmpty()) {
 				this.log.belief(cause.kind(), cause, "crashed", endpoint, "crashes", crashes);
 			}
-			if (this.judge.suspected(cause)) {
+			if (this.judge.suspected(cause) && !this.trials.ranAt(cause, endpoint)) {
 				this.records.recordCrashes(cause);
 			}
 		}
@@ -274,6 +301,7 @@
 	private boolean clearHere(CrashCause cause) {
 		int crashes = this.judge.crashes(cause);
 		long version = this.stored.get(cause).map(StoredRecords.StoredRecord::version).orElse(0L);
+		this.trials.remove(cause);
 		if (!this.evidence.clear(cause)) {
 			return false;
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/StoredRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/StoredRecords.java
@@ -30,7 +30,9 @@
 	void put(CrashCause cause, CrashRecord record, long version) {
 		StoredRecord known = this.records.get(cause);
 		if (known == null || version > known.version()) {
-			this.records.put(cause, new StoredRecord(record, version, this.clock.nanos()));
+			boolean sameTrial = known != null && record.trying() && known.record().trying()
+					&& known.record().trials() == record.trials();
+			this.records.put(cause, new StoredRecord(record, version, sameTrial ? known.at() : this.clock.nanos()));
 		}
 	}
 
@@ -60,32 +62,26 @@
 	 *
 	 * @param record the record
 	 * @param version its version in the store
-	 * @param at when this daemon read or wrote it
+	 * @param at when this daemon read or wrote it, or learnt of the trial in progress
 	 */
 	record StoredRecord(CrashRecord record, long version, long at) {
 
 		/**
 		 * Whether a trial of the cause may be in progress.
-		 * @param known the number of endpoints that have crashed under it
 		 * @param now the time
-		 * @return false once another endpoint has crashed or the trial has timed out
+		 * @return false once the trial has ended or timed out
 		 */
-		boolean trialInProgress(int known, long now) {
-			return unfinished(known) && now - this.at < CrashRecord.TRIAL_TIMEOUT.toNanos();
+		boolean trialInProgress(long now) {
+			return this.record.trying() && now - this.at < CrashRecord.TRIAL_TIMEOUT.toNanos();
 		}
 
 		/**
 		 * Whether the last trial of the cause had no outcome.
-		 * @param known the number of endpoints that have crashed under it
 		 * @param now the time
-		 * @return true once it has timed out, and no other endpoint has crashed
+		 * @return true once it has timed out
 		 */
-		boolean trialLost(int known, long now) {
-			return unfinished(known) && !trialInProgress(known, now);
-		}
-
-		private boolean unfinished(int known) {
-			return this.record.trying() && known <= this.record.crashes();
+		boolean trialLost(long now) {
+			return this.record.trying() && !trialInProgress(now);
 		}
 
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -77,6 +77,7 @@
 			case CLEAR, SUSPECT -> send.run();
 			case TRIAL -> this.crashes.claimTrial(this.causes, (claimed) -> {
 				this.trialGranted = claimed;
+				returnTrialIfClosed();
 				recheckLater(send);
 			});
 			case WAIT -> recheckLater(send);
@@ -122,6 +123,9 @@
 	}
 
 	void endpointFailed(Backend endpoint) {
+		if (this.lastSendWasTrial) {
+			this.crashes.trialFailed(this.causes, endpoint);
+		}
 		this.crashes.connectionLost(this.causes, endpoint);
 	}
 
@@ -157,11 +161,19 @@
 
 	void close() {
 		this.closed = true;
+		returnTrialIfClosed();
 		if (this.recheck != null) {
 			this.recheck.cancel();
 		}
 	}
 
+	private void returnTrialIfClosed() {
+		if (this.closed && this.trialGranted) {
+			this.trialGranted = false;
+			this.crashes.trialNotMade(this.causes);
+		}
+	}
+
 	private void refuseBlocked() {
 		CrashCause cause = this.crashes.refused(this.causes);
 		String what = cause.shared() ? "a part of this request, " + cause : "this request";
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/WrongfulBlockTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/WrongfulBlockTests.java
@@ -6,6 +6,7 @@
 
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.fleet.GatewayFleet;
+import org.bramleyscale.internal.gateway.fleet.PathFault;
 import org.bramleyscale.internal.gateway.fleet.SimulatedCaller;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -45,6 +46,34 @@
 		Truth.assertThat(last.response()).isEqualTo("200");
 	}
 
+	/** Guards against crashes of earlier runs that use up trials which are running. */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 3, 9 })
+	void trialEndsWithItsOwnRunOnly(int daemons) {
+		start(daemons, Duration.ofMillis(1_300));
+		for (int i = 0; i < 6; i++) {
+			call("run " + i);
+		}
+		for (int i = 0; i < 6; i++) {
+			advance(120);
+			this.fleet.crashOneRunning("run " + i);
+		}
+		breakPathsFor(2_000);
+		advance(10_000);
+		SimulatedCaller last = call("last");
+		advance(2_000);
+		Truth.assertThat(last.response()).isEqualTo("200");
+	}
+
+	private void breakPathsFor(long millis) {
+		for (PathFault fault : List.of(PathFault.HANGING, PathFault.NONE)) {
+			for (int daemon = 0; daemon < this.fleet.daemons.size(); daemon++) {
+				this.fleet.setPathFault(daemon, fault);
+			}
+			advance((fault == PathFault.NONE) ? 0 : millis);
+		}
+	}
+
 	private void start(int daemons, Duration serviceTime) {
 		this.fleet = new GatewayFleet(daemons, ENDPOINTS, SEED);
 		this.fleet.serviceTime = serviceTime;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -456,6 +456,16 @@
 			// Only responses are recorded here.
 		}
 
+		@Override
+		public void trialFailed(CrashCauses causes, Backend endpoint) {
+			// Its outcome isn't of interest.
+		}
+
+		@Override
+		public void trialNotMade(CrashCauses causes) {
+			// Only claims are counted.
+		}
+
 		@Override
 		public void completed(CrashCauses causes) {
 			this.outcomes.add("completed");
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SendGateTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SendGateTests.java
@@ -52,6 +52,20 @@
 		Truth.assertThat(this.refused.isEmpty()).isEqualTo(undelivered);
 	}
 
+	/** Guards against trials that are used up though their request reached nothing. */
+	@ParameterizedTest
+	@CsvSource({ "true, 1", "false, 0" })
+	void trialThatReachedNoEndpointIsReturned(boolean undelivered, int expectedReturns) {
+		send();
+		this.gate.sent();
+		if (undelivered) {
+			this.gate.notDelivered();
+		}
+		this.gate.close();
+		this.gate.close();
+		Truth.assertThat(this.guard.returned).isEqualTo(expectedReturns);
+	}
+
 	private void send() {
 		this.gate.pass(() -> this.sent++);
 	}
@@ -63,6 +77,8 @@
 
 		private int claims;
 
+		private int returned;
+
 		@Override
 		public Verdict verdict(CrashCauses causes) {
 			return (this.claims == 0) ? Verdict.TRIAL : Verdict.WAIT;
@@ -79,6 +95,16 @@
 			throw new UnsupportedOperationException();
 		}
 
+		@Override
+		public void trialFailed(CrashCauses causes, Backend endpoint) {
+			// Its outcome isn't of interest.
+		}
+
+		@Override
+		public void trialNotMade(CrashCauses causes) {
+			this.returned++;
+		}
+
 		@Override
 		public void completed(CrashCauses causes) {
 			throw new UnsupportedOperationException();
