Count a loss of many endpoints by all that were lost, and when they were

Cause: a loss is left out if more endpoints are lost without the cause than with it, but only endpoints that ran a request were seen, since an idle one breaks no connection. And a crash was dated when it was proved, up to 2.7 s late, as a moment of its own.

Change: the check of an endpoint connects to up to 24 others at once and records those that refuse; unplanned removals from the list are recorded too. A crash is dated by its lost connection or the earlier record of its loss.

Measured: the new test of the sequence fails before (a record of the popular part) and passes after. CrashingPartTests: no failure.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
@@ -20,8 +20,9 @@
  * like a crash. An endpoint counts as crashed once its address refuses connections while
  * others accept them, or the platform has removed it from its list, until it answers a
  * request that was sent after that. What was lost while no endpoint could be connected to
- * doesn't count. The end of an endpoint that is draining, or that has already been
- * removed from the list, is planned and not a crash. Confined to the scheduler's thread.
+ * doesn't count. The end of an endpoint
+ * that is draining, or that has already been removed from the list, is planned and not a
+ * crash. Confined to the scheduler's thread.
  */
 final class CrashDetector {
 
@@ -80,7 +81,7 @@
 	void connectionLost(CrashCauses causes, Backend endpoint) {
 		EndpointStart start = endpoint.start();
 		if (this.crashedAt.containsKey(start)) {
-			this.listener.crashed(causes.all(), start);
+			this.listener.crashed(causes.all(), start, this.scheduler.nanos());
 			return;
 		}
 		if (!this.listed.test(endpoint)) {
@@ -169,7 +170,7 @@
 		if (this.failedConnections.get(endpoint.start()) != current) {
 			return;
 		}
-		this.check.check(endpoint).thenAccept((finding) -> {
+		this.check.check(endpoint, (other) -> refused(current, other)).thenAccept((finding) -> {
 			if (this.failedConnections.get(endpoint.start()) != current) {
 				return;
 			}
@@ -191,7 +192,18 @@
 	private void declareCrashed(EndpointStart endpoint) {
 		this.crashedAt.put(endpoint, this.scheduler.nanos());
 		FailedConnections current = this.failedConnections.remove(endpoint);
-		this.listener.crashed(current.causes, endpoint);
+		current.crashed = true;
+		current.refusing.forEach((other) -> this.listener.lost(other, current.failedAt));
+		this.listener.crashed(current.causes, endpoint, current.failedAt);
+	}
+
+	private void refused(FailedConnections current, EndpointStart other) {
+		if (current.crashed) {
+			this.listener.lost(other, current.failedAt);
+		}
+		else {
+			current.refusing.add(other);
+		}
 	}
 
 	/**
@@ -203,8 +215,16 @@
 		 * Called when an endpoint has crashed.
 		 * @param causes all causes that the requests in flight there have
 		 * @param endpoint the endpoint
+		 * @param at when their connections were lost
+		 */
+		void crashed(Collection<CrashCause> causes, EndpointStart endpoint, long at);
+
+		/**
+		 * Called when an endpoint refused connections at the time of another's crash.
+		 * @param endpoint the endpoint
+		 * @param at the time
 		 */
-		void crashed(Collection<CrashCause> causes, EndpointStart endpoint);
+		void lost(EndpointStart endpoint, long at);
 
 		/**
 		 * Called when an endpoint that counted as crashed has answered.
@@ -223,8 +243,13 @@
 
 		private final long failedAt;
 
+		/** Other endpoints that refused connections when this one did. */
+		private final Set<EndpointStart> refusing = new LinkedHashSet<>();
+
 		private boolean checked;
 
+		private boolean crashed;
+
 		private FailedConnections(long at) {
 			this.failedAt = at;
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashEvidence.java
@@ -22,10 +22,9 @@
  * A crash fails every request in flight at the endpoint, so a single crash implicates
  * many causes and proves nothing about any of them. Invariants: an answer clears a cause
  * of all earlier crashes; crashes are counted by endpoint, however many daemons report
- * them; the crashes of one moment count as two at most, and as none if more endpoints
- * crashed without the cause, since whatever loses many at once is not what they run; the
- * evidence is bounded, and evicts the causes with the fewest crashes first, the oldest of
- * these before the others. Confined to the scheduler's thread.
+ * them, and by the moments of {@link CrashMoments}; the evidence is bounded, and evicts
+ * the causes with the fewest crashes first, the oldest of these before the others.
+ * Confined to the scheduler's thread.
  */
 final class CrashEvidence {
 
@@ -50,24 +49,6 @@
 	 */
 	static final Duration REPEAT_PERIOD = Duration.ofSeconds(30);
 
-	/**
-	 * Crashes within this time of the first of them are of one moment. Different daemons
-	 * notice them, and report them over relays.
-	 */
-	static final Duration MOMENT = Duration.ofMillis(100);
-
-	/** How many crashes of one moment count. */
-	static final int MAX_COUNTED_OF_MOMENT = 2;
-
-	/**
-	 * Number of endpoints that crash in one moment for a reason of their own, unless half
-	 * of them ran the same: two causes at once seldom crash as many.
-	 */
-	static final int MASS_LOSS = 4;
-
-	/** Number of crashed endpoints whose times are kept. */
-	private static final int MAX_CRASH_TIMES = 200;
-
 	/**
 	 * Maximum number of cleared causes that are kept, for crash reports that arrive late.
 	 */
@@ -81,17 +62,7 @@
 
 	private final Map<EndpointStart, Long> reportedAt = new HashMap<>();
 
-	/** The times at which this daemon learnt of crashes, whatever ran there. */
-	private final Map<EndpointStart, Long> crashTimes = new LinkedHashMap<>() {
-
-		private static final long serialVersionUID = 1L;
-
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<EndpointStart, Long> eldest) {
-			return size() > MAX_CRASH_TIMES;
-		}
-
-	};
+	private final CrashMoments moments;
 
 	private final Map<CrashCause, Clearance> clearances = new LinkedHashMap<>() {
 
@@ -107,15 +78,37 @@
 	CrashEvidence(Clock clock, StoredRecords records) {
 		this.clock = clock;
 		this.records = records;
+		this.moments = new CrashMoments(clock);
 	}
 
 	/**
-	 * Records that an endpoint crashed while a request with a cause was in flight there.
+	 * When endpoints were lost.
+	 * @return the times, which may be added to
+	 */
+	CrashMoments moments() {
+		return this.moments;
+	}
+
+	/**
+	 * Records that an endpoint has just crashed while a request with a cause was in
+	 * flight there.
 	 * @param cause a cause that the request had
 	 * @param endpoint the endpoint
 	 * @return false if the crash was known or has been cleared
 	 */
 	boolean crashed(CrashCause cause, EndpointStart endpoint) {
+		return crashed(cause, endpoint, this.clock.nanos());
+	}
+
+	/**
+	 * Records that an endpoint crashed while a request with a cause was in flight there.
+	 * @param cause a cause that the request had
+	 * @param endpoint the endpoint
+	 * @param at when its connection was lost
+	 * @return false if the crash was known or has been cleared
+	 */
+	boolean crashed(CrashCause cause, EndpointStart endpoint, long at) {
+		this.moments.crashed(endpoint, at);
 		if (cleared(cause, endpoint)) {
 			return false;
 		}
@@ -125,8 +118,7 @@
 			known = new Crashes();
 			this.crashes.put(cause, known);
 		}
-		long learntAt = this.crashTimes.computeIfAbsent(endpoint, (key) -> this.clock.nanos());
-		boolean added = known.crashedAt.putIfAbsent(endpoint, learntAt) == null;
+		boolean added = known.endpoints.add(endpoint);
 		if (added) {
 			this.reportedAt.put(endpoint, this.clock.nanos());
 			known.latestAt = this.clock.nanos();
@@ -145,7 +137,7 @@
 		boolean recorded = this.records.remove(cause).isPresent();
 		Clearance previous = this.clearances.get(cause);
 		if (known != null || recorded || previous != null) {
-			Set<EndpointStart> endpoints = (known != null) ? new HashSet<>(known.crashedAt.keySet()) : new HashSet<>();
+			Set<EndpointStart> endpoints = (known != null) ? new HashSet<>(known.endpoints) : new HashSet<>();
 			if (previous != null) {
 				endpoints.addAll(previous.endpoints());
 			}
@@ -210,12 +202,12 @@
 	 */
 	boolean retractCrashes(EndpointStart endpoint) {
 		this.reportedAt.remove(endpoint);
-		this.crashTimes.remove(endpoint);
+		this.moments.retract(endpoint);
 		boolean known = false;
 		for (Crashes each : this.crashes.values()) {
-			known |= each.crashedAt.remove(endpoint) != null;
+			known |= each.endpoints.remove(endpoint);
 		}
-		this.crashes.values().removeIf((each) -> each.crashedAt.isEmpty());
+		this.crashes.values().removeIf((each) -> each.endpoints.isEmpty());
 		return known;
 	}
 
@@ -227,7 +219,7 @@
 	 */
 	Set<EndpointStart> endpoints(CrashCause cause) {
 		Crashes known = this.crashes.get(cause);
-		return (known != null) ? Set.copyOf(known.crashedAt.keySet()) : Set.of();
+		return (known != null) ? Set.copyOf(known.endpoints) : Set.of();
 	}
 
 	/**
@@ -237,44 +229,21 @@
 	 */
 	int size(CrashCause cause) {
 		Crashes known = this.crashes.get(cause);
-		return (known != null) ? known.crashedAt.size() : 0;
+		return (known != null) ? known.endpoints.size() : 0;
 	}
 
 	/**
 	 * Counts the crashes under a cause that speak against it.
 	 * @param cause the cause
 	 * @param explained endpoints that have crashed for another cause
-	 * @return the number, in which a moment counts as {@link #MAX_COUNTED_OF_MOMENT} at
-	 * most, and a mass loss that hit more endpoints without the cause not at all
+	 * @return the number, as {@link CrashMoments#count} tells
 	 */
 	int count(CrashCause cause, Predicate<EndpointStart> explained) {
 		Crashes known = this.crashes.get(cause);
 		if (known == null) {
 			return 0;
 		}
-		long[] times = known.crashedAt.entrySet()
-			.stream()
-			.filter((entry) -> !explained.test(entry.getKey()))
-			.mapToLong(Map.Entry::getValue)
-			.sorted()
-			.toArray();
-		int count = 0;
-		int first = 0;
-		for (int i = 1; i <= times.length; i++) {
-			if (i == times.length || times[i] - times[first] >= MOMENT.toNanos()) {
-				count += countOfMoment(times[first], i - first);
-				first = i;
-			}
-		}
-		return count;
-	}
-
-	private int countOfMoment(long start, int crashes) {
-		long lost = this.crashTimes.values()
-			.stream()
-			.filter((time) -> time - start >= 0 && time - start < MOMENT.toNanos())
-			.count();
-		return (lost >= MASS_LOSS && lost > 2 * crashes) ? 0 : Math.min(crashes, MAX_COUNTED_OF_MOMENT);
+		return this.moments.count(known.endpoints.stream().filter(explained.negate()).toList());
 	}
 
 	/**
@@ -290,10 +259,10 @@
 		List<CrashCause> causes = new ArrayList<>(this.crashes.keySet());
 		causes.removeIf((cause) -> now - this.crashes.get(cause).latestAt > REPEAT_PERIOD.toNanos()
 				|| recentlyCleared(cause) || known.test(cause));
-		causes.sort(Comparator.comparingInt((cause) -> -this.crashes.get(cause).crashedAt.size()));
+		causes.sort(Comparator.comparingInt((cause) -> -this.crashes.get(cause).endpoints.size()));
 		List<CrashUpdate.Crash> repeated = new ArrayList<>();
 		for (CrashCause cause : causes) {
-			for (EndpointStart endpoint : this.crashes.get(cause).crashedAt.keySet()) {
+			for (EndpointStart endpoint : this.crashes.get(cause).endpoints) {
 				if (repeated.size() == max) {
 					return repeated;
 				}
@@ -311,7 +280,7 @@
 	List<CrashCause> suspects(int endpoints) {
 		return this.crashes.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().crashedAt.size() >= endpoints)
+			.filter((entry) -> entry.getValue().endpoints.size() >= endpoints)
 			.map(Map.Entry::getKey)
 			.toList();
 	}
@@ -337,17 +306,16 @@
 		}
 		this.crashes.keySet()
 			.stream()
-			.min(Comparator.comparingInt((cause) -> this.crashes.get(cause).crashedAt.size()))
+			.min(Comparator.comparingInt((cause) -> this.crashes.get(cause).endpoints.size()))
 			.ifPresent(this.crashes::remove);
 	}
 
 	/**
-	 * The endpoints that crashed under a cause, each with the time at which this daemon
-	 * learnt of it.
+	 * The endpoints that crashed under a cause, and when this daemon learnt of the last.
 	 */
 	private static final class Crashes {
 
-		private final Map<EndpointStart, Long> crashedAt = new HashMap<>();
+		private final Set<EndpointStart> endpoints = new HashSet<>();
 
 		private long latestAt;
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashExchange.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashExchange.java
@@ -1,9 +1,12 @@
 package org.bramleyscale.internal.gateway.crash;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +37,14 @@
 	 */
 	private static final int MAX_REPEATED = 20;
 
+	/** Maximum number of further losses in a message: 40 bytes each. */
+	private static final int MAX_LOSSES = 40;
+
+	/** Losses that are found within this time are told in one message. */
+	private static final Duration LOSS_DELAY = Duration.ofMillis(10);
+
+	private final Scheduler scheduler;
+
 	private final PeerNetwork network;
 
 	private final FleetGossip<CrashUpdate> gossip;
@@ -44,6 +55,8 @@
 
 	private final Listener listener;
 
+	private final Set<EndpointStart> untold = new LinkedHashSet<>();
+
 	/**
 	 * Creates the exchange and starts it.
 	 * @param scheduler the daemon's scheduler
@@ -55,6 +68,7 @@
 	 */
 	CrashExchange(Scheduler scheduler, PeerNetwork network, UpdateRoutes routes, CrashEvidence evidence,
 			StoredRecords records, Listener listener) {
+		this.scheduler = scheduler;
 		this.network = network;
 		this.evidence = evidence;
 		this.records = records;
@@ -79,29 +93,52 @@
 	void crashed(Collection<CrashCause> causes, Collection<CrashCause> cleared) {
 		List<CrashUpdate.Crash> crashes = new ArrayList<>();
 		causes.forEach((cause) -> crashes.addAll(crashes(cause, this.evidence.endpoints(cause))));
-		this.gossip.publish(new CrashUpdate(crashes, values(cleared), List.of()));
+		this.gossip.publish(new CrashUpdate(crashes, values(cleared), List.of(), losses(crashes)));
+	}
+
+	/**
+	 * Broadcasts soon that an endpoint which ran nothing of this daemon was lost.
+	 * @param endpoint the endpoint
+	 */
+	void lost(EndpointStart endpoint) {
+		if (this.untold.isEmpty()) {
+			this.scheduler.schedule(LOSS_DELAY, this::tellLosses);
+		}
+		this.untold.add(endpoint);
+	}
+
+	private void tellLosses() {
+		List<CrashUpdate.Loss> losses = this.untold.stream().limit(MAX_LOSSES).map(this::loss).toList();
+		this.untold.clear();
+		this.gossip.publish(new CrashUpdate(List.of(), List.of(), List.of(), losses));
 	}
 
 	void cleared(Collection<CrashCause> causes) {
-		this.gossip.publish(new CrashUpdate(List.of(), values(causes), List.of()));
+		this.gossip.publish(new CrashUpdate(List.of(), values(causes), List.of(), List.of()));
 	}
 
 	void retractCrashes(EndpointStart endpoint) {
-		this.gossip.publish(new CrashUpdate(List.of(), List.of(), List.of(endpoint.toString())));
+		this.gossip.publish(new CrashUpdate(List.of(), List.of(), List.of(endpoint.toString()), List.of()));
 	}
 
 	@Override
 	public Optional<CrashUpdate> digest() {
 		List<CrashUpdate.Crash> repeated = this.evidence.crashesToRepeat(MAX_REPEATED, this.records::contains);
-		return repeated.isEmpty() ? Optional.empty() : Optional.of(new CrashUpdate(repeated, List.of(), List.of()));
+		return repeated.isEmpty() ? Optional.empty()
+				: Optional.of(new CrashUpdate(repeated, List.of(), List.of(), losses(repeated)));
 	}
 
 	@Override
 	public Optional<CrashUpdate> merge(Incarnation from, CrashUpdate message) {
+		Map<String, Long> lostAt = new HashMap<>();
+		List<CrashUpdate.Loss> lost = new ArrayList<>(orEmpty(message.lost()));
+		lost.forEach((loss) -> lostAt.put(loss.endpoint(), lostAt(loss)));
+		lost.removeIf((loss) -> !this.evidence.moments().lost(EndpointStart.parse(loss.endpoint()), lostAt(loss)));
+		long now = this.scheduler.nanos();
 		sendMissing(from, orEmpty(message.crashes()));
 		List<CrashUpdate.Crash> crashes = new ArrayList<>(orEmpty(message.crashes()));
 		crashes.removeIf((crash) -> !this.evidence.crashed(new CrashCause(crash.request()),
-				EndpointStart.parse(crash.endpoint())));
+				EndpointStart.parse(crash.endpoint()), lostAt.getOrDefault(crash.endpoint(), now)));
 		List<String> cleared = new ArrayList<>(orEmpty(message.cleared()));
 		cleared.removeIf((request) -> !this.evidence.clear(new CrashCause(request)));
 		List<String> living = new ArrayList<>(orEmpty(message.living()));
@@ -111,8 +148,29 @@
 			this.listener
 				.reported(crashes.stream().map((crash) -> new CrashCause(crash.request())).distinct().toList());
 		}
-		boolean changed = !crashes.isEmpty() || !cleared.isEmpty() || !living.isEmpty();
-		return changed ? Optional.of(new CrashUpdate(crashes, cleared, living)) : Optional.empty();
+		boolean changed = !crashes.isEmpty() || !cleared.isEmpty() || !living.isEmpty() || !lost.isEmpty();
+		return changed ? Optional.of(new CrashUpdate(crashes, cleared, living, lost)) : Optional.empty();
+	}
+
+	private long lostAt(CrashUpdate.Loss loss) {
+		return this.scheduler.nanos() - Duration.ofMillis(loss.ageMillis()).toNanos();
+	}
+
+	/**
+	 * Tells when endpoints were lost, and which others at the same time.
+	 * @param crashes the crashes of these endpoints
+	 * @return the losses
+	 */
+	private List<CrashUpdate.Loss> losses(List<CrashUpdate.Crash> crashes) {
+		Set<EndpointStart> endpoints = new LinkedHashSet<>();
+		crashes.forEach((crash) -> endpoints.add(EndpointStart.parse(crash.endpoint())));
+		List<EndpointStart> all = new ArrayList<>(endpoints);
+		all.addAll(this.evidence.moments().lostWith(endpoints, MAX_LOSSES));
+		return all.stream().map(this::loss).toList();
+	}
+
+	private CrashUpdate.Loss loss(EndpointStart endpoint) {
+		return new CrashUpdate.Loss(endpoint.toString(), this.evidence.moments().age(endpoint).toMillis());
 	}
 
 	/**
@@ -135,7 +193,7 @@
 		List<CrashUpdate.Crash> crashes = new ArrayList<>();
 		missing.forEach((cause, endpoints) -> crashes.addAll(crashes(cause, endpoints)));
 		if (!crashes.isEmpty() || !cleared.isEmpty()) {
-			this.network.send(from.vm(), new CrashUpdate(crashes, List.copyOf(cleared), List.of()));
+			this.network.send(from.vm(), new CrashUpdate(crashes, List.copyOf(cleared), List.of(), losses(crashes)));
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
@@ -145,8 +145,7 @@
 		if (record.isEmpty() && !suspected) {
 			return (count + pending == 0) ? Verdict.CLEAR : Verdict.SUSPECT;
 		}
-		boolean inProgress = record.filter((known) -> known.trialInProgress(this.clock.nanos()))
-			.isPresent();
+		boolean inProgress = record.filter((known) -> known.trialInProgress(this.clock.nanos())).isPresent();
 		if (!inProgress
 				&& record.filter((known) -> known.record().trials() >= maxTrials(cause, known, causes)).isPresent()) {
 			return this.evidence.crashedWithin(cause, ANSWERS_UNDER_WAY) ? Verdict.WAIT : Verdict.BLOCKED;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashUpdate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashUpdate.java
@@ -11,8 +11,11 @@
  * had
  * @param cleared causes that requests had which ran to completion
  * @param living endpoints that answered after their crash was reported
+ * @param lost when these endpoints, and others that ran nothing, were lost; null from
+ * daemons that don't tell it
  */
-public record CrashUpdate(List<Crash> crashes, List<String> cleared, List<String> living) implements PeerMessage {
+public record CrashUpdate(List<Crash> crashes, List<String> cleared, List<String> living,
+		List<Loss> lost) implements PeerMessage {
 
 	/**
 	 * A cause that a request in flight at an endpoint had when it crashed.
@@ -23,4 +26,13 @@
 	public record Crash(String request, String endpoint) {
 	}
 
+	/**
+	 * The loss of an endpoint.
+	 *
+	 * @param endpoint the endpoint's start as text
+	 * @param ageMillis how long before this message it was noticed, in milliseconds
+	 */
+	public record Loss(String endpoint, long ageMillis) {
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/EndpointCheck.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/EndpointCheck.java
@@ -1,8 +1,10 @@
 package org.bramleyscale.internal.gateway.crash;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
 
 /**
  * Checks whether a process listens at an endpoint's address.
@@ -13,9 +15,11 @@
 	/**
 	 * Tries to connect to an endpoint and, if that fails, to others.
 	 * @param endpoint the endpoint
+	 * @param refusing called with each of the others that refuses connections too, before
+	 * or after the returned future completes
 	 * @return a future that completes on the scheduler's thread
 	 */
-	CompletableFuture<Finding> check(Backend endpoint);
+	CompletableFuture<Finding> check(Backend endpoint, Consumer<EndpointStart> refusing);
 
 	/**
 	 * What a check has found.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -18,6 +18,7 @@
 import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.PeerNetwork;
 import org.bramleyscale.internal.platform.ObjectStore;
+import org.bramleyscale.internal.time.Clock;
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
@@ -46,6 +47,8 @@
 	/** One crash suspects nothing yet, and an answer mostly follows it soon. */
 	private static final int MIN_CRASHES_TO_VOUCH = 2;
 
+	private final Clock clock;
+
 	private final CrashEvidence evidence;
 
 	private final StoredRecords stored;
@@ -77,6 +80,7 @@
 	 */
 	public FleetCrashGuard(Ports ports, EndpointCheck check, Predicate<Backend> listed,
 			BooleanSupplier maintainsRecords) {
+		this.clock = ports.scheduler();
 		this.log = ports.log();
 		this.metrics = ports.metrics();
 		this.stored = new StoredRecords(ports.scheduler());
@@ -117,6 +121,7 @@
 	 */
 	public void endpointRemoved(EndpointStart endpoint) {
 		this.detector.removed(endpoint);
+		this.evidence.moments().lost(endpoint, this.clock.nanos());
 	}
 
 	/**
@@ -233,6 +238,7 @@
 	@Override
 	public void answered(EndpointStart endpoint, long sentAt) {
 		this.detector.answered(endpoint, sentAt);
+		this.evidence.moments().answered(endpoint, sentAt);
 		this.closedResponses.confirm(endpoint, sentAt).forEach(this::completed);
 		if (this.evidence.contradicted(endpoint, sentAt)) {
 			foundAlive(endpoint);
@@ -240,8 +246,8 @@
 	}
 
 	@Override
-	public void crashed(Collection<CrashCause> causes, EndpointStart endpoint) {
-		List<CrashCause> added = causes.stream().filter((cause) -> this.evidence.crashed(cause, endpoint)).toList();
+	public void crashed(Collection<CrashCause> causes, EndpointStart endpoint, long at) {
+		List<CrashCause> added = causes.stream().filter((cause) -> this.evidence.crashed(cause, endpoint, at)).toList();
 		if (!added.isEmpty()) {
 			crashedFirst(added, endpoint);
 		}
@@ -251,6 +257,13 @@
 		});
 	}
 
+	@Override
+	public void lost(EndpointStart endpoint, long at) {
+		if (this.evidence.moments().lost(endpoint, at)) {
+			this.exchange.lost(endpoint);
+		}
+	}
+
 	private void crashedFirst(List<CrashCause> added, EndpointStart endpoint) {
 		this.metrics.counter("gateway.crashes.seen").inc(added.stream().filter((cause) -> !cause.shared()).count());
 		List<CrashCause> vouchedFor = added.stream().filter(this.answeredParts::vouch).toList();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/ComparingEndpointCheck.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/ComparingEndpointCheck.java
@@ -1,8 +1,10 @@
 package org.bramleyscale.internal.gateway.reachability;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.crash.EndpointCheck;
 
 /**
@@ -18,11 +20,12 @@
 public record ComparingEndpointCheck(ConnectionCheck connections, PathMonitor paths) implements EndpointCheck {
 
 	@Override
-	public CompletableFuture<Finding> check(Backend endpoint) {
+	public CompletableFuture<Finding> check(Backend endpoint, Consumer<EndpointStart> refusing) {
 		return this.connections.connect(endpoint)
 			.thenCompose((outcome) -> (outcome == ConnectionOutcome.ACCEPTED)
 					? CompletableFuture.completedFuture(Finding.INCONCLUSIVE)
-					: this.paths.reachesAnyExcept(endpoint).thenApply((reaches) -> finding(outcome, reaches)));
+					: this.paths.reachesAnyExcept(endpoint, refusing)
+						.thenApply((reaches) -> finding(outcome, reaches)));
 	}
 
 	private static Finding finding(ConnectionOutcome outcome, boolean reachesOthers) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/PathMonitor.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/PathMonitor.java
@@ -11,12 +11,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
+import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.time.Scheduler;
 
@@ -55,10 +57,10 @@
 	private static final int MAX_VERIFIED = 3;
 
 	/**
-	 * Rounds of connections that tell a crashed endpoint from a lost path: half of the
-	 * endpoints may have crashed.
+	 * The number of endpoints that one is compared with, to tell its crash from a lost
+	 * path and from a loss of many: most of them may have crashed.
 	 */
-	private static final int COMPARING_ROUNDS = 3;
+	private static final int MAX_COMPARED = 24;
 
 	private final Scheduler scheduler;
 
@@ -162,14 +164,31 @@
 	/**
 	 * Tests whether this daemon reaches any endpoint of any service now.
 	 * @param except an endpoint that isn't tried
-	 * @return completes on the scheduler's thread, with true also if there is no other
-	 * endpoint
+	 * @param refusing called with each endpoint that refuses connections, also later
+	 * @return completes on the scheduler's thread once an endpoint accepts, or all have
+	 * been tried; with true also if there is no other endpoint
 	 */
-	CompletableFuture<Boolean> reachesAnyExcept(Backend except) {
+	CompletableFuture<Boolean> reachesAnyExcept(Backend except, Consumer<EndpointStart> refusing) {
 		List<Backend> others = new ArrayList<>();
 		this.backends.services().forEach((service) -> others.addAll(this.backends.usable(service)));
 		others.remove(except);
-		return others.isEmpty() ? CompletableFuture.completedFuture(true) : tryAny(others, COMPARING_ROUNDS);
+		CompletableFuture<Boolean> reached = new CompletableFuture<>();
+		List<CompletableFuture<Void>> tries = new ArrayList<>();
+		while (tries.size() < MAX_COMPARED && !others.isEmpty()) {
+			Backend other = others.remove(this.random.nextInt(others.size()));
+			tries.add(this.check.connect(other).thenAccept((outcome) -> {
+				if (outcome == ConnectionOutcome.ACCEPTED) {
+					connected(other);
+					reached.complete(true);
+				}
+				else if (outcome == ConnectionOutcome.REFUSED) {
+					refusing.accept(other.start());
+				}
+			}));
+		}
+		CompletableFuture.allOf(tries.toArray(CompletableFuture[]::new))
+			.thenRun(() -> reached.complete(tries.isEmpty()));
+		return reached;
 	}
 
 	/**
@@ -241,7 +260,7 @@
 		long startedAt = this.scheduler.nanos();
 		List<Backend> others = new ArrayList<>(this.backends.usable(service));
 		others.remove(failed);
-		tryAny(others, 1).thenAccept((accepted) -> {
+		tryAny(others).thenAccept((accepted) -> {
 			this.verified.remove(service);
 			if (!accepted && !path.connectedSince(startedAt) && !this.backends.usable(service).isEmpty()) {
 				lose(service, path);
@@ -250,13 +269,11 @@
 	}
 
 	/**
-	 * Tries to connect to a few of several endpoints, and to a few others if none of them
-	 * accepts.
+	 * Tries to connect to a few of several endpoints.
 	 * @param endpoints the endpoints
-	 * @param rounds how often a few are tried at most
 	 * @return completes with true if one of them accepts
 	 */
-	private CompletableFuture<Boolean> tryAny(List<Backend> endpoints, int rounds) {
+	private CompletableFuture<Boolean> tryAny(List<Backend> endpoints) {
 		List<CompletableFuture<Boolean>> outcomes = new ArrayList<>();
 		List<Backend> remaining = new ArrayList<>(endpoints);
 		while (outcomes.size() < MAX_VERIFIED && !remaining.isEmpty()) {
@@ -268,11 +285,8 @@
 				return outcome == ConnectionOutcome.ACCEPTED;
 			}));
 		}
-		return CompletableFuture.allOf(outcomes.toArray(CompletableFuture[]::new)).thenCompose((all) -> {
-			boolean accepted = outcomes.stream().anyMatch(CompletableFuture::join);
-			boolean ends = accepted || rounds == 1 || remaining.isEmpty();
-			return ends ? CompletableFuture.completedFuture(accepted) : tryAny(remaining, rounds - 1);
-		});
+		return CompletableFuture.allOf(outcomes.toArray(CompletableFuture[]::new))
+			.thenApply((all) -> outcomes.stream().anyMatch(CompletableFuture::join));
 	}
 
 	private void lose(ServiceName service, ServicePath path) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashEvidenceTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashEvidenceTests.java
@@ -130,7 +130,7 @@
 	private void crash(CrashCause cause, int first, int count) {
 		for (int i = first; i < first + count; i++) {
 			this.evidence.crashed(cause, endpoint(i));
-			this.scheduler.advance(CrashEvidence.MOMENT);
+			this.scheduler.advance(CrashMoments.MOMENT);
 		}
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/WrongfulBlockTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/WrongfulBlockTests.java
@@ -65,6 +65,26 @@
 		Truth.assertThat(last.response()).isEqualTo("200");
 	}
 
+	/** Guards against losses of which only the few endpoints count that ran a request. */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 3, 9 })
+	void lossesOfMostlyIdleEndpointsBlameNothing(int daemons) {
+		start(daemons, Duration.ofMillis(1_300));
+		for (int loss = 0; loss < 3; loss++) {
+			for (int i = 0; i < 3; i++) {
+				call("run " + loss + i);
+			}
+			advance(50);
+			for (int i = 0; i < ENDPOINTS - 2; i++) {
+				this.fleet.endpoint(0).crash();
+			}
+			advance(1_000);
+			breakPathsFor(500);
+			advance(2_000);
+		}
+		Truth.assertThat(this.fleet.store.all()).isEmpty();
+	}
+
 	private void breakPathsFor(long millis) {
 		for (PathFault fault : List.of(PathFault.HANGING, PathFault.NONE)) {
 			for (int daemon = 0; daemon < this.fleet.daemons.size(); daemon++) {
