Count a crash that left no endpoint to compare with once the list shows it

Cause: a loss while no other endpoint could be connected to was taken for a lost path and dropped, although the platform's list shows later which endpoints are gone.

Change: the loss is kept and counts if the list removes the endpoint unplanned, dated by the lost connection, with the endpoints that refused beside it.

Measured: the new test fails before (no record) and passes after.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
@@ -20,7 +20,7 @@
  * like a crash. An endpoint counts as crashed once its address refuses connections while
  * others accept them, or the platform has removed it from its list, until it answers a
  * request that was sent after that. What was lost while no endpoint could be connected to
- * doesn't count. The end of an endpoint
+ * counts only if the platform removes the endpoint from its list. The end of an endpoint
  * that is draining, or that has already been removed from the list, is planned and not a
  * crash. Confined to the scheduler's thread.
  */
@@ -92,10 +92,7 @@
 			previous.causes.addAll(causes.all());
 			return;
 		}
-		FailedConnections current = new FailedConnections(this.scheduler.nanos());
-		if (previous != null) {
-			current.causes.addAll(previous.causes);
-		}
+		FailedConnections current = new FailedConnections(this.scheduler.nanos(), previous);
 		current.causes.addAll(causes.all());
 		this.failedConnections.put(start, current);
 		this.scheduler.schedule(FIRST_CHECK, () -> check(endpoint, current, false));
@@ -106,8 +103,9 @@
 	 * @param endpoint the endpoint
 	 */
 	void removed(EndpointStart endpoint) {
-		if (this.failedConnections.containsKey(endpoint)) {
-			declareCrashed(endpoint);
+		FailedConnections current = this.failedConnections.get(endpoint);
+		if (current != null) {
+			declareCrashed(endpoint, current.accepted ? this.scheduler.nanos() : current.failedAt);
 		}
 	}
 
@@ -175,26 +173,23 @@
 				return;
 			}
 			if (finding == EndpointCheck.Finding.REFUSES) {
-				declareCrashed(endpoint.start());
-				return;
-			}
-			if (finding == EndpointCheck.Finding.NO_PATH) {
-				this.failedConnections.remove(endpoint.start());
+				declareCrashed(endpoint.start(), current.failedAt);
 				return;
 			}
 			current.checked = true;
-			if (!second) {
+			current.accepted = finding == EndpointCheck.Finding.ACCEPTS;
+			if (!second && finding != EndpointCheck.Finding.NO_PATH) {
 				this.scheduler.schedule(SECOND_CHECK, () -> check(endpoint, current, true));
 			}
 		});
 	}
 
-	private void declareCrashed(EndpointStart endpoint) {
+	private void declareCrashed(EndpointStart endpoint, long at) {
 		this.crashedAt.put(endpoint, this.scheduler.nanos());
 		FailedConnections current = this.failedConnections.remove(endpoint);
 		current.crashed = true;
 		current.refusing.forEach((other) -> this.listener.lost(other, current.failedAt));
-		this.listener.crashed(current.causes, endpoint, current.failedAt);
+		this.listener.crashed(current.causes, endpoint, at);
 	}
 
 	private void refused(FailedConnections current, EndpointStart other) {
@@ -248,10 +243,26 @@
 
 		private boolean checked;
 
+		/** Whether the endpoint has accepted a connection after the failure. */
+		private boolean accepted;
+
 		private boolean crashed;
 
-		private FailedConnections(long at) {
-			this.failedAt = at;
+		/**
+		 * Creates a failure.
+		 * @param at when it happened
+		 * @param previous an earlier failure of the same endpoint, or null; it began then
+		 * unless the endpoint has accepted a connection since
+		 */
+		private FailedConnections(long at, FailedConnections previous) {
+			boolean continued = previous != null && !previous.accepted;
+			this.failedAt = continued ? previous.failedAt : at;
+			if (previous != null) {
+				this.causes.addAll(previous.causes);
+			}
+			if (continued) {
+				this.refusing.addAll(previous.refusing);
+			}
 		}
 
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/EndpointCheck.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/EndpointCheck.java
@@ -29,8 +29,11 @@
 		/** It refuses connections, while another endpoint accepts them. */
 		REFUSES,
 
-		/** It accepts connections, or hangs. */
-		INCONCLUSIVE,
+		/** It accepts connections. */
+		ACCEPTS,
+
+		/** It neither accepts nor refuses connections. */
+		HANGS,
 
 		/** No endpoint could be connected to: this daemon's own path is broken. */
 		NO_PATH
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/ComparingEndpointCheck.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/ComparingEndpointCheck.java
@@ -23,7 +23,7 @@
 	public CompletableFuture<Finding> check(Backend endpoint, Consumer<EndpointStart> refusing) {
 		return this.connections.connect(endpoint)
 			.thenCompose((outcome) -> (outcome == ConnectionOutcome.ACCEPTED)
-					? CompletableFuture.completedFuture(Finding.INCONCLUSIVE)
+					? CompletableFuture.completedFuture(Finding.ACCEPTS)
 					: this.paths.reachesAnyExcept(endpoint, refusing)
 						.thenApply((reaches) -> finding(outcome, reaches)));
 	}
@@ -32,7 +32,7 @@
 		if (!reachesOthers) {
 			return Finding.NO_PATH;
 		}
-		return (outcome == ConnectionOutcome.REFUSED) ? Finding.REFUSES : Finding.INCONCLUSIVE;
+		return (outcome == ConnectionOutcome.REFUSED) ? Finding.REFUSES : Finding.HANGS;
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashingRequestTests.java
@@ -88,6 +88,20 @@
 		Truth.assertThat(arrivals.stream().filter((millis) -> millis > known).count()).isEqualTo(0);
 	}
 
+	/** Guards against forgetting the crash that left no endpoint to compare with. */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 3 })
+	void crashOfTheLastEndpointIsCounted(int daemons) {
+		GatewayFleet fleet = new GatewayFleet(daemons, 3, daemons);
+		for (int i = 0; i < 2; i++) {
+			fleet.call(CRASHING);
+			fleet.scheduler.advance(Duration.ofMillis(300));
+		}
+		Truth.assertThat(fleet.crashedEndpoints()).isEqualTo(3);
+		fleet.scheduler.advance(Duration.ofSeconds(3));
+		Truth.assertThat(fleet.store.all()).hasSize(1);
+	}
+
 	/** Guards against refusing a request because other causes crashed its endpoints. */
 	@ParameterizedTest
 	@CsvSource({ "1, 1", "2, 1", "3, 1", "4, 1", "2, 9", "3, 9", "4, 9" })
