Pause after a trial that was not made

Cause: a returned trial could be claimed again at once.

Change: 0.3 s pass before this daemon claims the next one.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashMoments.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashMoments.java
@@ -189,7 +189,7 @@
 	 */
 	private record Loss(long at, boolean crashed) {
 
-		/** Whether a report of a loss at another time is of this loss. */
+		// Whether a report of a loss at another time is of this loss.
 		private boolean isAbout(long time) {
 			return Math.abs(time - this.at) < MAX_DELAY.toNanos();
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
@@ -36,6 +36,12 @@
 	 */
 	static final Duration PAUSE_AFTER_CONFLICT = Duration.ofMillis(300);
 
+	/**
+	 * Pause after a trial that was not made: its endpoints can't be reached, or its
+	 * caller has gone, and the next one would cost two writes as well.
+	 */
+	static final Duration PAUSE_AFTER_RETURN = Duration.ofMillis(300);
+
 	/** Pause after a failed call: the store may be unavailable. */
 	static final Duration PAUSE_AFTER_FAILURE = Duration.ofSeconds(1);
 
@@ -177,8 +183,8 @@
 	 */
 	void returnTrial(CrashCause cause, CrashRecord before) {
 		if (!writeBlocked(cause) && this.records.contains(cause)) {
-			write(cause, known(cause).withoutTrial(before), (written) -> {
-			});
+			write(cause, known(cause).withoutTrial(before),
+					(written) -> this.retryNotBefore.put(cause, this.scheduler.nanos() + PAUSE_AFTER_RETURN.toNanos()));
 		}
 	}
 
