Name no daemon to callers before knowing who is cut off

Cause: a daemon that has just started takes silence about its peers for 'all are reachable' and names those that are cut off; callers keep the answer for up to 3 s.

Change: a daemon that could name others gives no address until a peer has told what it can't reach, or for 0.6 s after its start. No message is added.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/EntryList.java
@@ -183,6 +183,9 @@
 	 * @return true if callers should query other daemons
 	 */
 	private boolean isDiscovering(List<Member> reachable) {
+		if (reachable.size() > 1 && !this.view.informed()) {
+			return true;
+		}
 		OptionalInt largestListed = this.view.largestListed();
 		long uptime = this.clock.nanos() - this.startedAt;
 		boolean justStarted = uptime < DISCOVERY_TIME.toNanos();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetView.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FleetView.java
@@ -46,6 +46,12 @@
 	 */
 	Set<VmId> cutOff(Collection<VmId> daemons);
 
+	/**
+	 * Whether this daemon has learnt which others are cut off.
+	 * @return false for a short time after its start
+	 */
+	boolean informed();
+
 	/**
 	 * Returns how entry daemons are selected among those that respond.
 	 * @return the selection, by the current relays
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/NodeFleetView.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/NodeFleetView.java
@@ -45,6 +45,11 @@
 		return this.reachability.cutOff(daemons);
 	}
 
+	@Override
+	public boolean informed() {
+		return this.reachability.informed();
+	}
+
 	@Override
 	public EntrySelection selection() {
 		return this.directory.entrySelection();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/FleetReachability.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/reachability/FleetReachability.java
@@ -48,6 +48,12 @@
 	/** An announcement expires after this; two may be lost before that. */
 	static final Duration EXPIRY = RENEWAL.multipliedBy(3);
 
+	/**
+	 * Time after the first announcement of a start within which peers that know of losses
+	 * have replied, also to its first repetition.
+	 */
+	static final Duration LEARNING_TIME = Duration.ofMillis(600);
+
 	/** Maximum number of daemons in a repeated message: 40 bytes each. */
 	private static final int MAX_REPEATED = 40;
 
@@ -65,8 +71,12 @@
 
 	private final Map<VmId, Announcement> announcements = new HashMap<>();
 
+	private final long startedAt;
+
 	private long version;
 
+	private boolean informedByPeer;
+
 	/**
 	 * Creates an instance and starts to exchange announcements with peers.
 	 * @param scheduler the daemon's scheduler
@@ -79,6 +89,7 @@
 	public FleetReachability(Scheduler scheduler, PeerNetwork network, UpdateRoutes routes, Incarnation self,
 			Consumer<Collection<ServiceName>> peerLossListener, DecisionLog log) {
 		this.scheduler = scheduler;
+		this.startedAt = scheduler.nanos();
 		this.self = self;
 		this.peerLossListener = peerLossListener;
 		this.log = log;
@@ -158,6 +169,14 @@
 		return (cutOff.size() < daemons.size()) ? cutOff : Set.of();
 	}
 
+	/**
+	 * Whether this daemon has learnt since its start what its peers can't reach.
+	 * @return false for a short time after its start
+	 */
+	public boolean informed() {
+		return this.informedByPeer || this.scheduler.nanos() - this.startedAt >= LEARNING_TIME.toNanos();
+	}
+
 	/**
 	 * The number of daemons that have announced services that they can't reach.
 	 * @return the number, this one included
@@ -184,6 +203,7 @@
 				(message.daemons() != null) ? message.daemons() : List.of());
 		boolean greeted = daemons.stream().anyMatch((daemon) -> isGreeting(from, daemon));
 		daemons.removeIf((daemon) -> !merge(daemon));
+		this.informedByPeer |= !greeted;
 		if (greeted) {
 			digest().ifPresent((digest) -> this.network.send(from.vm(), digest));
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -153,7 +153,7 @@
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
 		this.entries = new SimulatedEntries(clock, this.vm, this.fleet::members, this, this.fleet.relays(),
-				this.fleet::activeRequests, this.reachability::cutOff);
+				this.fleet::activeRequests, this.reachability);
 		new NodeReachability(this.paths, this.reachability, this.backends, health, contention)
 			.start(this.entries::selectsSelf, this.fleet.daemons::size, ADDRESSES_KEPT);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/EntryListTests.java
@@ -197,6 +197,15 @@
 		Truth.assertThat(this.entries.addresses(false, preferred)).containsExactly("d:80");
 	}
 
+	/** Guards against a daemon that names others before it knows who is cut off. */
+	@Test
+	void namesNobodyUntilItKnowsWhoIsCutOff() {
+		this.view.informed = false;
+		Truth.assertThat(this.entries.addresses(false, PreferredDaemons.ANY)).isEmpty();
+		this.view.informed = true;
+		Truth.assertThat(this.entries.addresses(false, PreferredDaemons.ANY)).isNotEmpty();
+	}
+
 	private static VmId vm(String name) {
 		return new VmId(name);
 	}
@@ -212,6 +221,8 @@
 
 		private boolean configured = true;
 
+		private boolean informed = true;
+
 		private OptionalInt largestListed = OptionalInt.of(NO_OTHER_VM);
 
 		@Override
@@ -234,6 +245,11 @@
 			return this.cutOff;
 		}
 
+		@Override
+		public boolean informed() {
+			return this.informed;
+		}
+
 		@Override
 		public EntrySelection selection() {
 			return new EntrySelection(true, Set.of());
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedEntries.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedEntries.java
@@ -6,7 +6,6 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
@@ -15,6 +14,7 @@
 import org.bramleyscale.VmId;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.region.PreferredDaemons;
+import org.bramleyscale.internal.gateway.reachability.FleetReachability;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.membership.MembershipView;
 import org.bramleyscale.internal.peer.PeerNetwork;
@@ -36,12 +36,12 @@
 	 * @param network the daemon's connections
 	 * @param relays the relays, or empty if the fleet is a full mesh
 	 * @param activeRequests the active requests of the whole fleet
-	 * @param cutOff determines which of several daemons are cut off from endpoints
+	 * @param reachability determines which daemons are cut off from endpoints
 	 */
 	public SimulatedEntries(Scheduler scheduler, VmId self, Supplier<List<Member>> members, PeerNetwork network,
-			Set<VmId> relays, IntSupplier activeRequests, Function<Collection<VmId>, Set<VmId>> cutOff) {
+			Set<VmId> relays, IntSupplier activeRequests, FleetReachability reachability) {
 		this.entries = new EntryList(scheduler, new RunningDaemons(self, members), network,
-				new View(relays, activeRequests, cutOff), DecisionLog.NONE, new Random(self.hashCode()));
+				new View(relays, activeRequests, reachability), DecisionLog.NONE, new Random(self.hashCode()));
 	}
 
 	public List<String> addresses() {
@@ -99,8 +99,7 @@
 	 * @param active see {@link SimulatedEntries}
 	 * @param reachability see {@link SimulatedEntries}
 	 */
-	private record View(Set<VmId> relays, IntSupplier active,
-			Function<Collection<VmId>, Set<VmId>> reachability) implements FleetView {
+	private record View(Set<VmId> relays, IntSupplier active, FleetReachability reachability) implements FleetView {
 
 		@Override
 		public boolean configured() {
@@ -119,7 +118,12 @@
 
 		@Override
 		public Set<VmId> cutOff(Collection<VmId> daemons) {
-			return this.reachability.apply(daemons);
+			return this.reachability.cutOff(daemons);
+		}
+
+		@Override
+		public boolean informed() {
+			return this.reachability.informed();
 		}
 
 		@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/reachability/CutOffDaemonsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/reachability/CutOffDaemonsTests.java
@@ -102,6 +102,29 @@
 		assertNoneSuspected(100, 50, PathFault.RESET, 0.6, 5);
 	}
 
+	/**
+	 * Guards against a daemon that starts and names others before it knows their state.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "2, RESET, 1", "2, HANGING, 2", "3, REFUSED, 3", "9, RESET, 4" })
+	void daemonThatRestartsDuringACutNamesNoneThatAreCutOff(int daemons, PathFault fault, long seed) {
+		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
+		SimulatedCallers callers = new SimulatedCallers(fleet, CALLERS, seed);
+		for (long now = 0; now < HEALED; now += MILLIS_PER_CALL) {
+			if (now == CUT) {
+				setFault(fleet, (daemon) -> daemon > 0, fault);
+			}
+			if (now > CUT + CONTACT && now % 700 == 0) {
+				fleet.restart(0);
+			}
+			callers.call();
+			fleet.scheduler.advance(Duration.ofMillis(MILLIS_PER_CALL));
+		}
+		List<SimulatedCallers.FirstTry> tries = callers.firstTries(CUT + CONTACT, HEALED);
+		SimulatedCallers.Outcomes there = SimulatedCallers.outcomes(tries, (daemon) -> daemon > 0);
+		Truth.assertThat((double) there.failed()).isAtMost(10 + tries.size() / 50.0);
+	}
+
 	private static void assertNoneSuspected(int daemons, int affected, PathFault fault, double share, long seed) {
 		GatewayFleet fleet = new GatewayFleet(daemons, ENDPOINTS, seed);
 		SimulatedCallers callers = new SimulatedCallers(fleet, CALLERS, seed);
