Ask peers whether an endpoint refuses them before its crash stands

What callers saw: requests that crash nothing counted as crashing endpoints on all daemons while half of the daemons had lost the path to these endpoints (CutOffDaemonsTests.endpointsThatOnlyUnusedDaemonsReachHaveNotCrashed).

Cause: a daemon compares an endpoint only with others that it reaches itself, and hears of answers only from daemons that callers use, which have the same broken path.

Change: a daemon that finds an endpoint refusing asks three peers, drawn among all, to connect to it, and others up to three times more (IndirectChecks, messages 111 and 112). An accepted connection retracts the crash everywhere; no answer counts neither way.

CrashingPartTests, CrashingRequestTests, WrongfulBlockTests: no failure.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashDetector.java
@@ -19,10 +19,12 @@
  * To a single request, a network partition, a connection reset or a lost response looks
  * like a crash. An endpoint counts as crashed once its address refuses connections while
  * others accept them, or the platform has removed it from its list, until it answers a
- * request that was sent after that. What was lost while no endpoint could be connected to
- * counts only if the platform removes the endpoint from its list. The end of an endpoint
- * that is draining, or that has already been removed from the list, is planned and not a
- * crash. Confined to the scheduler's thread.
+ * request that was sent after that or accepts the connection of a peer. Peers are asked
+ * only after the crash is told, since a real one must be known at once. What was lost
+ * while no endpoint could be connected to counts only if the platform removes the
+ * endpoint from its list. The end of an endpoint that is draining, or that has already
+ * been removed from the list, is planned and not a crash. Confined to the scheduler's
+ * thread.
  */
 final class CrashDetector {
 
@@ -51,6 +53,8 @@
 
 	private final EndpointCheck check;
 
+	private final PeerCheck peerCheck;
+
 	private final Predicate<Backend> listed;
 
 	private final Listener listener;
@@ -63,12 +67,15 @@
 	 * Creates the detector.
 	 * @param scheduler the daemon's scheduler
 	 * @param check tests whether an endpoint alone refuses connections
+	 * @param peerCheck asks peers whether it refuses theirs as well
 	 * @param listed whether an endpoint is on the platform's list and isn't draining
 	 * @param listener notified of each endpoint that crashed
 	 */
-	CrashDetector(Scheduler scheduler, EndpointCheck check, Predicate<Backend> listed, Listener listener) {
+	CrashDetector(Scheduler scheduler, EndpointCheck check, PeerCheck peerCheck, Predicate<Backend> listed,
+			Listener listener) {
 		this.scheduler = scheduler;
 		this.check = check;
+		this.peerCheck = peerCheck;
 		this.listed = listed;
 		this.listener = listener;
 	}
@@ -174,6 +181,7 @@
 			}
 			if (finding == EndpointCheck.Finding.REFUSES) {
 				declareCrashed(endpoint.start(), current.failedAt);
+				this.peerCheck.ask(endpoint.start(), () -> acceptedByPeer(endpoint.start()));
 				return;
 			}
 			current.checked = true;
@@ -184,6 +192,12 @@
 		});
 	}
 
+	private void acceptedByPeer(EndpointStart endpoint) {
+		if (this.crashedAt.remove(endpoint) != null) {
+			this.listener.foundAlive(endpoint);
+		}
+	}
+
 	private void declareCrashed(EndpointStart endpoint, long at) {
 		this.crashedAt.put(endpoint, this.scheduler.nanos());
 		FailedConnections current = this.failedConnections.remove(endpoint);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -75,10 +75,11 @@
 	 * Creates the guard and starts the exchange with peers.
 	 * @param ports the daemon's services that the guard uses
 	 * @param check tests whether an endpoint refuses connections
+	 * @param peerCheck asks peers whether it refuses theirs as well
 	 * @param listed whether an endpoint is on the platform's list and isn't draining
 	 * @param maintainsRecords whether this daemon is the one that maintains the records
 	 */
-	public FleetCrashGuard(Ports ports, EndpointCheck check, Predicate<Backend> listed,
+	public FleetCrashGuard(Ports ports, EndpointCheck check, PeerCheck peerCheck, Predicate<Backend> listed,
 			BooleanSupplier maintainsRecords) {
 		this.clock = ports.scheduler();
 		this.log = ports.log();
@@ -89,7 +90,7 @@
 		this.trials = new HeldTrials(ports.scheduler());
 		this.answeredParts = new AnsweredParts(ports.scheduler());
 		this.closedResponses = new ClosedResponses(ports.scheduler());
-		this.detector = new CrashDetector(ports.scheduler(), check, listed, this);
+		this.detector = new CrashDetector(ports.scheduler(), check, peerCheck, listed, this);
 		this.exchange = new CrashExchange(ports.scheduler(), ports.network(), ports.routes(), this.evidence,
 				this.stored, this);
 		this.records = new CrashRecords(ports.scheduler(), ports.store(), this.stored, this.evidence, this.judge,
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -49,6 +49,7 @@
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
 import org.bramleyscale.internal.gateway.reachability.ComparingEndpointCheck;
 import org.bramleyscale.internal.gateway.reachability.FleetReachability;
+import org.bramleyscale.internal.gateway.reachability.IndirectChecks;
 import org.bramleyscale.internal.gateway.reachability.PathMonitor;
 import org.bramleyscale.internal.gateway.region.AllowedRegionRule;
 import org.bramleyscale.internal.gateway.region.PreferredDaemons;
@@ -182,8 +183,9 @@
 		this.crashes = new FleetCrashGuard(
 				new FleetCrashGuard.Ports(loop, this.network, this.directory, dependencies.store(), log,
 						dependencies.metrics()),
-				new ComparingEndpointCheck(connections, paths), this.backends::acceptsRequests,
-				() -> this.directory.storeRank() == 0);
+				new ComparingEndpointCheck(connections, paths),
+				new IndirectChecks(loop, this.network, connections, this.backends, this.random),
+				this.backends::acceptsRequests, () -> this.directory.storeRank() == 0);
 		this.limits = new FleetLimits(loop, this.network, this.directory, this.directory, log, dependencies.metrics());
 		this.cold = ColdEndpoints.create(loop, this.network,
 				new NodeHolderFleet(loop, this.membership, this.directory, daemons), settings.vm(),
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/PeerSetup.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/PeerSetup.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.internal.gateway.limit.FleetLimits;
 import org.bramleyscale.internal.gateway.load.LoadExchange;
 import org.bramleyscale.internal.gateway.reachability.FleetReachability;
+import org.bramleyscale.internal.gateway.reachability.IndirectChecks;
 import org.bramleyscale.internal.membership.MembershipMessages;
 import org.bramleyscale.internal.membership.MembershipSettings;
 import org.bramleyscale.internal.membership.MembershipTimes;
@@ -79,6 +80,7 @@
 		FleetLimits.register(builder);
 		FleetPresence.register(builder);
 		FleetReachability.register(builder);
+		IndirectChecks.register(builder);
 		return builder.build();
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -47,6 +47,7 @@
 import org.bramleyscale.internal.gateway.placement.PlainPlacement;
 import org.bramleyscale.internal.gateway.reachability.ComparingEndpointCheck;
 import org.bramleyscale.internal.gateway.reachability.FleetReachability;
+import org.bramleyscale.internal.gateway.reachability.IndirectChecks;
 import org.bramleyscale.internal.gateway.reachability.PathMonitor;
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
@@ -126,8 +127,9 @@
 		this.crashes = new FleetCrashGuard(
 				new FleetCrashGuard.Ports(clock, this, this, this.fleet.store.during(() -> !this.killed),
 						DecisionLog.NONE, this.metrics),
-				new ComparingEndpointCheck(this.connections, this.paths), this.backends::acceptsRequests,
-				() -> index == 0);
+				new ComparingEndpointCheck(this.connections, this.paths),
+				new IndirectChecks(clock, this, this.connections, this.backends, new Random(index)),
+				this.backends::acceptsRequests, () -> index == 0);
 		this.limits = new FleetLimits(clock, this, this, this::rank, DecisionLog.NONE, new MetricRegistry());
 		this.backends.onUnplannedEnd(this.crashes::endpointRemoved);
 		BackendHealth health = new BackendHealth(clock, DecisionLog.NONE);
