--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -250,7 +250,7 @@
 	public void crashed(Collection<CrashCause> causes, EndpointStart endpoint, long at) {
 		List<CrashCause> added = causes.stream().filter((cause) -> this.evidence.crashed(cause, endpoint, at)).toList();
 		if (!added.isEmpty()) {
-			crashedFirst(added, endpoint);
+			recordNewCrashes(added, endpoint);
 		}
 		causes.stream().filter((cause) -> this.trials.ranAt(cause, endpoint)).forEach((cause) -> {
 			this.trials.remove(cause);
@@ -265,7 +265,7 @@
 		}
 	}
 
-	private void crashedFirst(List<CrashCause> added, EndpointStart endpoint) {
+	private void recordNewCrashes(List<CrashCause> added, EndpointStart endpoint) {
 		this.metrics.counter("gateway.crashes.seen").inc(added.stream().filter((cause) -> !cause.shared()).count());
 		List<CrashCause> vouchedFor = added.stream().filter(this.answeredParts::vouch).toList();
 		this.exchange.crashed(added, vouchedFor);
