Name the new messages in the tests that list them all

What callers saw: nothing; two tests failed in the whole build that hadn't been run alone: PeerSetupTests.codesAndNamesOfMessagesStay and RequestBodyTests.

Cause: they list every message between daemons, and 111 and 112 are new.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RequestBodyTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RequestBodyTests.java
@@ -14,6 +14,7 @@
 import org.bramleyscale.internal.gateway.fleet.SimulatedEndpoint;
 import org.bramleyscale.internal.gateway.limit.FleetLimits;
 import org.bramleyscale.internal.gateway.reachability.FleetReachability;
+import org.bramleyscale.internal.gateway.reachability.IndirectChecks;
 import org.bramleyscale.internal.peer.MessageCatalog;
 import org.bramleyscale.internal.peer.MessageCodec;
 import org.bramleyscale.internal.peer.PeerMessage;
@@ -48,11 +49,12 @@
 		FleetLimits.register(catalog);
 		FleetPresence.register(catalog);
 		FleetReachability.register(catalog);
+		IndirectChecks.register(catalog);
 		MessageCodec codec = new MessageCodec(catalog.build());
 		for (PeerMessage message : messages) {
 			Truth.assertThat(new String(codec.encode(message), StandardCharsets.ISO_8859_1)).doesNotContain("secret");
 		}
-		Truth.assertThat(messages.stream().map(Object::getClass).distinct().count()).isEqualTo(4);
+		Truth.assertThat(messages.stream().map(Object::getClass).distinct().count()).isEqualTo(5);
 	}
 
 }
