--- a/review/standins/StreamCase.java
+++ b/review/standins/StreamCase.java
@@ -22,11 +22,22 @@
  */
 public final class StreamCase {
 
-	private static final int RUNNERS = 14;
+	private static final int RUNNERS = 21;
 
-	private static final int CLIENTS = 140;
+	private static final int CLIENTS = 190;
 
-	private static final int ROUNDS = 13;
+	private static final int ROUNDS = 20;
+
+	private static final int ROUND_MILLIS = 3_500;
+
+	/** How long crashed runners are down. */
+	private static final int DOWN_MILLIS = 2_800;
+
+	/** No round begins later, so that the case ends within 120 s. */
+	private static final int LAST_ROUND_MILLIS = 96_000;
+
+	/** 0.143 of the runners. */
+	private static final int HIT = 3;
 
 	private static final int EVENTS = 20;
 
@@ -109,30 +120,30 @@
 			}
 			Thread.sleep(4_000);
 			long first = this.deployment.millis();
-			for (int round = 0; round < ROUNDS; round++) {
-				sleepUntil(first + round * 6_000L);
+			for (int round = 0; round < ROUNDS && this.deployment.millis() < LAST_ROUND_MILLIS; round++) {
+				sleepUntil(first + round * (long) ROUND_MILLIS);
 				if (this.trouble) {
 					round(runners);
 				}
 			}
-			sleepUntil(first + ROUNDS * 6_000L);
+			sleepUntil(Math.min(first + ROUNDS * (long) ROUND_MILLIS, LAST_ROUND_MILLIS + ROUND_MILLIS));
 			this.running = false;
 			Thread.sleep(DEADLINE_MILLIS - 1_000);
 			return judge();
 		}
 	}
 
-	/** Two runners of fourteen fail 0.4 of their requests, two others crash and are replaced after 4.5 s. */
+	/** Three runners of 21 fail 0.4 of their requests, three others crash and are replaced. */
 	private void round(List<String> runners) throws Exception {
 		Collections.shuffle(runners);
-		List<String> grey = List.copyOf(runners.subList(0, 2));
-		List<String> crashed = List.copyOf(runners.subList(2, 4));
+		List<String> grey = List.copyOf(runners.subList(0, HIT));
+		List<String> crashed = List.copyOf(runners.subList(HIT, 2 * HIT));
 		for (String id : grey) {
 			this.deployment.tellRunner(id, "errors 0.4");
 		}
 		Thread.sleep(100);
 		crashed.forEach(this.deployment::crashRunner);
-		Thread.sleep(4_500);
+		Thread.sleep(DOWN_MILLIS);
 		runners.removeAll(crashed);
 		for (String id : crashed) {
 			runners.add(startRunner());
