Review: requests reach an endpoint beyond the drain bound after an outage of the store

Cause: an entry that disappears up to 3 s after the store's first answer after an outage counts as lapsed, and its endpoint is used for another 2 s, which is all of the drain bound. The first answer comes later than the end of the outage, so the window is still open when the store counts as stable again.

--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -113,7 +113,7 @@
 			String common = "X-Bramleyscale-Attempt-Id: " + attempt + "\r\nX-Bramleyscale-Runner-Signature: sig." + this.id
 					+ "." + attempt + "\r\n";
 			boolean fails = ThreadLocalRandom.current().nextDouble() < this.errors;
-			say("run " + attempt + " " + words[0] + " " + words[1] + " body " + body.length + " last "
+			say("run " + attempt + " at " + System.currentTimeMillis() + " " + words[0] + " " + words[1] + " body " + body.length + " last "
 					+ head.header("Last-Event-Id") + (fails ? " fails" : ""));
 			if (fails) {
 				Thread.sleep(5);
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -18,6 +18,8 @@
 
 	private static final String OBJECTS = "/bramleyscale/objects/";
 
+	private static final int NO_ANSWER = 0;
+
 	private final HttpServer server;
 
 	private final Map<String, Map<String, Object>> objects = new TreeMap<>();
@@ -26,6 +28,9 @@
 
 	private long revision = 100;
 
+	/** While true, calls get no answer, also later, and do nothing. */
+	private volatile boolean silent;
+
 	Store() throws IOException {
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
 		this.server.createContext(OBJECTS, this::handle);
@@ -41,6 +46,13 @@
 		return "127.0.0.1:" + this.server.getAddress().getPort();
 	}
 
+	void silent(boolean value) {
+		this.silent = value;
+		synchronized (this) {
+			notifyAll();
+		}
+	}
+
 	synchronized void put(String kind, String name, Object specification) {
 		write(kind, name, specification);
 	}
@@ -91,6 +103,10 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		if (this.silent || status == NO_ANSWER) {
+			// The channel stays open and returns nothing further.
+			return;
+		}
 		byte[] bytes = Http.bytes(Json.write(answer));
 		exchange.getResponseHeaders().set("Content-Type", "application/json");
 		exchange.sendResponseHeaders(status, bytes.length);
@@ -101,6 +117,9 @@
 	private synchronized int answer(String method, String[] path, Map<String, String> query, String body,
 			Map<String, Object> answer) throws InterruptedException {
 		String kind = path[0];
+		if (this.silent) {
+			return NO_ANSWER;
+		}
 		if (method.equals("GET") && path.length == 1) {
 			return query.containsKey("watch") ? watch(kind, query, answer) : list(kind, answer);
 		}
@@ -162,6 +181,9 @@
 					found.add(Json.object("object", event.get("object"), "deleted", event.get("deleted")));
 				}
 			}
+			if (this.silent) {
+				return NO_ANSWER;
+			}
 			long left = (end - System.nanoTime()) / 1_000_000;
 			if (!found.isEmpty() || left <= 0) {
 				answer.put("events", found);
