Review: prompts that wait at a daemon get no answer when it is stopped

Cause: at the end of a planned stop nothing refuses the requests that still wait in ContentionQueues: LeaveSequence.accepts takes them up to 3 s after SIGTERM whatever time they have, LeaveActions.end closes idle channels only, and the process ends 7.3 s after SIGTERM.

Change: case review/3 (rule LOST) as a script, with an engine as a stand-in.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 [ -d target/review ] && [ -f target/platform/bramleyscale-platform.jar ] || exit 2
-java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp target/review standins.LeaveCase "$here/record.txt"
+java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp target/review standins.WaitCase "$here/record.txt"
 status=$?
 [ "$status" -eq 0 ] || [ "$status" -eq 1 ] || status=2
 exit $status
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -53,7 +53,16 @@
 
 	private final String net;
 
+	/** Settings of daemons that differ from those of sites/tsh-quarryhire.toml. */
+	private final Map<String, Object> otherSettings;
+
 	Deployment(Path record, int daemonCount, BiConsumer<String, String> onRunnerLine) throws IOException {
+		this(record, daemonCount, onRunnerLine, Map.of());
+	}
+
+	Deployment(Path record, int daemonCount, BiConsumer<String, String> onRunnerLine,
+			Map<String, Object> otherSettings) throws IOException {
+		this.otherSettings = otherSettings;
 		this.folder = Files.createTempDirectory("review");
 		this.record = new PrintWriter(Files.newBufferedWriter(record), true);
 		this.onRunnerLine = onRunnerLine;
@@ -101,12 +110,17 @@
 	}
 
 	void startRunner(String service, String id, int slots, boolean streams, int events, int millis) throws IOException {
-		this.runnerKinds.put(id, new Object[] { service, slots, streams, events, millis });
+		startRunner("standins.Runner", service, id, slots, "" + streams, "" + events, "" + millis);
+	}
+
+	void startRunner(String program, String service, String id, int slots, String... more) throws IOException {
+		this.runnerKinds.put(id, new Object[] { service, slots });
 		int port = freePort();
 		this.runnerPorts.put(id, port);
-		List<String> words = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx48m",
-				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-				"standins.Runner", id, "" + port, "" + slots, "" + streams, "" + events, "" + millis);
+		List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+				"-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+				program, id, "" + port, "" + slots));
+		words.addAll(List.of(more));
 		Process process = new ProcessBuilder(words).redirectError(ProcessBuilder.Redirect.DISCARD).start();
 		this.runners.put(id, process);
 		BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()));
@@ -132,7 +146,8 @@
 	void register(String id, String state, long sequence) {
 		Object[] kind = this.runnerKinds.get(id);
 		this.store.put("servers", id,
-				Json.object("service", kind[0], "address", "127.0.0.1:" + this.runnerPorts.get(id), "zone", "shah-alam",
+				Json.object("service", kind[0], "address", "127.0.0.1:" + this.runnerPorts.get(id), "zone",
+						this.otherSettings.getOrDefault("zone", "shah-alam"),
 						"version", "v1", "slots", kind[1], "state", state, "cold_remaining_ms", 0, "stage", "combined",
 						"models", List.of(Json.object("name", "m", "version", 1, "adapters", List.of())), "sequence",
 						sequence));
@@ -191,11 +206,15 @@
 	}
 
 	void configure(long version, List<Object> routes, List<Object> services) {
+		configure(version, routes, services, Json.object("name", "hule930", "api_keys", List.of(KEY), "priority", 1));
+	}
+
+	void configure(long version, List<Object> routes, List<Object> services, Map<String, Object> tenant) {
 		this.store.put("config", "main",
 				Json.object("version", version, "routes", routes, "services", services, "limits",
 						Json.object("max_header_bytes", 16384, "max_body_bytes", 4194304, "header_timeout_ms", 3000,
 								"idle_timeout_ms", 15000),
-						"tenants", List.of(Json.object("name", "hule930", "api_keys", List.of(KEY), "priority", 1))));
+						"tenants", List.of(tenant)));
 	}
 
 	void startDaemons() throws Exception {
@@ -264,6 +283,7 @@
 							4000, "idle_max_ms", 9000, "ttl_max_s", 5),
 					"platform", Json.object("address", Deployment.this.store.address(), "form", "objects", "writes_per_s",
 							400, "reads_per_s", 2000, "history_s", 20, "value_bytes", 1048576, "ttl_min_ms", 1000));
+			settings.putAll(Deployment.this.otherSettings);
 			Path file = Files.createTempFile(Deployment.this.folder, this.name, ".json");
 			Files.writeString(file, Json.write(settings));
 			List<String> words = new ArrayList<>(Deployment.this.command);
@@ -293,7 +313,9 @@
 		/** The addresses that it names to clients, or null without an answer. */
 		List<String> resolve() {
 			String answer = get("http://" + this.ip + ":" + (Deployment.this.frontPort + 2)
-					+ "/bramleyscale/resolve?name=" + HOST + "&region=klang-valley&zone=shah-alam");
+					+ "/bramleyscale/resolve?name=" + HOST + "&region="
+					+ Deployment.this.otherSettings.getOrDefault("region", "klang-valley") + "&zone="
+					+ Deployment.this.otherSettings.getOrDefault("zone", "shah-alam"));
 			if (answer == null) {
 				return null;
 			}
