Refuse prompts that wait at a daemon in time when it is stopped

What callers saw: prompts that a daemon had read and kept waiting for memory got a closed connection 7.4 s after its SIGTERM.

Cause: nothing told the requests in a queue that the daemon stops. Ruled out: requests sent shortly before the exit, which would have a "sent" line.

Change: OpenRequests knows the requests to which a response is owed. While the daemon stops, each of them that no endpoint has is told every 0.1 s and refused as not run once its answer can't be expected before the exit, or once half of its caller's time has passed, if its caller would wait for longer than the daemon lives. This holds for the queue by rank, the deferral, memory on other engines and between two attempts alike, and for requests held at a start.

The assertions on GatewayService.activeRequestCount, which is gone, are now on the counters of ended requests, which must be exactly one.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
+import org.bramleyscale.internal.gateway.request.HandledRequest;
+import org.bramleyscale.internal.gateway.request.OpenRequest;
 import org.bramleyscale.internal.time.Cancellable;
 import org.jboss.logging.Logger;
 
@@ -30,7 +32,7 @@
  * ended, so that responses stay in order; the number of pipelined messages is bounded.
  * Confined to the loop's thread.
  */
-final class CallerChannel extends ChannelInboundHandlerAdapter {
+final class CallerChannel extends ChannelInboundHandlerAdapter implements OpenRequest {
 
 	private static final Logger logger = Logger.getLogger(CallerChannel.class);
 
@@ -57,8 +59,7 @@
 
 	private ChannelReply reply;
 
-	private Runnable onDisconnect = () -> {
-	};
+	private HandledRequest handled = HandledRequest.ENDED;
 
 	private boolean discarding;
 
@@ -69,7 +70,7 @@
 	CallerChannel(CallerServer server, Channel channel) {
 		this.server = server;
 		this.channel = channel;
-		this.timer = server.loop().schedule(server.limits().idleTimeout(), this::idleTimedOut);
+		this.timer = server.scheduler().schedule(server.limits().idleTimeout(), this::idleTimedOut);
 	}
 
 	void bytesArrived() {
@@ -112,14 +113,25 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		this.timer.cancel();
 		this.server.channelClosed(this);
+		this.server.openRequests().remove(this);
 		this.pipelined.forEach(ReferenceCountUtil::release);
 		this.pipelined.clear();
 		if (this.reply != null) {
 			this.reply.callerDisconnected();
-			this.onDisconnect.run();
+			this.handled.callerDisconnected();
 		}
 	}
 
+	@Override
+	public void daemonStops(Duration untilExit) {
+		this.handled.daemonStops(untilExit);
+	}
+
+	@Override
+	public void daemonExits() {
+		this.handled.daemonExits();
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		if (!(cause instanceof IOException)) {
@@ -134,8 +146,8 @@
 	 */
 	void responseEnded(boolean close) {
 		this.reply = null;
-		this.onDisconnect = () -> {
-		};
+		this.handled = HandledRequest.ENDED;
+		this.server.openRequests().remove(this);
 		if (close) {
 			this.discarding = true;
 			return;
@@ -222,9 +234,10 @@
 		this.body.reset();
 		this.reply = new ChannelReply(this, request);
 		ChannelReply current = this.reply;
-		Runnable disconnectTask = this.server.requests().handle(parsed, current);
+		this.server.openRequests().add(this);
+		HandledRequest taken = this.server.requests().handle(parsed, current);
 		if (this.reply == current) {
-			this.onDisconnect = disconnectTask;
+			this.handled = taken;
 		}
 	}
 
@@ -237,7 +250,7 @@
 
 	private void startTimer(Duration limit, Runnable task) {
 		this.timer.cancel();
-		this.timer = this.server.loop().schedule(limit, task);
+		this.timer = this.server.scheduler().schedule(limit, task);
 	}
 
 	private void headerTimedOut() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.request.CallerRequestHandler;
+import org.bramleyscale.internal.gateway.request.OpenRequests;
+import org.bramleyscale.internal.time.Scheduler;
 
 /**
  * Accepts connections from callers.
@@ -36,7 +38,9 @@
 	 */
 	private static final int BACKLOG = 1_024;
 
-	private final NettyLoop loop;
+	private final Scheduler scheduler;
+
+	private final OpenRequests openRequests;
 
 	private final CallerRequestHandler requests;
 
@@ -52,14 +56,16 @@
 
 	/**
 	 * Creates a server that doesn't listen yet.
-	 * @param loop the daemon's loop
+	 * @param scheduler the daemon's scheduler
+	 * @param openRequests records the requests that aren't answered yet
 	 * @param requests handles the requests
 	 * @param dialect reads the requests
 	 * @param limits the limits in force
 	 */
-	public CallerServer(NettyLoop loop, CallerRequestHandler requests, WireDialect dialect,
-			Supplier<CallerLimits> limits) {
-		this.loop = loop;
+	public CallerServer(Scheduler scheduler, OpenRequests openRequests, CallerRequestHandler requests,
+			WireDialect dialect, Supplier<CallerLimits> limits) {
+		this.scheduler = scheduler;
+		this.openRequests = openRequests;
 		this.requests = requests;
 		this.dialect = dialect;
 		this.limits = limits;
@@ -67,12 +73,13 @@
 
 	/**
 	 * Starts to listen.
+	 * @param loop the scheduler's loop
 	 * @param address the address
 	 * @throws IOException if the address can't be bound
 	 */
-	public void listen(InetSocketAddress address) throws IOException {
-		ChannelFuture bound = new ServerBootstrap().group(this.loop.group())
-			.channel(this.loop.serverChannel())
+	public void listen(NettyLoop loop, InetSocketAddress address) throws IOException {
+		ChannelFuture bound = new ServerBootstrap().group(loop.group())
+			.channel(loop.serverChannel())
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -133,15 +140,23 @@
 		return this.limits.get();
 	}
 
-	NettyLoop loop() {
-		return this.loop;
+	Scheduler scheduler() {
+		return this.scheduler;
+	}
+
+	OpenRequests openRequests() {
+		return this.openRequests;
 	}
 
 	void channelClosed(CallerChannel channel) {
 		this.channels.remove(channel);
 	}
 
-	private void accept(Channel channel) {
+	/**
+	 * Serves a connection that has been accepted.
+	 * @param channel the connection
+	 */
+	public void accept(Channel channel) {
 		CallerChannel caller = new CallerChannel(this, channel);
 		this.channels.add(caller);
 		// The decoder's limits for the request line and for the headers are separate.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -57,6 +57,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.OpenRequests;
 import org.bramleyscale.internal.gateway.request.StartupQueue;
 import org.bramleyscale.internal.gateway.retry.FleetConstantShare;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
@@ -127,7 +128,7 @@
 
 	private final EntryList entries;
 
-	private final GatewayService service;
+	private final OpenRequests openRequests = new OpenRequests();
 
 	private final CallerServer callers;
 
@@ -233,18 +234,18 @@
 				notices, this.health, paths, this.loads, demands, contention, retryBudget(holderFleet), rules,
 				this.limits, this.crashes, holds, this.loadExchange::sendUpdate, log,
 				new GatewayMetrics(dependencies.metrics()));
-		this.service = new GatewayService(ports, this.catalogs, this::accepts, this.random);
-		StartupQueue requests = new StartupQueue(loop, this::configured, this.service);
-		this.callers = new CallerServer(loop, requests, dependencies.dialect(),
+		GatewayService service = new GatewayService(ports, this.catalogs, this::accepts, this.random);
+		StartupQueue requests = new StartupQueue(loop, this::configured, service);
+		this.callers = new CallerServer(loop, this.openRequests, requests, dependencies.dialect(),
 				() -> this.catalogs.current().map(Catalog::limits).orElse(CallerLimits.DEFAULT));
 		this.status = new FleetStatus(this.membership, this.backends, this.health, this.loads, this.catalogs,
 				this::isEvacuated);
 		this.leave = new LeaveSequence(loop, settings,
-				new LeaveActions(this.callers, this.membership, this.service, onStopped), log);
+				new LeaveActions(this.callers, this.membership, this.openRequests, onStopped), log);
 		dependencies.metrics().gauge("gateway.connections.callers", () -> this.callers::connections);
 		dependencies.metrics().gauge("gateway.connections.opened", () -> connections::openedCount);
 		dependencies.metrics().gauge("gateway.connections.reused", () -> connections::reusedCount);
-		dependencies.metrics().gauge("gateway.unfinished", () -> this.service::activeRequestCount);
+		dependencies.metrics().gauge("gateway.unfinished", () -> this.openRequests::count);
 	}
 
 	/**
@@ -268,7 +269,7 @@
 	 * @throws Exception if an address can't be used
 	 */
 	public void start() throws Exception {
-		this.callers.listen(this.settings.callers());
+		this.callers.listen(this.dependencies.loop(), this.settings.callers());
 		this.network.start(this.directory);
 		CompletableFuture.runAsync(this::startComponents, this.dependencies.loop()::execute).get();
 	}
@@ -341,7 +342,7 @@
 		state.put("routes", this.catalogs.current().map(Catalog::routeCount).orElse(0));
 		state.put("regions", this.settings.features().regions().regions().toString());
 		state.put("storeSilentMillis", this.backendFollower.silence().toMillis());
-		state.put("unfinished", this.service.activeRequestCount());
+		state.put("unfinished", this.openRequests.count());
 		state.put("endpoints", this.backends.all().stream().map(Object::toString).sorted().toList());
 		state.put("addresses", addresses());
 		this.evacuated.ifPresent((evacuations) -> state.put("evacuations", evacuations.dump()));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveActions.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveActions.java
@@ -1,7 +1,9 @@
 package org.bramleyscale.internal.gateway.node;
 
+import java.time.Duration;
+
 import org.bramleyscale.internal.gateway.http.CallerServer;
-import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.OpenRequests;
 import org.bramleyscale.internal.membership.MembershipService;
 
 /**
@@ -10,10 +12,10 @@
  *
  * @param callers the connections of callers
  * @param membership announces the stop to peers
- * @param service the active requests
+ * @param requests the open requests of callers
  * @param onStopped called once the stop is complete
  */
-record LeaveActions(CallerServer callers, MembershipService membership, GatewayService service,
+record LeaveActions(CallerServer callers, MembershipService membership, OpenRequests requests,
 		Runnable onStopped) implements LeaveSequence.Actions {
 
 	@Override
@@ -23,8 +25,8 @@
 	}
 
 	@Override
-	public int activeRequestCount() {
-		return this.service.activeRequestCount();
+	public int openRequestCount() {
+		return this.requests.count();
 	}
 
 	@Override
@@ -32,6 +34,16 @@
 		return this.callers.connections();
 	}
 
+	@Override
+	public void daemonStops(Duration untilExit) {
+		this.requests.daemonStops(untilExit);
+	}
+
+	@Override
+	public void daemonExits() {
+		this.requests.daemonExits();
+	}
+
 	@Override
 	public void end() {
 		this.callers.closeIdle();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
@@ -14,8 +14,10 @@
  * until callers that kept an old answer have queried again, then accepts no new
  * connections, and exits with the last request. Callers use open connections until the
  * process has exited; a late request on one of them is accepted only if it ends before
- * the process. Invariant: the stop ends before the platform would kill the process.
- * Confined to the scheduler's thread.
+ * the process. Requests that still wait are refused in time for their callers to go
+ * elsewhere. Invariants: the stop ends once no request is open or its time is up; each
+ * request that is open then gets its end before the process exits; the stop ends before
+ * the platform would kill the process. Confined to the scheduler's thread.
  */
 final class LeaveSequence {
 
@@ -29,6 +31,9 @@
 
 	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
+	/** The part of {@link #EXIT_MARGIN} that the end of the process itself may take. */
+	private static final Duration KILL_MARGIN = Duration.ofMillis(300);
+
 	private final Scheduler scheduler;
 
 	private final GatewaySettings settings;
@@ -41,6 +46,8 @@
 
 	private boolean begun;
 
+	private boolean timeIsUp;
+
 	private Cancellable checks = () -> {
 	};
 
@@ -60,7 +67,7 @@
 		}
 		this.begun = true;
 		this.begunAt = this.scheduler.nanos();
-		this.log.daemon("stop", "unfinished", this.actions.activeRequestCount(), "connections",
+		this.log.daemon("stop", "unfinished", this.actions.openRequestCount(), "connections",
 				this.actions.connections());
 		this.actions.announce();
 		this.checks = this.scheduler.repeat(CHECK_INTERVAL, this::check);
@@ -97,12 +104,21 @@
 
 	private void check() {
 		Duration elapsed = elapsed();
+		if (!this.timeIsUp && elapsed.compareTo(maxDuration()) > 0) {
+			this.timeIsUp = true;
+			this.log.daemon("time is up", "unfinished", this.actions.openRequestCount(), "after_ms",
+					elapsed.toMillis());
+			this.actions.daemonExits();
+		}
+		else if (!this.timeIsUp) {
+			this.actions.daemonStops(maxDuration().minus(elapsed));
+		}
 		boolean idle = elapsed.compareTo(addressRetention().plus(CHECK_INTERVAL)) > 0
-				&& this.actions.activeRequestCount() == 0;
-		boolean expired = elapsed.compareTo(maxDuration()) > 0;
+				&& this.actions.openRequestCount() == 0;
+		boolean expired = elapsed.compareTo(this.settings.grace().minus(KILL_MARGIN)) > 0;
 		if (expired || idle) {
 			this.checks.cancel();
-			this.log.daemon("end", "unfinished", this.actions.activeRequestCount(), "after_ms", elapsed.toMillis());
+			this.log.daemon("end", "unfinished", this.actions.openRequestCount(), "after_ms", elapsed.toMillis());
 			this.actions.end();
 		}
 	}
@@ -115,10 +131,19 @@
 		/** Announces the stop to peers and callers. */
 		void announce();
 
-		int activeRequestCount();
+		int openRequestCount();
 
 		int connections();
 
+		/**
+		 * Refuses the requests that would wait for too long.
+		 * @param untilExit the time until the daemon exits
+		 */
+		void daemonStops(Duration untilExit);
+
+		/** Ends the requests that are still open. */
+		void daemonExits();
+
 		/** Closes idle connections and ends the process. */
 		void end();
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequestHandler.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequestHandler.java
@@ -12,8 +12,8 @@
 	 * Handles a request.
 	 * @param request the request
 	 * @param reply the response to the caller, used once
-	 * @return the task to run when the caller disconnects
+	 * @return the request
 	 */
-	Runnable handle(CallerRequest request, CallerReply reply);
+	HandledRequest handle(CallerRequest request, CallerReply reply);
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -1,10 +1,8 @@
 package org.bramleyscale.internal.gateway.request;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -27,7 +25,7 @@
 	/**
 	 * Another daemon can be tried at once; with zero, no retry time would be sent at all.
 	 */
-	private static final Duration LEAVING_RETRY_AFTER = Duration.ofMillis(10);
+	static final Duration LEAVING_RETRY_AFTER = Duration.ofMillis(10);
 
 	/** A daemon obtains the catalog within a second of its start. */
 	private static final Duration NO_CATALOG_RETRY_AFTER = Duration.ofMillis(500);
@@ -46,8 +44,6 @@
 
 	private final Predicate<Duration> admits;
 
-	private final Set<RelayedRequest> activeRequests = new HashSet<>();
-
 	/**
 	 * Creates the service.
 	 * @param ports the dependencies of requests
@@ -65,7 +61,7 @@
 	}
 
 	@Override
-	public Runnable handle(CallerRequest request, CallerReply reply) {
+	public HandledRequest handle(CallerRequest request, CallerReply reply) {
 		Catalog catalog = this.catalogs.current().orElse(null);
 		if (catalog == null) {
 			return refuse(request, reply, UNAVAILABLE, "no configuration yet", NO_CATALOG_RETRY_AFTER, 0);
@@ -83,18 +79,9 @@
 		}
 		Service service = chooseService(catalog, route.get());
 		RelayedRequest relayed = new RelayedRequest(this.ports, request, reply,
-				new ResolvedRoute(route.get(), service, account, catalog.version()), this.activeRequests::remove);
-		this.activeRequests.add(relayed);
+				new ResolvedRoute(route.get(), service, account, catalog.version()));
 		relayed.start();
-		return relayed::callerDisconnected;
-	}
-
-	/**
-	 * Returns the number of requests that haven't ended.
-	 * @return the number
-	 */
-	public int activeRequestCount() {
-		return this.activeRequests.size();
+		return relayed;
 	}
 
 	/**
@@ -120,15 +107,14 @@
 		return catalog.service(share.service()).orElseGet(() -> new Service(share.service(), 1, Optional.empty()));
 	}
 
-	private Runnable refuse(CallerRequest request, CallerReply reply, int status, String reason, Duration retryAfter,
-			long version) {
+	private HandledRequest refuse(CallerRequest request, CallerReply reply, int status, String reason,
+			Duration retryAfter, long version) {
 		this.ports.log()
 			.request(request.id(), "refused", "status", status, "reason", reason, "catalog", version, "host",
 					request.host(), "path", request.path());
 		this.ports.metrics().requestEnded("refused");
 		reply.sendOwnResponse(status, reason, retryAfter);
-		return () -> {
-		};
+		return HandledRequest.ENDED;
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointNotice;
@@ -28,7 +27,7 @@
  * conditions; a stream that moves to another endpoint resumes after its last complete
  * event. Confined to the scheduler's thread.
  */
-final class RelayedRequest {
+final class RelayedRequest implements HandledRequest {
 
 	private static final int UNAVAILABLE = 503;
 
@@ -59,8 +58,6 @@
 
 	private final ResolvedRoute resolved;
 
-	private final Consumer<RelayedRequest> onEnd;
-
 	private final RequestTimes times;
 
 	private final boolean longPrompt;
@@ -75,6 +72,8 @@
 
 	private final RetryState retryState;
 
+	private final StopLimit stopLimit;
+
 	private boolean finished;
 
 	private final RelayedStream stream;
@@ -84,13 +83,11 @@
 	private Cancellable deadlineTimer = () -> {
 	};
 
-	RelayedRequest(GatewayPorts ports, CallerRequest request, CallerReply reply, ResolvedRoute resolved,
-			Consumer<RelayedRequest> onEnd) {
+	RelayedRequest(GatewayPorts ports, CallerRequest request, CallerReply reply, ResolvedRoute resolved) {
 		this.ports = ports;
 		this.request = request;
 		this.reply = reply;
 		this.resolved = resolved;
-		this.onEnd = onEnd;
 		this.times = new RequestTimes(ports.scheduler(), request, resolved.route());
 		this.longPrompt = resolved.isLong(request.promptTokens());
 		this.stream = new RelayedStream(reply, request.lastEventId().orElse(null));
@@ -100,6 +97,7 @@
 		RequestDigest digest = resolved.digest(request);
 		this.log = new RequestLog(ports.log(), request, digest);
 		this.retryState = new RetryState(ports.retryBudget(), resolved, this::retryDecided);
+		this.stopLimit = new StopLimit(resolved.answerTime(request));
 		this.gate = new SendGate(ports.scheduler(), ports.crashes(), resolved.crashCauses(request, digest),
 				(reason, retryAfter) -> giveUp(UNAVAILABLE, reason, retryAfter));
 	}
@@ -118,14 +116,30 @@
 	}
 
 	/**
-	 * Called when the caller has closed its connection: cancels the attempt in progress.
+	 * Cancels the attempt in progress.
 	 */
-	void callerDisconnected() {
+	@Override
+	public void callerDisconnected() {
 		if (!this.finished) {
 			finish("caller gone", "left", "ran", mayHaveRun() ? "unknown" : "no");
 		}
 	}
 
+	@Override
+	public void daemonStops(Duration untilExit) {
+		boolean waits = !this.finished && !this.stream.started() && !atEndpoint();
+		if (waits && this.stopLimit.reached(timeLeft(), untilExit)) {
+			giveUp(UNAVAILABLE, "daemon leaves", GatewayService.LEAVING_RETRY_AFTER);
+		}
+	}
+
+	@Override
+	public void daemonExits() {
+		if (!this.finished) {
+			giveUp(UNAVAILABLE, "daemon exits", GatewayService.LEAVING_RETRY_AFTER);
+		}
+	}
+
 	void send() {
 		if (timeLeft().compareTo(MIN_TIME_LEFT) < 0) {
 			deadlineExceeded();
@@ -430,8 +444,7 @@
 		if (this.finished) {
 			return;
 		}
-		boolean running = this.attempt != null && this.attempt.mayBeRunning();
-		giveUp(running ? GATEWAY_TIMEOUT : UNAVAILABLE, "time is over", Duration.ZERO);
+		giveUp(atEndpoint() ? GATEWAY_TIMEOUT : UNAVAILABLE, "time is over", Duration.ZERO);
 	}
 
 	/**
@@ -465,7 +478,11 @@
 	}
 
 	private boolean mayHaveRun() {
-		return this.retryState.mayHaveRun() || (this.attempt != null && this.attempt.mayBeRunning());
+		return this.retryState.mayHaveRun() || atEndpoint();
+	}
+
+	private boolean atEndpoint() {
+		return this.attempt != null && this.attempt.mayBeRunning();
 	}
 
 	private void finish(String decision, String outcome, Object... fields) {
@@ -484,7 +501,6 @@
 		this.ports.metrics().requestEnded(outcome);
 		this.log.ended(decision, this.resolved.route(), this.times.elapsed(), fields);
 		this.ports.contention().capacityMayBeFree();
-		this.onEnd.accept(this);
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/ResolvedRoute.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/ResolvedRoute.java
@@ -76,6 +76,21 @@
 				request.outputTokens());
 	}
 
+	/**
+	 * Returns how long the response to a request is expected to take once it is sent.
+	 * @param request the request
+	 * @return the target latency of its route and the time of its output, or the time on
+	 * one engine if that is shorter; for a service without engines the target latency
+	 */
+	Duration answerTime(CallerRequest request) {
+		Duration target = this.route.targetLatency();
+		if (this.service.engine().isEmpty()) {
+			return target;
+		}
+		double output = slotMillis(request) - prefillMillis(request.promptTokens());
+		return Duration.ofMillis(Math.round(Math.min(slotMillis(request), target.toMillis() + output)));
+	}
+
 	/**
 	 * Returns the digest of what stays the same when a request is repeated.
 	 * @param request the request
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/StartupQueue.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/StartupQueue.java
@@ -36,6 +36,8 @@
 	 */
 	private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
 
+	private static final int UNAVAILABLE = 503;
+
 	private final Scheduler scheduler;
 
 	private final BooleanSupplier ready;
@@ -62,7 +64,7 @@
 	}
 
 	@Override
-	public Runnable handle(CallerRequest request, CallerReply reply) {
+	public HandledRequest handle(CallerRequest request, CallerReply reply) {
 		if (checkOpen()) {
 			return this.next.handle(request, reply);
 		}
@@ -71,7 +73,7 @@
 		}
 		HeldRequest heldRequest = new HeldRequest(request, reply);
 		this.held.add(heldRequest);
-		return heldRequest::callerDisconnected;
+		return heldRequest;
 	}
 
 	private boolean checkOpen() {
@@ -94,7 +96,7 @@
 	/**
 	 * A request that is or was held.
 	 */
-	private final class HeldRequest {
+	private final class HeldRequest implements HandledRequest {
 
 		private final CallerRequest request;
 
@@ -102,10 +104,9 @@
 
 		private final long arrivedAt = StartupQueue.this.scheduler.nanos();
 
-		private boolean disconnected;
+		private boolean ended;
 
-		private Runnable onDisconnect = () -> {
-		};
+		private HandledRequest handled = HandledRequest.ENDED;
 
 		private HeldRequest(CallerRequest request, CallerReply reply) {
 			this.request = request;
@@ -113,15 +114,32 @@
 		}
 
 		private void pass() {
-			if (!this.disconnected) {
+			if (!this.ended) {
+				this.ended = true;
 				Duration waited = Duration.ofNanos(StartupQueue.this.scheduler.nanos() - this.arrivedAt);
-				this.onDisconnect = StartupQueue.this.next.handle(this.request.afterWaiting(waited), this.reply);
+				this.handled = StartupQueue.this.next.handle(this.request.afterWaiting(waited), this.reply);
 			}
 		}
 
-		private void callerDisconnected() {
-			this.disconnected = true;
-			this.onDisconnect.run();
+		@Override
+		public void callerDisconnected() {
+			this.ended = true;
+			this.handled.callerDisconnected();
+		}
+
+		@Override
+		public void daemonStops(Duration untilExit) {
+			// It is passed on soon, long before the daemon exits.
+			this.handled.daemonStops(untilExit);
+		}
+
+		@Override
+		public void daemonExits() {
+			if (!this.ended) {
+				this.ended = true;
+				this.reply.sendOwnResponse(UNAVAILABLE, "daemon exits", GatewayService.LEAVING_RETRY_AFTER);
+			}
+			this.handled.daemonExits();
 		}
 
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
@@ -35,6 +35,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.OpenRequests;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
 
 /**
@@ -81,13 +82,13 @@
 				EndpointLimits.NONE, CrashGuard.NONE,
 				new MemoryHolds(this.loop, null, (engine) -> false, (engine) -> true, "test", DecisionLog.NONE), () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
-		this.server = new CallerServer(this.loop,
+		this.server = new CallerServer(this.loop, new OpenRequests(),
 				new GatewayService(ports, catalogs, (timeLeft) -> true, new Random(1)), new PlainDialect(),
 				() -> LIMITS);
 		try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			this.port = free.getLocalPort();
 		}
-		this.server.listen(new InetSocketAddress("127.0.0.1", this.port));
+		this.server.listen(this.loop, new InetSocketAddress("127.0.0.1", this.port));
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
@@ -16,9 +16,10 @@
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 
 /**
- * A dialect with short header names for tests.
+ * A dialect with short header names for tests. Callers may send the id, the time left in
+ * milliseconds, the length of the prompt and that of the output.
  */
-final class PlainDialect implements WireDialect {
+public final class PlainDialect implements WireDialect {
 
 	@Override
 	public CallerRequest readRequest(HttpRequest head, byte[] body) throws BadRequestException {
@@ -27,7 +28,12 @@
 		}
 		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.uri(),
 				head.headers().get(HttpHeaderNames.HOST, ""), EndToEndHeaders.of(head.headers(), Set.of("key")), body,
-				Optional.empty(), Optional.of(Duration.ofSeconds(5)), 0, 0, Optional.empty(), List.of());
+				Optional.empty(), Optional.of(Duration.ofMillis(number(head, "Time-Left", 5_000))),
+				number(head, "Prompt", 0), number(head, "Output", 0), Optional.empty(), List.of());
+	}
+
+	private static int number(HttpRequest head, String name, int otherwise) {
+		return head.headers().getInt(name, otherwise);
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/LeaveSequenceTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/LeaveSequenceTests.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 
 import com.google.common.truth.Truth;
@@ -22,7 +23,14 @@
 
 	private final ManualScheduler scheduler = new ManualScheduler();
 
-	private int activeRequests;
+	private int openRequests;
+
+	/** The number of requests whose responses can't be written at the end. */
+	private int unwritten;
+
+	private final List<Long> untilExit = new ArrayList<>();
+
+	private int timeIsUp;
 
 	private int announced;
 
@@ -36,8 +44,8 @@
 
 	@ParameterizedTest
 	@CsvSource({ "0, 3000, 0", "0, 3300, 1", "1, 7200, 0", "1, 7500, 1" })
-	void endsOnceIdleAndBeforeItWouldBeKilled(int activeRequests, long millis, int ended) {
-		this.activeRequests = activeRequests;
+	void endsOnceIdleAndBeforeItWouldBeKilled(int openRequests, long millis, int ended) {
+		this.openRequests = openRequests;
 		this.leave.begin();
 		this.scheduler.advance(Duration.ofMillis(millis));
 		Truth.assertThat(this.ended).isEqualTo(ended);
@@ -51,12 +59,32 @@
 		// connection sends a streaming request six seconds after the stop began; the
 		// process exits 1.4 s later. Cause: requests were accepted until the last moment.
 		Truth.assertThat(this.leave.accepts(Duration.ofMillis(timeLeft))).isTrue();
-		this.activeRequests = 1;
+		this.openRequests = 1;
 		this.leave.begin();
 		this.scheduler.advance(Duration.ofMillis(millis));
 		Truth.assertThat(this.leave.accepts(Duration.ofMillis(timeLeft))).isEqualTo(accepted);
 	}
 
+	/** Guards against a process that ends before the responses to its last requests. */
+	@ParameterizedTest
+	@CsvSource({ "0, 7400, 1", "1, 7400, 0", "1, 7700, 0", "1, 7800, 1" })
+	void openRequestsAreEndedBeforeTheProcess(int unwritten, long millis, int ended) {
+		this.openRequests = 1;
+		this.unwritten = unwritten;
+		this.leave.begin();
+		this.scheduler.advance(Duration.ofMillis(millis));
+		Truth.assertThat(this.timeIsUp).isEqualTo(1);
+		Truth.assertThat(this.ended).isEqualTo(ended);
+	}
+
+	@Test
+	void openRequestsLearnTheTimeUntilTheExit() {
+		this.openRequests = 1;
+		this.leave.begin();
+		this.scheduler.advance(Duration.ofMillis(200));
+		Truth.assertThat(this.untilExit).containsExactly(7_200L, 7_100L).inOrder();
+	}
+
 	@Test
 	void announcesOnceAndEndsOnce() {
 		this.leave.begin();
@@ -72,8 +100,8 @@
 	}
 
 	@Override
-	public int activeRequestCount() {
-		return this.activeRequests;
+	public int openRequestCount() {
+		return this.openRequests;
 	}
 
 	@Override
@@ -81,6 +109,17 @@
 		return 0;
 	}
 
+	@Override
+	public void daemonStops(Duration untilExit) {
+		this.untilExit.add(untilExit.toMillis());
+	}
+
+	@Override
+	public void daemonExits() {
+		this.timeIsUp++;
+		this.openRequests = this.unwritten;
+	}
+
 	@Override
 	public void end() {
 		this.ended++;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/QueueTurnTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/QueueTurnTests.java
@@ -55,10 +55,10 @@
 		this.fixture.offerEngines(2, 1);
 		waitForever(1);
 		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
-		caller.onDisconnect.run();
+		caller.request.callerDisconnected();
 		this.fixture.scheduler.advance(Duration.ofSeconds(1));
 		Truth.assertThat(this.fixture.sent).isEmpty();
-		Truth.assertThat(this.fixture.service.activeRequestCount()).isEqualTo(0);
+		Truth.assertThat(this.fixture.endedRequests()).isEqualTo(1);
 	}
 
 	@Test
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.net.HostAndPort;
 import org.bramleyscale.ClientAccountId;
@@ -105,6 +106,8 @@
 
 	final CatalogHolder catalogs = new CatalogHolder();
 
+	private final MetricRegistry metrics = new MetricRegistry();
+
 	final GatewayService service;
 
 	/**
@@ -137,7 +140,7 @@
 				EndpointLimits.NONE, this.crashGuard, new MemoryHolds(this.scheduler, this.orders,
 						this.backends::hasRestarted, (engine) -> true, "entry-1", DecisionLog.NONE),
 				() -> {
-				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
+				}, DecisionLog.NONE, new GatewayMetrics(this.metrics));
 		this.service = new GatewayService(ports, this.catalogs, (timeLeft) -> timeLeft.compareTo(this.maxTimeLeft) <= 0,
 				random);
 		this.catalogs.offer(Catalog.builder(1)
@@ -184,18 +187,37 @@
 			.service(new Service(SERVICE, 9,
 					Optional.of(new EngineProfile(4, 200_000, 48, 2_048, 1.02, 0.002, 0.004, 206, 0.138))))
 			.route(route("stream", "/stream/").streaming(true).callerTimeout(Duration.ofSeconds(2)).build())
-			.route(route("other", "/other/").streaming(true).priority(otherPriority).build())
+			.route(route("other", "/other/").streaming(true)
+				.longestPause(Duration.ofMillis(250))
+				.priority(otherPriority)
+				.build())
 			.build());
 	}
 
 	RecordingCaller call(String path, Duration left) {
+		return call(path, left, 0, 0);
+	}
+
+	RecordingCaller call(String path, Duration left, long promptTokens, long outputTokens) {
 		RecordingCaller caller = new RecordingCaller();
 		CallerRequest request = new CallerRequest("r1", "POST", path, "hire.example", List.of(), new byte[0],
-				Optional.of("key"), Optional.of(left), 0, 0, Optional.empty(), List.of());
-		caller.onDisconnect = this.service.handle(request, caller);
+				Optional.of("key"), Optional.of(left), promptTokens, outputTokens, Optional.empty(), List.of());
+		caller.request = this.service.handle(request, caller);
 		return caller;
 	}
 
+	/**
+	 * Returns how many requests have ended.
+	 * @return the number, which counts a request that ended twice twice
+	 */
+	long endedRequests() {
+		return this.metrics.getCounters((name, metric) -> name.startsWith("gateway.requests."))
+			.values()
+			.stream()
+			.mapToLong(Counter::getCount)
+			.sum();
+	}
+
 	SentRequest last() {
 		return this.sent.get(this.sent.size() - 1);
 	}
@@ -331,7 +353,9 @@
 
 		Duration retryAfter = Duration.ZERO;
 
-		Runnable onDisconnect;
+		String reason = "";
+
+		HandledRequest request;
 
 		@Override
 		public void sendResponse(int status, List<Header> headers, byte[] body) {
@@ -342,6 +366,7 @@
 		public void sendOwnResponse(int status, String reason, Duration retryAfter) {
 			this.received.append("own ").append(status);
 			this.retryAfter = retryAfter;
+			this.reason = reason;
 		}
 
 		@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -28,7 +28,7 @@
 		RelayFixture.RecordingCaller caller = this.fixture.call(path);
 		this.fixture.last().respond(201, false, "body");
 		Truth.assertThat(caller.received.toString()).isEqualTo("201 body");
-		Truth.assertThat(this.fixture.service.activeRequestCount()).isEqualTo(0);
+		Truth.assertThat(this.fixture.endedRequests()).isEqualTo(1);
 	}
 
 	@ParameterizedTest
@@ -248,12 +248,12 @@
 		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1", Duration.ofSeconds(3));
 		this.fixture.scheduler.advance(Duration.ofMillis(1_000));
 		if (leaves) {
-			caller.onDisconnect.run();
+			caller.request.callerDisconnected();
 		}
 		this.fixture.scheduler.advance(Duration.ofSeconds(4));
 		Truth.assertThat(caller.received.toString()).isEqualTo(got);
 		Truth.assertThat(this.fixture.sent).isEmpty();
-		Truth.assertThat(this.fixture.service.activeRequestCount()).isEqualTo(0);
+		Truth.assertThat(this.fixture.endedRequests()).isEqualTo(1);
 	}
 
 	@ParameterizedTest
@@ -264,14 +264,14 @@
 		Truth.assertThat(this.fixture.sent).hasSize(sent);
 		Truth.assertThat(caller.received.toString()).isEqualTo(got);
 		Truth.assertThat(this.fixture.last().cancelled).isTrue();
-		Truth.assertThat(this.fixture.service.activeRequestCount()).isEqualTo(0);
+		Truth.assertThat(this.fixture.endedRequests()).isEqualTo(1);
 	}
 
 	@Test
 	void cancelsTheAttemptWhenTheCallerDisconnects() {
 		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
 		this.fixture.last().sendEvents(1, 1);
-		caller.onDisconnect.run();
+		caller.request.callerDisconnected();
 		Truth.assertThat(this.fixture.last().cancelled).isTrue();
 		Truth.assertThat(this.fixture.loads.load(this.fixture.last().to.start())).isEqualTo(EndpointLoad.IDLE);
 		this.fixture.last().listener.failed(true, "late");
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
@@ -56,24 +56,63 @@
 
 	@Test
 	void heldRequestOfADisconnectedCallerIsDropped() {
-		this.queue.handle(request("leaves"), null).run();
-		Runnable stays = this.queue.handle(request("stays"), null);
+		this.queue.handle(request("leaves"), null).callerDisconnected();
+		HandledRequest stays = this.queue.handle(request("stays"), null);
 		this.ready = true;
 		this.scheduler.advance(Duration.ofMillis(20));
 		Truth.assertThat(this.handled).containsExactly("stays");
-		stays.run();
+		stays.callerDisconnected();
 		Truth.assertThat(this.disconnected).containsExactly("stays");
 	}
 
+	/** Guards against a held request that gets no answer when its daemon exits. */
+	@Test
+	void heldRequestIsRefusedWhenTheDaemonExits() {
+		RelayFixture.RecordingCaller caller = new RelayFixture.RecordingCaller();
+		this.queue.handle(request("held"), caller).daemonExits();
+		this.ready = true;
+		this.scheduler.advance(Duration.ofMillis(20));
+		Truth.assertThat(caller.received.toString()).isEqualTo("own 503");
+		Truth.assertThat(this.handled).isEmpty();
+	}
+
 	private static CallerRequest request(String id) {
 		return new CallerRequest(id, "POST", "/quotes/1", "hire.example", List.of(), new byte[0], Optional.empty(),
 				Optional.of(Duration.ofSeconds(1)), 0, 0, Optional.empty(), List.of());
 	}
 
-	private Runnable handle(CallerRequest request, CallerReply reply) {
+	private HandledRequest handle(CallerRequest request, CallerReply reply) {
 		this.handled.add(request.id());
 		request.timeLeft().ifPresent(this.left::add);
-		return () -> this.disconnected.add(request.id());
+		return new RecordingRequest(request.id());
+	}
+
+	/**
+	 * Records that its caller has disconnected.
+	 */
+	private final class RecordingRequest implements HandledRequest {
+
+		private final String id;
+
+		private RecordingRequest(String id) {
+			this.id = id;
+		}
+
+		@Override
+		public void callerDisconnected() {
+			StartupQueueTests.this.disconnected.add(this.id);
+		}
+
+		@Override
+		public void daemonStops(Duration untilExit) {
+			// Only disconnects are of interest.
+		}
+
+		@Override
+		public void daemonExits() {
+			// Only disconnects are of interest.
+		}
+
 	}
 
 }
