Count requests from their first byte to the last byte of their response at a stop

What callers saw: bookings whose bodies were still arriving when their daemon was stopped were passed on to an endpoint, and their connection was closed 0.1 s later.

Cause: the stop asked for the number of dispatched requests only, and then ended the process 0.1 s later whatever had arrived meanwhile. A lost booking was sent on 3.18 s after SIGTERM, 10 ms after its last byte, at a daemon with nothing unfinished.

Change: a connection is among the open requests from the first byte of a head until the last byte of the response is on the wire, and of the responses to what is pipelined behind it; only the last of these asks to close. The process exits as soon as nothing is open, or 0.4 s before it would be killed. A body that is still arriving when time is up is refused as not run, on a connection that is closed only once its caller has read the refusal. A response that can't be written is aborted. The time that a request takes to arrive counts against its caller's time. A connection no longer keeps the buffer of its last body.

Found with it: requests pipelined behind one whose response asked to close were dropped.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -28,8 +29,10 @@
  * One caller's connection: reads one request at a time and dispatches it.
  *
  * <p>
- * Invariants: a request is dispatched only after the response to the previous one has
- * ended, so that responses stay in order; the number of pipelined messages is bounded.
+ * Invariants: a request is dispatched only after the response to the previous one is on
+ * the wire, so that responses stay in order; the connection is among the open requests
+ * from the first byte of a request until the last byte of the response to it, and to
+ * those pipelined behind it, is on the wire; the number of pipelined messages is bounded.
  * Confined to the loop's thread.
  */
 final class CallerChannel extends ChannelInboundHandlerAdapter implements OpenRequest {
@@ -47,16 +50,23 @@
 
 	private static final int TIMEOUT = 408;
 
+	private static final int UNAVAILABLE = 503;
+
+	/** How long a refused caller may go on sending while it reads the refusal. */
+	private static final Duration LINGER = Duration.ofSeconds(1);
+
 	private final CallerServer server;
 
 	private final Channel channel;
 
 	private final Deque<Object> pipelined = new ArrayDeque<>();
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
 	private HttpRequest head;
 
+	private long headAt;
+
 	private ChannelReply reply;
 
 	private HandledRequest handled = HandledRequest.ENDED;
@@ -76,6 +86,7 @@
 	void bytesArrived() {
 		if (this.reply == null && this.awaitingFirstByte) {
 			this.awaitingFirstByte = false;
+			this.server.openRequests().add(this);
 			startTimer(this.server.limits().headerTimeout(), this::headerTimedOut);
 		}
 	}
@@ -129,7 +140,15 @@
 
 	@Override
 	public void daemonExits() {
-		this.handled.daemonExits();
+		if (this.reply != null) {
+			this.handled.daemonExits();
+		}
+		else if (this.head != null) {
+			refuse(UNAVAILABLE);
+		}
+		else {
+			this.channel.close();
+		}
 	}
 
 	@Override
@@ -137,14 +156,26 @@
 		if (!(cause instanceof IOException)) {
 			logger.warn("Caller connection failed", cause);
 		}
+		if (this.reply != null) {
+			this.reply.abort();
+		}
 		context.close();
 	}
 
 	/**
-	 * Called when the response to the current request has ended.
+	 * Called when the whole response to the current request was handed to the connection.
+	 * @param abort ends the response if the caller doesn't read it
+	 */
+	void responseHandedOver(Runnable abort) {
+		startTimer(this.server.limits().idleTimeout(), abort);
+	}
+
+	/**
+	 * Called when the response to the current request is on the wire or was aborted.
 	 * @param close whether the connection ends with it
 	 */
 	void responseEnded(boolean close) {
+		this.timer.cancel();
 		this.reply = null;
 		this.handled = HandledRequest.ENDED;
 		this.server.openRequests().remove(this);
@@ -156,6 +187,7 @@
 		startTimer(this.server.limits().idleTimeout(), this::idleTimedOut);
 		while (this.reply == null && !this.discarding && !this.pipelined.isEmpty()) {
 			bytesArrived();
+			// The next request is owed an answer, too, although nothing more may arrive.
 			process(this.pipelined.poll());
 		}
 		this.channel.config().setAutoRead(true);
@@ -165,8 +197,13 @@
 		return this.channel;
 	}
 
-	boolean leaving() {
-		return this.server.leaving();
+	/**
+	 * Whether the connection ends with the current response. While requests are pipelined
+	 * behind it, it doesn't: they have been read.
+	 * @return true if the daemon leaves and nothing else was read
+	 */
+	boolean endsWithResponse() {
+		return this.server.leaving() && this.pipelined.isEmpty();
 	}
 
 	private void process(Object message) {
@@ -194,7 +231,8 @@
 			return;
 		}
 		this.head = request;
-		this.body.reset();
+		this.headAt = this.server.scheduler().nanos();
+		this.body = new ByteArrayOutputStream(Math.max(0, (int) HttpUtil.getContentLength(request, 0L)));
 		startTimer(this.server.bodyTimeout(), this::bodyTimedOut);
 		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -220,21 +258,23 @@
 
 	private void dispatch() {
 		HttpRequest request = this.head;
+		byte[] bytes = this.body.toByteArray();
 		this.head = null;
+		this.body = null;
 		this.timer.cancel();
 		CallerRequest parsed;
 		try {
-			parsed = this.server.dialect().readRequest(request, this.body.toByteArray());
+			parsed = this.server.dialect()
+				.readRequest(request, bytes)
+				.afterWaiting(Duration.ofNanos(this.server.scheduler().nanos() - this.headAt));
 		}
 		catch (WireDialect.BadRequestException ex) {
 			logger.debugf("Rejected a malformed request: %s", ex.getMessage());
 			refuse(BAD_REQUEST);
 			return;
 		}
-		this.body.reset();
 		this.reply = new ChannelReply(this, request);
 		ChannelReply current = this.reply;
-		this.server.openRequests().add(this);
 		HandledRequest taken = this.server.requests().handle(parsed, current);
 		if (this.reply == current) {
 			this.handled = taken;
@@ -244,8 +284,26 @@
 	private void refuse(int status) {
 		this.discarding = true;
 		this.head = null;
+		this.body = null;
 		this.timer.cancel();
-		ChannelReply.refuse(this.channel, status);
+		ChannelReply.refuse(this.channel, status).addListener((written) -> {
+			this.server.openRequests().remove(this);
+			closeOnceRead();
+		});
+	}
+
+	/**
+	 * Closes the connection to a caller that may still be sending. Closing it at once
+	 * would reset it, and the response might never be read.
+	 */
+	private void closeOnceRead() {
+		if (this.channel.isActive() && this.channel instanceof DuplexChannel duplex) {
+			duplex.shutdownOutput();
+			startTimer(LINGER, this.channel::close);
+		}
+		else {
+			this.channel.close();
+		}
 	}
 
 	private void startTimer(Duration limit, Runnable task) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -52,6 +52,8 @@
 
 	private boolean leaving;
 
+	private boolean closed;
+
 	private Channel server;
 
 	/**
@@ -110,6 +112,7 @@
 	 * Stops accepting connections and closes those without a request.
 	 */
 	public void closeIdle() {
+		this.closed = true;
 		if (this.server != null) {
 			this.server.close();
 		}
@@ -157,6 +160,10 @@
 	 * @param channel the connection
 	 */
 	public void accept(Channel channel) {
+		if (this.closed) {
+			channel.close();
+			return;
+		}
 		CallerChannel caller = new CallerChannel(this, channel);
 		this.channels.add(caller);
 		// The decoder's limits for the request line and for the headers are separate.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ChannelReply.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ChannelReply.java
@@ -8,7 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -26,17 +27,21 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.bramleyscale.internal.gateway.request.CallerReply;
 import org.bramleyscale.internal.gateway.request.Header;
+import org.jboss.logging.Logger;
 
 /**
  * The response on a caller's connection.
  *
  * <p>
- * Invariant: at most one response is written, and an aborted stream ends with a reset and
- * without its last chunk, so that it can't be taken for complete. Confined to the loop's
- * thread.
+ * Invariants: at most one response is written; an aborted one ends with a reset and
+ * without its last chunk, so that it can't be taken for complete; a response that can't
+ * be written is aborted; the caller's connection learns of the end only once the last
+ * byte is on the wire. Confined to the loop's thread.
  */
 final class ChannelReply implements CallerReply {
 
+	private static final Logger logger = Logger.getLogger(ChannelReply.class);
+
 	private static final double MILLIS_PER_SECOND = 1_000.0;
 
 	private final CallerChannel caller;
@@ -49,8 +54,14 @@
 
 	private final boolean chunked;
 
+	/** Whether no more of the response will be handed to the channel. */
 	private boolean finished;
 
+	/** Whether the response is on the wire, aborted, or its caller gone. */
+	private boolean ended;
+
+	private boolean closeAnnounced;
+
 	private Runnable writableCallback = () -> {
 	};
 
@@ -63,16 +74,17 @@
 	}
 
 	/**
-	 * Responds to a request that couldn't be read, and closes the connection.
-	 * @param channel the connection
+	 * Responds to a request that couldn't be read.
+	 * @param channel the connection, which the caller of this method closes afterwards
 	 * @param status the status
+	 * @return completes when the response is on the wire
 	 */
-	static void refuse(Channel channel, int status) {
+	static ChannelFuture refuse(Channel channel, int status) {
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(status));
 		HttpUtil.setContentLength(response, 0);
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		return channel.writeAndFlush(response);
 	}
 
 	@Override
@@ -140,24 +152,19 @@
 		if (this.finished) {
 			return;
 		}
-		this.finished = true;
-		boolean close = closesConnection() || !this.chunked;
-		var written = this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-		if (close) {
-			written.addListener(ChannelFutureListener.CLOSE);
-		}
-		this.caller.responseEnded(close);
+		boolean close = this.closeAnnounced || !this.chunked || closesConnection();
+		finish(LastHttpContent.EMPTY_LAST_CONTENT, close);
 	}
 
 	@Override
 	public void abort() {
-		if (!this.finished) {
+		if (!this.ended) {
 			this.finished = true;
 			// Zero linger turns the close into a reset, including for callers that read a
 			// body until its connection ends.
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 			this.channel.close();
-			this.caller.responseEnded(true);
+			end(true);
 		}
 	}
 
@@ -166,6 +173,7 @@
 	 */
 	void callerDisconnected() {
 		this.finished = true;
+		this.ended = true;
 	}
 
 	void channelWritable() {
@@ -173,21 +181,39 @@
 	}
 
 	private void finish(FullHttpResponse response) {
-		this.finished = true;
 		setConnectionHeader(response);
-		var written = this.channel.writeAndFlush(response);
-		if (closesConnection()) {
-			written.addListener(ChannelFutureListener.CLOSE);
-		}
-		this.caller.responseEnded(closesConnection());
+		finish(response, this.closeAnnounced);
+	}
+
+	private void finish(HttpObject last, boolean close) {
+		this.finished = true;
+		this.caller.responseHandedOver(this::abort);
+		this.channel.writeAndFlush(last).addListener((written) -> {
+			if (!written.isSuccess()) {
+				logger.debugf(written.cause(), "A response couldn't be written");
+				abort();
+			}
+			else if (!this.ended) {
+				if (close) {
+					this.channel.close();
+				}
+				end(close);
+			}
+		});
+	}
+
+	private void end(boolean close) {
+		this.ended = true;
+		this.caller.responseEnded(close);
 	}
 
 	private boolean closesConnection() {
-		return !this.keepAlive || this.caller.leaving();
+		return !this.keepAlive || this.caller.endsWithResponse();
 	}
 
 	private void setConnectionHeader(HttpMessage response) {
-		if (closesConnection()) {
+		this.closeAnnounced = closesConnection();
+		if (this.closeAnnounced) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
 		else if (!this.chunked) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/LeaveSequence.java
@@ -32,7 +32,7 @@
 	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
 	/** The part of {@link #EXIT_MARGIN} that the end of the process itself may take. */
-	private static final Duration KILL_MARGIN = Duration.ofMillis(300);
+	private static final Duration KILL_MARGIN = Duration.ofMillis(400);
 
 	private final Scheduler scheduler;
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerRequest.java
@@ -38,11 +38,11 @@
 	}
 
 	/**
-	 * Returns the same request after it has waited in this daemon.
-	 * @param waited how long it waited
+	 * Returns the same request after it has arrived slowly or waited in this daemon.
+	 * @param waited how long that took
 	 * @return the request with its time left reduced accordingly
 	 */
-	CallerRequest afterWaiting(Duration waited) {
+	public CallerRequest afterWaiting(Duration waited) {
 		return new CallerRequest(this.id, this.method, this.target, this.host, this.headers, this.body, this.key,
 				this.timeLeft.map((time) -> time.minus(waited)), this.promptTokens, this.outputTokens, this.lastEventId,
 				this.sharedParts);
