Abort a stream that its next endpoint answers otherwise, and give each reply one end

What callers saw: events of a stream, and then nothing until they left after 12 s: no event, no end, no closed connection.

Cause: a stream breaks off, is resumed at an endpoint that answers 500, and no further retry is granted. The whole answer was handed to the reply, whose encoder refuses a second head; nobody read the failure of the write; the reply counted as ended, and the time limit was cancelled. Evidence: the lines of such a stream end with "sent again", "sent" and, 34 ms later, "completed" with status 500.

Change: ReplyState says which step a response allows; an invalid one is refused, logged and turned into an abort. A whole answer to a stream that has begun aborts it. A request ends before its response is handed over, and its time limit ends with the response's end on the wire; a response that its caller hasn't read by then is aborted, and one that the connection aborts ends its request, which went on at its endpoint before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ChannelReply.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ChannelReply.java
@@ -27,6 +27,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.bramleyscale.internal.gateway.request.CallerReply;
 import org.bramleyscale.internal.gateway.request.Header;
+import org.bramleyscale.internal.gateway.request.ReplyState;
+import org.bramleyscale.internal.gateway.request.ReplyState.Step;
 import org.jboss.logging.Logger;
 
 /**
@@ -54,17 +56,16 @@
 
 	private final boolean chunked;
 
-	/** Whether no more of the response will be handed to the channel. */
-	private boolean finished;
-
-	/** Whether the response is on the wire, aborted, or its caller gone. */
-	private boolean ended;
+	private final ReplyState state = new ReplyState();
 
 	private boolean closeAnnounced;
 
 	private Runnable writableCallback = () -> {
 	};
 
+	private Runnable onEnd = () -> {
+	};
+
 	ChannelReply(CallerChannel caller, HttpRequest request) {
 		this.caller = caller;
 		this.channel = caller.channel();
@@ -89,7 +90,7 @@
 
 	@Override
 	public void sendResponse(int status, List<Header> headers, byte[] body) {
-		if (this.finished) {
+		if (!take(Step.RESPOND)) {
 			return;
 		}
 		ByteBuf content = this.headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body);
@@ -102,7 +103,7 @@
 
 	@Override
 	public void sendOwnResponse(int status, String reason, Duration retryAfter) {
-		if (this.finished) {
+		if (!take(Step.RESPOND)) {
 			return;
 		}
 		byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
@@ -121,7 +122,7 @@
 
 	@Override
 	public void startStream(int status, List<Header> headers) {
-		if (this.finished) {
+		if (!take(Step.START)) {
 			return;
 		}
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
@@ -135,7 +136,7 @@
 
 	@Override
 	public boolean write(byte[] data) {
-		if (this.finished) {
+		if (!take(Step.WRITE)) {
 			return true;
 		}
 		this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)), this.channel.voidPromise());
@@ -147,9 +148,14 @@
 		this.writableCallback = task;
 	}
 
+	@Override
+	public void onEnd(Runnable task) {
+		this.onEnd = task;
+	}
+
 	@Override
 	public void endStream() {
-		if (this.finished) {
+		if (!take(Step.COMPLETE)) {
 			return;
 		}
 		boolean close = this.closeAnnounced || !this.chunked || closesConnection();
@@ -158,8 +164,7 @@
 
 	@Override
 	public void abort() {
-		if (!this.ended) {
-			this.finished = true;
+		if (this.state.take(Step.ABORT) == ReplyState.Result.TAKEN) {
 			// Zero linger turns the close into a reset, including for callers that read a
 			// body until its connection ends.
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
@@ -172,8 +177,9 @@
 	 * Called when the caller has closed the connection.
 	 */
 	void callerDisconnected() {
-		this.finished = true;
-		this.ended = true;
+		if (this.state.take(Step.ABORT) == ReplyState.Result.TAKEN) {
+			this.onEnd.run();
+		}
 	}
 
 	void channelWritable() {
@@ -186,14 +192,13 @@
 	}
 
 	private void finish(HttpObject last, boolean close) {
-		this.finished = true;
 		this.caller.responseHandedOver(this::abort);
 		this.channel.writeAndFlush(last).addListener((written) -> {
 			if (!written.isSuccess()) {
 				logger.debugf(written.cause(), "A response couldn't be written");
 				abort();
 			}
-			else if (!this.ended) {
+			else if (this.state.take(Step.FLUSH) == ReplyState.Result.TAKEN) {
 				if (close) {
 					this.channel.close();
 				}
@@ -203,10 +208,26 @@
 	}
 
 	private void end(boolean close) {
-		this.ended = true;
+		this.onEnd.run();
 		this.caller.responseEnded(close);
 	}
 
+	/**
+	 * Takes a step of the response, or aborts a response that the step would make
+	 * invalid.
+	 * @param step the step
+	 * @return true if it was taken
+	 */
+	private boolean take(Step step) {
+		String before = this.state.toString();
+		ReplyState.Result result = this.state.take(step);
+		if (result == ReplyState.Result.ILLEGAL) {
+			logger.errorf("Aborted a response: %s in state %s", step, before);
+			abort();
+		}
+		return result == ReplyState.Result.TAKEN;
+	}
+
 	private boolean closesConnection() {
 		return !this.keepAlive || this.caller.endsWithResponse();
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerReply.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/CallerReply.java
@@ -7,8 +7,10 @@
  * The response to a caller: exactly one, sent whole or as a stream.
  *
  * <p>
- * Confined to the scheduler's thread. Calls after the end of the response, or after the
- * caller has disconnected, have no effect.
+ * Invariant: a response ends exactly once, on the wire or by an abort; a call that would
+ * make it invalid, such as a second head, aborts it. Confined to the scheduler's thread.
+ * Calls after the end of the response, or after the caller has disconnected, have no
+ * effect.
  */
 public interface CallerReply {
 
@@ -48,13 +50,21 @@
 	 */
 	void onWritable(Runnable task);
 
+	/**
+	 * Sets the task to run once the response is on the wire or aborted, or its caller has
+	 * disconnected.
+	 * @param task the task, run exactly once
+	 */
+	void onEnd(Runnable task);
+
 	/**
 	 * Completes the stream.
 	 */
 	void endStream();
 
 	/**
-	 * Aborts the stream in such a way that it can't be taken for complete.
+	 * Aborts the response, unless it is on the wire, in such a way that it can't be taken
+	 * for complete.
 	 */
 	void abort();
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -21,11 +21,11 @@
  * One relayed request from its arrival to its single response.
  *
  * <p>
- * Invariants: the caller gets exactly one final response, or its connection is aborted; a
- * request that may run at most once is resent only if it was never sent or if the
- * endpoint guarantees that it didn't run it; "not run" is reported only under the same
- * conditions; a stream that moves to another endpoint resumes after its last complete
- * event. Confined to the scheduler's thread.
+ * Invariants: the caller gets exactly one final response, or its connection is aborted;
+ * the time limit holds until that is on the wire; a request that may run at most once is
+ * resent only if it was never sent or if the endpoint guarantees that it didn't run it;
+ * "not run" is reported only under the same conditions; a stream that moves to another
+ * endpoint resumes after its last complete event. Confined to the scheduler's thread.
  */
 final class RelayedRequest implements HandledRequest {
 
@@ -112,14 +112,17 @@
 			}
 		}
 		this.deadlineTimer = this.ports.scheduler().schedule(timeLeft(), this::deadlineExceeded);
+		this.reply.onEnd(this::callerDisconnected);
 		send();
 	}
 
 	/**
-	 * Cancels the attempt in progress.
+	 * Cancels the attempt in progress. Also called when the response is on the wire or
+	 * can't get there.
 	 */
 	@Override
 	public void callerDisconnected() {
+		this.deadlineTimer.cancel();
 		if (!this.finished) {
 			finish("caller gone", "left", "ran", mayHaveRun() ? "unknown" : "no");
 		}
@@ -263,13 +266,18 @@
 			this.ports.health().failed(from.target().start());
 			responseInterrupted(from, "answer without signature");
 		}
+		else if (this.stream.started()) {
+			this.retryState.recordPossibleRun();
+			this.ports.health().answered(from.target().start(), head.failure());
+			giveUp(BAD_GATEWAY, "stream continued with status " + head.status(), Duration.ZERO);
+		}
 		else {
 			this.retryState.recordPossibleRun();
 			this.ports.health().answered(from.target().start(), head.failure());
-			this.reply.sendResponse(head.status(), head.headers(), body);
 			this.ports.metrics().recordResponse(this.times.elapsed().toNanos());
 			finish("completed", head.success() ? "completed" : "failed", "status", head.status(), "endpoint",
 					from.target().id(), "ended_by", from.endedBy());
+			this.reply.sendResponse(head.status(), head.headers(), body);
 		}
 	}
 
@@ -310,9 +318,9 @@
 		this.retryState.recordPossibleRun();
 		this.ports.health().served(from.target().start());
 		this.gate.responded(from, head);
-		this.stream.complete(head, rest);
 		finish("completed", "completed", "endpoint", from.target().id(), "last_event", this.stream.lastEventId(),
 				"ended_by", from.endedBy());
+		this.stream.complete(head, rest);
 	}
 
 	/**
@@ -442,6 +450,8 @@
 
 	private void deadlineExceeded() {
 		if (this.finished) {
+			this.log.unwritten(this.times.elapsed());
+			this.reply.abort();
 			return;
 		}
 		giveUp(atEndpoint() ? GATEWAY_TIMEOUT : UNAVAILABLE, "time is over", Duration.ZERO);
@@ -465,16 +475,16 @@
 	private void giveUp(int status, String reason, Duration retryAfter) {
 		boolean ran = mayHaveRun();
 		int reportedStatus = (ran && status == UNAVAILABLE) ? BAD_GATEWAY : status;
+		finish(ran ? "failed" : "refused", ran ? "failed" : "refused", "status", reportedStatus, "reason", reason,
+				"ran", ran ? "unknown" : "no", "retry_after_ms", retryAfter.toMillis(), "asked",
+				this.retryState.attempts(), "begun", this.stream.started(), "priority",
+				this.turn.map(QueueTurn::priority).orElse(null), "rank", this.turn.map(QueueTurn::rank).orElse(null));
 		if (this.stream.started()) {
 			this.reply.abort();
 		}
 		else {
 			this.reply.sendOwnResponse(reportedStatus, reason, retryAfter);
 		}
-		finish(ran ? "failed" : "refused", ran ? "failed" : "refused", "status", reportedStatus, "reason", reason,
-				"ran", ran ? "unknown" : "no", "retry_after_ms", retryAfter.toMillis(), "asked",
-				this.retryState.attempts(), "begun", this.stream.started(), "priority",
-				this.turn.map(QueueTurn::priority).orElse(null), "rank", this.turn.map(QueueTurn::rank).orElse(null));
 	}
 
 	private boolean mayHaveRun() {
@@ -487,7 +497,6 @@
 
 	private void finish(String decision, String outcome, Object... fields) {
 		this.finished = true;
-		this.deadlineTimer.cancel();
 		this.deferral.end();
 		this.turn.ifPresent(QueueTurn::end);
 		this.gate.close();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
@@ -97,6 +97,14 @@
 				usage.retries(), "pending", usage.pending(), "share", usage.share(), "age_ms", usage.age().toMillis());
 	}
 
+	/**
+	 * Logs that the response is aborted, since its caller hasn't read it in time.
+	 * @param elapsed the time since its arrival
+	 */
+	void unwritten(Duration elapsed) {
+		write("not read in time", "after_ms", elapsed.toMillis());
+	}
+
 	/**
 	 * Logs the end of the request.
 	 * @param decision how it ended
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedCaller.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedCaller.java
@@ -13,6 +13,9 @@
 
 	private String response = "";
 
+	private Runnable onEnd = () -> {
+	};
+
 	private String reason = "";
 
 	private Duration retryAfter = Duration.ZERO;
@@ -45,6 +48,7 @@
 	@Override
 	public void sendResponse(int status, List<Header> headers, byte[] body) {
 		this.response += status;
+		this.onEnd.run();
 	}
 
 	@Override
@@ -52,6 +56,7 @@
 		this.response += "own " + status;
 		this.reason = reason;
 		this.retryAfter = pause;
+		this.onEnd.run();
 	}
 
 	@Override
@@ -69,6 +74,12 @@
 		throw new UnsupportedOperationException();
 	}
 
+	@Override
+	public void onEnd(Runnable task) {
+		// Each response is on the wire at once.
+		this.onEnd = task;
+	}
+
 	@Override
 	public void endStream() {
 		throw new UnsupportedOperationException();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseEndTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseEndTests.java
@@ -86,6 +86,20 @@
 		Truth.assertThat(reception.body()).isEqualTo(FIRST);
 	}
 
+	/**
+	 * Guards against a stream that is left open when its second endpoint doesn't continue
+	 * it.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "500 Internal Server Error, 1.1", "500 Internal Server Error, 1.0", "404 Not Found, 1.1",
+			"200 OK, 1.1", "200 OK, 1.0", "204 No Content, 1.1", "304 Not Modified, 1.1" })
+	void streamThatIsContinuedByAWholeResponseIsAborted(String status, String version) throws IOException {
+		String second = "HTTP/1.1 " + status + "\r\nSignature: s\r\nContent-Length: 0\r\n\r\n!close";
+		Reception reception = receive("resumable", version, List.of(Framing.NONE.stream(FIRST, 0) + "!reset", second));
+		Truth.assertThat(reception.complete()).isFalse();
+		Truth.assertThat(reception.body()).isEqualTo(FIRST);
+	}
+
 	/**
 	 * Guards against taking a stream that was broken off at its start for an empty one.
 	 */
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RecordingCaller.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RecordingCaller.java
@@ -14,14 +14,19 @@
 	/** The status and, for a refusal, the reason; empty while the request runs. */
 	String outcome = "";
 
+	private Runnable onEnd = () -> {
+	};
+
 	@Override
 	public void sendResponse(int status, List<Header> headers, byte[] body) {
 		this.outcome = String.valueOf(status);
+		this.onEnd.run();
 	}
 
 	@Override
 	public void sendOwnResponse(int status, String reason, Duration retryAfter) {
 		this.outcome = status + " " + reason;
+		this.onEnd.run();
 	}
 
 	@Override
@@ -39,14 +44,22 @@
 		// This caller always reads.
 	}
 
+	@Override
+	public void onEnd(Runnable task) {
+		// Each response is on the wire at once.
+		this.onEnd = task;
+	}
+
 	@Override
 	public void endStream() {
 		this.outcome = "200";
+		this.onEnd.run();
 	}
 
 	@Override
 	public void abort() {
 		this.outcome = "aborted";
+		this.onEnd.run();
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -357,13 +357,20 @@
 
 		HandledRequest request;
 
+		private final ReplyState state = new ReplyState();
+
+		private Runnable onEnd = () -> {
+		};
+
 		@Override
 		public void sendResponse(int status, List<Header> headers, byte[] body) {
+			take(ReplyState.Step.RESPOND);
 			this.received.append(status).append(' ').append(new String(body, StandardCharsets.UTF_8));
 		}
 
 		@Override
 		public void sendOwnResponse(int status, String reason, Duration retryAfter) {
+			take(ReplyState.Step.RESPOND);
 			this.received.append("own ").append(status);
 			this.retryAfter = retryAfter;
 			this.reason = reason;
@@ -371,11 +378,13 @@
 
 		@Override
 		public void startStream(int status, List<Header> headers) {
+			take(ReplyState.Step.START);
 			this.received.append("begin").append(headers.isEmpty() ? "" : " " + headers.get(0).value());
 		}
 
 		@Override
 		public boolean write(byte[] data) {
+			take(ReplyState.Step.WRITE);
 			String event = new String(data, StandardCharsets.UTF_8);
 			this.received.append(' ')
 				.append(event.startsWith("id: ") ? event.substring(4, event.indexOf('\n')) : event);
@@ -387,14 +396,46 @@
 			// This caller always reads.
 		}
 
+		@Override
+		public void onEnd(Runnable task) {
+			this.onEnd = task;
+		}
+
 		@Override
 		public void endStream() {
+			take(ReplyState.Step.COMPLETE);
 			this.received.append(" end");
 		}
 
 		@Override
 		public void abort() {
-			this.received.append(" abort");
+			if (this.state.take(ReplyState.Step.ABORT) == ReplyState.Result.TAKEN) {
+				this.received.append(" abort");
+				this.onEnd.run();
+			}
+		}
+
+		/** Whether the response is on the wire or aborted. */
+		boolean ended() {
+			return this.state.ended();
+		}
+
+		/** Whether the whole response was sent and may be on its way. */
+		boolean handedOver() {
+			return !this.state.ended() && this.received.toString().matches("(?s)(own|\\d{3}) .*|.* end");
+		}
+
+		/** The last byte of the response is on the wire. */
+		void flush() {
+			take(ReplyState.Step.FLUSH);
+			this.onEnd.run();
+		}
+
+		private void take(ReplyState.Step step) {
+			ReplyState.Result result = this.state.take(step);
+			if (result != ReplyState.Result.TAKEN) {
+				this.received.append(' ').append(result).append(' ').append(step).append(' ');
+			}
 		}
 
 	}
