Bound what all requests together hold and skip of endpoints' responses

Cause: a bound of 16 MiB for each attempt and none for all together; interim responses, responses to other requests and bodies whose heads decide already were read to their end; a chunk of one byte cost an object.

Change: HeldBytes is the one account of what requests hold of responses, 16 MiB or a sixth of the heap; whoever holds the most gives way. Refusals and successes without signature are decided by their heads and the rest is skipped, up to 1 MiB and 1 s; so are interim responses after the eighth, and responses to other requests without an end of their own. Bodies are held in blocks, and each byte of an event is searched once.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
@@ -60,6 +60,12 @@
 		}
 	}
 
+	@Override
+	public void skipRest() {
+		this.finished = true;
+		this.channel.skipRest();
+	}
+
 	@Override
 	public void setReading(boolean on) {
 		if (this.channel != null && !this.finished) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.internal.gateway.http;
 
 import java.io.IOException;
+import java.time.Duration;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,7 +23,9 @@
  * of the next one. A response to another request is dropped, the right one is awaited,
  * and the connection isn't reused. A response without a length ends with its connection,
  * and only if it was the endpoint that closed it in an orderly way; a reset, and closing
- * the connection on this side, break the response off. Confined to the loop's thread.
+ * the connection on this side, break the response off. Invariant: what nobody needs
+ * (interim responses, responses to other requests, the rest of one that was skipped) is
+ * read only up to a bound, since it may have no end. Confined to the loop's thread.
  */
 final class BackendChannel extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -30,6 +33,18 @@
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
+	/** A sound endpoint sends one interim response at most, to 100-continue. */
+	private static final int MAX_INTERIM_RESPONSES = 8;
+
+	/** Bytes that are read and dropped for the sake of one call. */
+	private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
+	/** What a chunk counts at least, since each costs time however short it is. */
+	private static final int MIN_CHUNK_BYTES = 64;
+
+	/** How long the rest of a response may take to arrive that nobody needs. */
+	private static final Duration MAX_SKIP_TIME = Duration.ofSeconds(1);
+
 	private final BackendConnectionPool connections;
 
 	private final EndpointStart endpoint;
@@ -48,6 +63,10 @@
 
 	private boolean interim;
 
+	private int interimResponses;
+
+	private int skippedBytes;
+
 	private boolean reusable = true;
 
 	private String failure;
@@ -77,6 +96,8 @@
 			return;
 		}
 		this.call = call;
+		this.interimResponses = 0;
+		this.skippedBytes = 0;
 		call.assignChannel(this);
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
 			if (!future.isSuccess()) {
@@ -86,6 +107,23 @@
 		});
 	}
 
+	/**
+	 * Reads the rest of the response without a listener, if it is short.
+	 */
+	void skipRest() {
+		if (!this.delimited) {
+			close();
+			return;
+		}
+		BackendCall skipped = this.call;
+		this.channel.config().setAutoRead(true);
+		this.connections.afterSkip(MAX_SKIP_TIME, () -> {
+			if (this.call == skipped) {
+				close();
+			}
+		});
+	}
+
 	boolean isReusable() {
 		return this.reusable && this.call == null && this.channel.isActive() && !this.input.ended();
 	}
@@ -146,6 +184,10 @@
 	private void startResponse(HttpResponse head) {
 		this.interim = head.status().code() < FIRST_FINAL_STATUS;
 		if (this.interim) {
+			this.interimResponses++;
+			if (this.interimResponses > MAX_INTERIM_RESPONSES) {
+				fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+			}
 			return;
 		}
 		this.unmatched = this.call == null || !this.call.matches(head);
@@ -156,6 +198,9 @@
 			if (this.call == null) {
 				close();
 			}
+			else if (!ResponseFraming.isDelimited(head, this.call.headOnly())) {
+				fail("a response to another request without end");
+			}
 			return;
 		}
 		this.inResponse = true;
@@ -165,13 +210,16 @@
 	}
 
 	private void forward(HttpContent content) {
-		if (this.interim || this.unmatched || this.call == null || !this.inResponse) {
-			return;
-		}
 		if (this.failure != null) {
 			return;
 		}
 		int length = content.content().readableBytes();
+		if (this.unmatched || (this.call != null && this.call.finished())) {
+			skip(length);
+		}
+		if (this.interim || this.unmatched || this.call == null || !this.inResponse) {
+			return;
+		}
 		if (length > 0) {
 			byte[] data = new byte[length];
 			content.content().readBytes(data);
@@ -191,6 +239,18 @@
 		}
 	}
 
+	private void skip(int length) {
+		this.skippedBytes += Math.max(MIN_CHUNK_BYTES, length);
+		if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+			fail("more than " + MAX_SKIPPED_BYTES + " bytes that belong to no response");
+		}
+	}
+
+	private void fail(String cause) {
+		this.failure = cause;
+		close();
+	}
+
 	private void release() {
 		if (isReusable()) {
 			this.channel.config().setAutoRead(true);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -160,6 +160,10 @@
 		this.loop.schedule(IDLE_TIMEOUT, channel::closeIfIdle);
 	}
 
+	void afterSkip(Duration limit, Runnable task) {
+		this.loop.schedule(limit, task);
+	}
+
 	void remove(EndpointStart start, BackendChannel channel) {
 		Deque<BackendChannel> channels = this.idle.get(start);
 		if (channels != null && channels.remove(channel) && channels.isEmpty()) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -39,7 +39,8 @@
  */
 public final class JsonClient {
 
-	private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+	/** Lists have 1 MB at most; the rest allows for their encoding. */
+	private static final int MAX_LIST_BYTES = 4 * 1024 * 1024;
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
@@ -49,11 +50,29 @@
 
 	private final HostAndPort address;
 
+	private final int maxResponseBytes;
+
 	private final Deque<Connection> idle = new ArrayDeque<>();
 
+	/**
+	 * Creates a client of a server that sends lists.
+	 * @param loop the daemon's loop
+	 * @param address the server
+	 */
 	public JsonClient(NettyLoop loop, HostAndPort address) {
+		this(loop, address, MAX_LIST_BYTES);
+	}
+
+	/**
+	 * Creates a client without connections.
+	 * @param loop the daemon's loop
+	 * @param address the server
+	 * @param maxResponseBytes the size above which a response is a failure
+	 */
+	public JsonClient(NettyLoop loop, HostAndPort address, int maxResponseBytes) {
 		this.loop = loop;
 		this.address = address;
+		this.maxResponseBytes = maxResponseBytes;
 	}
 
 	/**
@@ -110,7 +129,7 @@
 						.addLast(input)
 						.addLast(new HttpClientCodec())
 						.addLast(new WholeResponseFilter(input))
-						.addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+						.addLast(new HttpObjectAggregator(JsonClient.this.maxResponseBytes))
 						.addLast(new Connection(channel));
 				}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -57,6 +57,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.HeldBytes;
 import org.bramleyscale.internal.gateway.request.OpenRequests;
 import org.bramleyscale.internal.gateway.request.StartupQueue;
 import org.bramleyscale.internal.gateway.retry.FleetConstantShare;
@@ -229,10 +230,12 @@
 				(engine) -> notices.acceptsRequests(engine) && !rules.blocks(engine, RequestScope.ANY),
 				this.self.toString(), log);
 		demands.onPeerChange(contention::capacityMayBeFree);
+		HeldBytes heldBytes = HeldBytes.ofThisProcess();
+		dependencies.metrics().gauge("gateway.held_bytes", () -> heldBytes::total);
 		GatewayPorts ports = new GatewayPorts(loop, settings.dataCentre(), connections,
 				(request) -> (request.service().engine().isPresent() ? enginePlacement : plainPlacement).place(request),
 				notices, this.health, paths, this.loads, demands, contention, retryBudget(holderFleet), rules,
-				this.limits, this.crashes, holds, this.loadExchange::sendUpdate, log,
+				this.limits, this.crashes, holds, heldBytes, this.loadExchange::sendUpdate, log,
 				new GatewayMetrics(dependencies.metrics()));
 		GatewayService service = new GatewayService(ports, this.catalogs, this::accepts, this.random);
 		StartupQueue requests = new StartupQueue(loop, this::configured, service);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -1,6 +1,5 @@
 package org.bramleyscale.internal.gateway.request;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -23,11 +22,8 @@
  */
 final class Attempt implements BackendListener {
 
-	/**
-	 * Maximum size of a response that is not streamed; it is buffered completely before
-	 * it is relayed.
-	 */
-	private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+	/** What a piece of a held body counts at least: each costs time to read. */
+	private static final int MIN_PIECE_BYTES = 64;
 
 	/**
 	 * An endpoint with at least this much prompt left to prefill, ms, counts as busy and
@@ -52,7 +48,11 @@
 
 	private final EventSplitter splitter = new EventSplitter();
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private final HeldBody body = new HeldBody();
+
+	private final HeldBytes.Holder held;
+
+	private long heldCost;
 
 	private BackendClient.BackendExchange exchange;
 
@@ -82,6 +82,7 @@
 		this.target = target;
 		this.placement = placement;
 		this.ports = ports;
+		this.held = ports.heldBytes().open(this::evicted);
 	}
 
 	/**
@@ -222,6 +223,12 @@
 				this.request.gate().answered(this.target.start(), this.sentAt);
 				this.ports.limits().answered(this.target.start(), head.notice().perSecond(), this.sentAt);
 			}
+			if (head.notRun() || (head.success() && !head.genuine())) {
+				// Its body isn't needed, and may have no end.
+				close();
+				this.exchange.skipRest();
+				this.request.responseReceived(this, head, new byte[0]);
+			}
 		}
 	}
 
@@ -231,10 +238,15 @@
 			return;
 		}
 		if (!isStreamed()) {
-			buffer(data);
+			this.body.add(data);
+			this.heldCost += Math.max(MIN_PIECE_BYTES, data.length);
+			this.held.hold(this.heldCost);
 			return;
 		}
 		List<EventSplitter.Event> events = this.splitter.append(data);
+		if (!this.held.hold(this.splitter.pendingBytes())) {
+			return;
+		}
 		if (!events.isEmpty()) {
 			this.work.prefillDone();
 			restartSilenceTimer(SilenceTimeouts.betweenEvents(this.request.route()));
@@ -256,7 +268,9 @@
 			this.request.streamCompleted(this, this.head, this.splitter.remainder());
 		}
 		else {
-			this.request.responseReceived(this, this.head, this.body.toByteArray());
+			byte[] whole = this.body.toByteArray();
+			this.body.clear();
+			this.request.responseReceived(this, this.head, whole);
 		}
 	}
 
@@ -285,21 +299,22 @@
 	}
 
 	/**
-	 * Whether the response is relayed event by event. A response that doesn't appear to
-	 * come from the endpoint itself is buffered to its end and then dropped.
+	 * Whether the response is relayed event by event. Any other is held to its end.
 	 * @return true if it is relayed event by event
 	 */
 	private boolean isStreamed() {
 		return this.head != null && this.head.events() && this.head.success() && this.head.genuine();
 	}
 
-	private void buffer(byte[] data) {
-		this.body.write(data, 0, data.length);
-		if (this.body.size() > MAX_BUFFERED_BYTES) {
-			close();
-			this.exchange.cancel();
-			this.request.attemptFailed(this, true, "response larger than " + MAX_BUFFERED_BYTES + " bytes");
-		}
+	/**
+	 * Called when the daemon can't hold the response: it is larger than all others, and
+	 * together they are too large.
+	 */
+	private void evicted() {
+		this.body.clear();
+		close();
+		this.exchange.cancel();
+		this.request.attemptFailed(this, true, "more of the response than can be held");
 	}
 
 	private void restartSilenceTimer(Duration limit) {
@@ -337,6 +352,7 @@
 
 	private void close() {
 		this.closed = true;
+		this.held.release();
 		this.reservation.cancel();
 		if (this.holdGroup != null) {
 			this.holdGroup.release();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/BackendClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/BackendClient.java
@@ -30,6 +30,12 @@
 		 */
 		void cancel();
 
+		/**
+		 * Ends the exchange without interest in the rest of its response. The connection
+		 * may be used again if that is short. The listener isn't called any more.
+		 */
+		void skipRest();
+
 		/**
 		 * Sets whether to read the response.
 		 * @param on false while the caller doesn't read
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/EventSplitter.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/EventSplitter.java
@@ -1,8 +1,8 @@
 package org.bramleyscale.internal.gateway.request;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -11,13 +11,24 @@
  * <p>
  * An endpoint may crash in the middle of an event. If the partial event were relayed,
  * resuming the stream on another endpoint would join fragments of two runs, so only
- * complete events are returned. Not safe for use by multiple threads.
+ * complete events are returned. Invariant: each byte is searched for the end of an event
+ * once, however many pieces an event arrives in. Not safe for use by multiple threads.
  */
 final class EventSplitter {
 
 	private static final String ID = "id:";
 
-	private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+	private byte[] pending = new byte[0];
+
+	private int length;
+
+	/** The position up to which the pending bytes have been searched. */
+	private int searched;
+
+	private int lineStart;
+
+	/** Whether a line of the pending event isn't empty. */
+	private boolean begun;
 
 	/**
 	 * Appends bytes.
@@ -25,27 +36,41 @@
 	 * @return the events that they complete
 	 */
 	List<Event> append(byte[] data) {
-		this.pending.write(data, 0, data.length);
-		byte[] buffered = this.pending.toByteArray();
+		if (this.length + data.length > this.pending.length) {
+			this.pending = Arrays.copyOf(this.pending, Math.max(this.length + data.length, 2 * this.length));
+		}
+		System.arraycopy(data, 0, this.pending, this.length, data.length);
+		this.length += data.length;
 		List<Event> events = new ArrayList<>();
 		int start = 0;
-		for (int end = endOfEvent(buffered, start); end >= 0; end = endOfEvent(buffered, start)) {
-			byte[] event = new byte[end - start];
-			System.arraycopy(buffered, start, event, 0, event.length);
+		for (int end = endOfEvent(); end >= 0; end = endOfEvent()) {
+			byte[] event = Arrays.copyOfRange(this.pending, start, end);
 			events.add(new Event(id(event), event));
 			start = end;
 		}
-		this.pending.reset();
-		this.pending.write(buffered, start, buffered.length - start);
+		if (start > 0) {
+			this.pending = Arrays.copyOfRange(this.pending, start, this.length);
+			this.length -= start;
+			this.searched -= start;
+			this.lineStart -= start;
+		}
 		return events;
 	}
 
+	/**
+	 * Returns the number of bytes after the last complete event.
+	 * @return the number
+	 */
+	int pendingBytes() {
+		return this.length;
+	}
+
 	/**
 	 * Returns the bytes after the last complete event.
 	 * @return the bytes, possibly none
 	 */
 	byte[] remainder() {
-		return this.pending.toByteArray();
+		return Arrays.copyOf(this.pending, this.length);
 	}
 
 	/**
@@ -54,8 +79,8 @@
 	 * @return true if bytes of an incomplete event have arrived
 	 */
 	boolean insideEvent() {
-		for (byte next : this.pending.toByteArray()) {
-			if (next != '\r' && next != '\n') {
+		for (int i = 0; i < this.length; i++) {
+			if (this.pending[i] != '\r' && this.pending[i] != '\n') {
 				return true;
 			}
 		}
@@ -63,23 +88,22 @@
 	}
 
 	/**
-	 * Finds the end of the empty line that terminates an event. Empty lines before an
-	 * event are taken for a part of it.
-	 * @param bytes the bytes
-	 * @param from the start of the event
+	 * Finds the end of the empty line that terminates the pending event. Empty lines
+	 * before an event are taken for a part of it.
 	 * @return the position after the empty line, or -1 if it hasn't arrived yet
 	 */
-	private static int endOfEvent(byte[] bytes, int from) {
-		int lineStart = from;
-		boolean begun = false;
-		for (int i = from; i < bytes.length; i++) {
-			if (bytes[i] == '\n') {
-				boolean empty = i == lineStart || (i == lineStart + 1 && bytes[lineStart] == '\r');
-				if (empty && begun) {
-					return i + 1;
+	private int endOfEvent() {
+		while (this.searched < this.length) {
+			int position = this.searched++;
+			if (this.pending[position] == '\n') {
+				boolean empty = position == this.lineStart
+						|| (position == this.lineStart + 1 && this.pending[this.lineStart] == '\r');
+				boolean ends = empty && this.begun;
+				this.begun = !ends && (this.begun || !empty);
+				this.lineStart = position + 1;
+				if (ends) {
+					return position + 1;
 				}
-				begun = begun || !empty;
-				lineStart = i + 1;
 			}
 		}
 		return -1;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayPorts.java
@@ -34,6 +34,7 @@
  * @param limits records the limits that endpoints name
  * @param crashes identifies requests that crash endpoints
  * @param holds reserves memory on engines
+ * @param heldBytes bounds what all requests hold of responses
  * @param onLongPromptSent called after a long prompt was sent
  * @param log records each decision
  * @param metrics records outcomes and durations
@@ -41,5 +42,6 @@
 public record GatewayPorts(Scheduler scheduler, DataCentre dataCentre, BackendClient client, PlacementPolicy placement,
 		EndpointNotices notices, BackendHealth health, EndpointPaths paths, LoadTracker loads, DemandTracker demands,
 		ContentionQueues contention, RetryBudget retryBudget, EndpointRules rules, EndpointLimits limits,
-		CrashGuard crashes, MemoryHolds holds, Runnable onLongPromptSent, DecisionLog log, GatewayMetrics metrics) {
+		CrashGuard crashes, MemoryHolds holds, HeldBytes heldBytes, Runnable onLongPromptSent, DecisionLog log,
+		GatewayMetrics metrics) {
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
@@ -122,6 +122,11 @@
 		this.to.running.remove(this);
 	}
 
+	@Override
+	public void skipRest() {
+		cancel();
+	}
+
 	@Override
 	public void setReading(boolean on) {
 		// Simulated endpoints send whole answers, so there is nothing to pause.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -54,6 +54,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.HeldBytes;
 import org.bramleyscale.internal.membership.Member;
 import org.bramleyscale.internal.peer.PeerListener;
 import org.bramleyscale.internal.peer.PeerMessage;
@@ -153,7 +154,7 @@
 				EndpointRules.builder().rule(new RequestedBackoff(health)).quota(this.limits).build(), this.limits,
 				this.crashes, new MemoryHolds(clock, new NoOrders(), this.backends::hasRestarted, (engine) -> true,
 						"d" + index, DecisionLog.NONE),
-				() -> {
+				new HeldBytes(1_000_000), () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, catalogs, (left) -> true, this.fleet.random);
 		this.entries = new SimulatedEntries(clock, this.vm, this.fleet::members, this, this.fleet.relays(),
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
@@ -35,6 +35,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.HeldBytes;
 import org.bramleyscale.internal.gateway.request.OpenRequests;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
 
@@ -50,6 +51,8 @@
 
 	final ScriptedServer endpoint;
 
+	final HeldBytes heldBytes = new HeldBytes(9_000_000);
+
 	final CallerServer server;
 
 	final int port;
@@ -80,7 +83,8 @@
 				new ContentionQueues(this.loop, new ContentionMetrics(new MetricRegistry())),
 				new RetryBudget(this.loop, Duration.ofSeconds(10), 5, () -> 100), EndpointRules.NONE,
 				EndpointLimits.NONE, CrashGuard.NONE,
-				new MemoryHolds(this.loop, null, (engine) -> false, (engine) -> true, "test", DecisionLog.NONE), () -> {
+				new MemoryHolds(this.loop, null, (engine) -> false, (engine) -> true, "test", DecisionLog.NONE),
+				this.heldBytes, () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		this.server = new CallerServer(this.loop, new OpenRequests(),
 				new GatewayService(ports, catalogs, (timeLeft) -> true, new Random(1)), new PlainDialect(),
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedServer.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedServer.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -13,13 +14,19 @@
  * An endpoint that responds to the requests on its connections with given bytes.
  *
  * <p>
- * In the bytes, {@code !reset} at the end resets the connection and {@code !close} closes
- * it. Safe for use by multiple threads.
+ * In the bytes, {@code !reset} at the end resets the connection, {@code !close} closes
+ * it, and {@code !endless} repeats what stands between {@code !repeat} and it until the
+ * other end closes the connection. Safe for use by multiple threads.
  */
 final class ScriptedServer implements AutoCloseable {
 
+	private static final int BLOCK_BYTES = 8_192;
+
 	final List<String> requests = new CopyOnWriteArrayList<>();
 
+	/** The connections on which bytes without end are being sent. */
+	private int endless;
+
 	private final ServerSocket server;
 
 	private final List<String> responses;
@@ -72,6 +79,9 @@
 				String response = next();
 				boolean reset = response.endsWith("!reset");
 				boolean close = response.endsWith("!close");
+				if (response.endsWith("!endless")) {
+					sendWithoutEnd(socket, response);
+				}
 				String bytes = response.replace("!reset", "").replace("!close", "");
 				socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
 				socket.getOutputStream().flush();
@@ -88,6 +98,46 @@
 		}
 	}
 
+	private void sendWithoutEnd(Socket socket, String response) throws IOException {
+		int repeat = response.indexOf("!repeat");
+		String part = response.substring(repeat + "!repeat".length(), response.indexOf("!endless"));
+		byte[] bytes = part.repeat(Math.max(1, BLOCK_BYTES / part.length())).getBytes(StandardCharsets.UTF_8);
+		socket.getOutputStream().write(response.substring(0, repeat).getBytes(StandardCharsets.UTF_8));
+		countEndless(1);
+		try {
+			while (true) {
+				socket.getOutputStream().write(bytes);
+			}
+		}
+		finally {
+			countEndless(-1);
+		}
+	}
+
+	private synchronized void countEndless(int change) {
+		this.endless += change;
+		notifyAll();
+	}
+
+	/**
+	 * Waits until the other end has closed all connections with bytes without end.
+	 * @param limit the longest time to wait
+	 * @return false if one was still open
+	 */
+	synchronized boolean awaitEndOfEndless(Duration limit) {
+		long end = System.nanoTime() + limit.toNanos();
+		try {
+			for (long left = limit.toMillis(); this.endless > 0
+					&& left > 0; left = (end - System.nanoTime()) / 1_000_000) {
+				wait(left);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return this.endless == 0;
+	}
+
 	private synchronized String next() {
 		return this.responses.get(Math.min(this.served++, this.responses.size() - 1));
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedRun.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedRun.java
@@ -158,6 +158,11 @@
 			end();
 		}
 
+		@Override
+		public void skipRest() {
+			cancel();
+		}
+
 		@Override
 		public void setReading(boolean on) {
 			// The channel between caller and daemon takes all events.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/StoppingGateway.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/StoppingGateway.java
@@ -47,6 +47,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.HeldBytes;
 import org.bramleyscale.internal.gateway.request.OpenRequests;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.gateway.request.StartupQueue;
@@ -129,7 +130,8 @@
 				new ContentionQueues(scheduler, new ContentionMetrics(new MetricRegistry())),
 				new RetryBudget(scheduler, Duration.ofSeconds(10), 5, () -> 100), EndpointRules.NONE,
 				EndpointLimits.NONE, CrashGuard.NONE,
-				new MemoryHolds(scheduler, null, (engine) -> false, (engine) -> true, "test", DecisionLog.NONE), () -> {
+				new MemoryHolds(scheduler, null, (engine) -> false, (engine) -> true, "test", DecisionLog.NONE),
+				new HeldBytes(1_000_000), () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(new MetricRegistry()));
 		GatewaySettings settings = new GatewaySettings(new VmId("a"), new DataCentre("east"),
 				new InetSocketAddress("127.0.0.1", 1), new InetSocketAddress("127.0.0.1", 2), List.of(), ADDRESS_KEEP,
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
@@ -53,6 +53,7 @@
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
+import org.bramleyscale.internal.gateway.request.HeldBytes;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.gateway.retry.RetryBudget;
 import org.bramleyscale.internal.time.ManualScheduler;
@@ -135,7 +136,7 @@
 					.build(),
 				EndpointLimits.NONE, CrashGuard.NONE,
 				new MemoryHolds(this.scheduler, new Orders(), this.backends::hasRestarted, (engine) -> true, "d", log),
-				() -> {
+				new HeldBytes(1_000_000), () -> {
 				}, log, new GatewayMetrics(new MetricRegistry()));
 		this.service = new GatewayService(ports, this.catalogs, (left) -> true, this.random);
 		for (int i = 0; i < 18 + this.random.nextInt(18); i++) {
@@ -369,6 +370,11 @@
 			this.cancelled = true;
 		}
 
+		@Override
+		public void skipRest() {
+			cancel();
+		}
+
 		@Override
 		public void setReading(boolean on) {
 			// Events are few, so there is nothing to pause.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayFixture.java
@@ -67,6 +67,8 @@
 	/** Allows three retries in ten seconds, since six tenths of the constant are used. */
 	static final int RETRY_CONSTANT = 3;
 
+	static final int HELD_LIMIT = 10_000;
+
 	static final ServiceName SERVICE = new ServiceName("yard");
 
 	final ManualScheduler scheduler = new ManualScheduler();
@@ -88,6 +90,9 @@
 
 	final PendingOrders orders = new PendingOrders();
 
+	/** Small, so that a test reaches the limit. */
+	final HeldBytes heldBytes = new HeldBytes(HELD_LIMIT);
+
 	final RecordingCrashGuard crashGuard = new RecordingCrashGuard();
 
 	/** The ids of endpoints in evacuated data centres. */
@@ -139,7 +144,7 @@
 					.build(),
 				EndpointLimits.NONE, this.crashGuard, new MemoryHolds(this.scheduler, this.orders,
 						this.backends::hasRestarted, (engine) -> true, "entry-1", DecisionLog.NONE),
-				() -> {
+				this.heldBytes, () -> {
 				}, DecisionLog.NONE, new GatewayMetrics(this.metrics));
 		this.service = new GatewayService(ports, this.catalogs, (timeLeft) -> timeLeft.compareTo(this.maxTimeLeft) <= 0,
 				random);
@@ -302,6 +307,8 @@
 
 		boolean cancelled;
 
+		boolean skipped;
+
 		private boolean headSent;
 
 		SentRequest(Backend to, OutgoingRequest request, BackendListener listener) {
@@ -315,6 +322,11 @@
 			this.cancelled = true;
 		}
 
+		@Override
+		public void skipRest() {
+			this.skipped = true;
+		}
+
 		@Override
 		public void setReading(boolean on) {
 			// The endpoints of these tests send only what the test says.
