--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/EvacuatedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/EvacuatedRequestTests.java
@@ -22,7 +22,7 @@
 
 	@Test
 	void requestThatRunsInAnEvacuatedDataCentreContinues() {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		this.fixture.last().sendEvents(1, 2);
 		this.fixture.evacuated.addAll(List.of("a", "b", "c"));
 		this.fixture.scheduler.advance(Duration.ofMillis(500));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/HeldBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/HeldBytesTests.java
@@ -86,8 +86,8 @@
 			"/stream/1, true, 2, 200 ok" })
 	void responseLargerThanCanBeHeldIsCutOff(String path, boolean events, int sent, String got) {
 		RelayFixture fixture = new RelayFixture();
-		RelayFixture.RecordingCaller caller = fixture.call(path);
-		RelayFixture.SentRequest first = fixture.last();
+		RecordingCaller caller = fixture.call(path);
+		SentRequest first = fixture.last();
 		first.listener.head(RelayFixture.head(200, false, true, events));
 		byte[] piece = new byte[RelayFixture.HELD_LIMIT / 10];
 		for (int i = 0; i < 11; i++) {
@@ -109,7 +109,7 @@
 	void responseWhoseBodyIsNotNeededIsDecidedByItsHead(int status, boolean notRun, boolean genuine) {
 		RelayFixture fixture = new RelayFixture();
 		fixture.call("/log/1");
-		RelayFixture.SentRequest first = fixture.last();
+		SentRequest first = fixture.last();
 		first.listener.head(RelayFixture.head(status, notRun, genuine, false));
 		Truth.assertThat(first.skipped).isTrue();
 		Truth.assertThat(fixture.sent).hasSize(2);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/QueueTurnTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/QueueTurnTests.java
@@ -54,7 +54,7 @@
 	void aCallerThatLeavesEndsItsTurn() {
 		this.fixture.offerEngines(2, 1);
 		waitForever(1);
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		caller.request.callerDisconnected();
 		this.fixture.scheduler.advance(Duration.ofSeconds(1));
 		Truth.assertThat(this.fixture.sent).isEmpty();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RelayedRequestTests.java
@@ -25,7 +25,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "/book/1", "/log/1" })
 	void relaysResponseUnchanged(String path) {
-		RelayFixture.RecordingCaller caller = this.fixture.call(path);
+		RecordingCaller caller = this.fixture.call(path);
 		this.fixture.last().respond(201, false, "body");
 		Truth.assertThat(caller.received.toString()).isEqualTo("201 body");
 		Truth.assertThat(this.fixture.endedRequests()).isEqualTo(1);
@@ -40,7 +40,7 @@
 		// Guards against running a booking twice: an endpoint runs it and its response is
 		// lost, and the daemon resends it to another endpoint because a lost response
 		// looks like a request that never arrived.
-		RelayFixture.RecordingCaller caller = this.fixture.call(path);
+		RecordingCaller caller = this.fixture.call(path);
 		fail(this.fixture.last(), failure);
 		if (sent == 2) {
 			this.fixture.last().respond(200, false, "ok");
@@ -82,7 +82,7 @@
 	@ValueSource(strings = { "/book/1", "/log/1", "/stream/1" })
 	void requestWithoutAPathIsRefusedAtOnce(String path) {
 		this.fixture.pathLost = true;
-		RelayFixture.RecordingCaller caller = this.fixture.call(path);
+		RecordingCaller caller = this.fixture.call(path);
 		Truth.assertThat(caller.received.toString()).isEqualTo("own 503");
 		Truth.assertThat(caller.retryAfter).isEqualTo(Duration.ofMillis(10));
 		Truth.assertThat(this.fixture.sent).isEmpty();
@@ -92,7 +92,7 @@
 	@ParameterizedTest
 	@CsvSource({ "0, own 502", "2, begin s200 1 2 abort" })
 	void silentRequestWithoutAPathEndsWithoutAnotherTry(int events, String got) {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		if (events > 0) {
 			this.fixture.last().sendEvents(1, events);
 		}
@@ -104,7 +104,7 @@
 
 	@Test
 	void reportsNotRunOnlyIfEveryEndpointConfirmsIt() {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/book/1");
+		RecordingCaller caller = this.fixture.call("/book/1");
 		for (int i = 0; i < 3; i++) {
 			this.fixture.last().respond(503, true, "");
 		}
@@ -117,7 +117,7 @@
 		// Guards against reporting "not run" after a run: the first endpoint's response
 		// is lost, the second endpoint refuses, and only the last response is considered,
 		// so the caller books again.
-		RelayFixture.RecordingCaller caller = this.fixture.call("/log/1");
+		RecordingCaller caller = this.fixture.call("/log/1");
 		this.fixture.last().listener.failed(true, "reset");
 		this.fixture.last().respond(503, true, "");
 		while (caller.received.length() == 0) {
@@ -128,7 +128,7 @@
 
 	@Test
 	void streamResumesOnAnotherEndpointAfterItsLastCompleteEvent() {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		this.fixture.last().sendEvents(1, 3);
 		this.fixture.last().listener.data("id: 4\nda".getBytes());
 		this.fixture.last().listener.failed(true, "reset");
@@ -140,7 +140,7 @@
 
 	@Test
 	void duplicateEventsAreDroppedAfterResume() {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		this.fixture.last().sendEvents(1, 3);
 		this.fixture.last().listener.failed(true, "reset");
 		this.fixture.last().sendEvents(2, 4);
@@ -150,7 +150,7 @@
 
 	@Test
 	void streamThatCannotResumeIsAborted() {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		this.fixture.last().sendEvents(1, 2);
 		this.fixture.last().listener.failed(true, "reset");
 		this.fixture.last().sendEvents(3, 3);
@@ -166,7 +166,7 @@
 		// idle: an engine accepts a request and then stays silent, with its connection
 		// open.
 		this.fixture.call("/stream/1");
-		RelayFixture.SentRequest first = this.fixture.last();
+		SentRequest first = this.fixture.last();
 		if (events > 0) {
 			first.sendEvents(1, events);
 		}
@@ -179,7 +179,7 @@
 	@ParameterizedTest
 	@CsvSource({ "/stream/1, 0", "/stream/1, 2", "/log/1, 0" })
 	void requestOutlastsTheSilenceOfASoundEndpoint(String path, int events) {
-		RelayFixture.RecordingCaller caller = this.fixture.call(path);
+		RecordingCaller caller = this.fixture.call(path);
 		if (events > 0) {
 			this.fixture.last().sendEvents(1, events);
 		}
@@ -199,7 +199,7 @@
 		this.fixture.scriptedPlacements.add(Placement.at(this.fixture.engine("a"),
 				(helpers > 0) ? List.of(this.fixture.engine("b")) : List.of(), 0, 0, "split"));
 		this.fixture.call("/stream/1");
-		RelayFixture.SentRequest sent = this.fixture.last();
+		SentRequest sent = this.fixture.last();
 		this.fixture.loads.begin(sent.to.start(), 60_000, 0, true, EndpointLoad.ANY_PAUSE);
 		if (events > 0) {
 			sent.sendEvents(1, events);
@@ -245,7 +245,7 @@
 		for (int i = 0; i < 500; i++) {
 			this.fixture.scriptedPlacements.add(Placement.waiting(100, "lane reads"));
 		}
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1", Duration.ofSeconds(3));
+		RecordingCaller caller = this.fixture.call("/stream/1", Duration.ofSeconds(3));
 		this.fixture.scheduler.advance(Duration.ofMillis(1_000));
 		if (leaves) {
 			caller.request.callerDisconnected();
@@ -259,7 +259,7 @@
 	@ParameterizedTest
 	@CsvSource({ "/book/1, 1, own 504", "/stream/1, 2, own 504" })
 	void endsAtItsDeadline(String path, int sent, String got) {
-		RelayFixture.RecordingCaller caller = this.fixture.call(path, Duration.ofMillis(3_000));
+		RecordingCaller caller = this.fixture.call(path, Duration.ofMillis(3_000));
 		this.fixture.scheduler.advance(Duration.ofMillis(3_000));
 		Truth.assertThat(this.fixture.sent).hasSize(sent);
 		Truth.assertThat(caller.received.toString()).isEqualTo(got);
@@ -269,7 +269,7 @@
 
 	@Test
 	void cancelsTheAttemptWhenTheCallerDisconnects() {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/1");
+		RecordingCaller caller = this.fixture.call("/stream/1");
 		this.fixture.last().sendEvents(1, 1);
 		caller.request.callerDisconnected();
 		Truth.assertThat(this.fixture.last().cancelled).isTrue();
@@ -297,7 +297,7 @@
 			this.fixture.call("/log/" + i);
 			this.fixture.last().listener.failed(true, "reset");
 		}
-		RelayFixture.RecordingCaller caller = this.fixture.call("/book/1");
+		RecordingCaller caller = this.fixture.call("/book/1");
 		if (othersBusy) {
 			this.fixture.scriptedPlacements.add(Placement.waiting(100, "lane reads"));
 		}
@@ -309,7 +309,7 @@
 	@ParameterizedTest
 	@CsvSource({ "/other/1, key, own 404", "/log/1, wrong, own 401" })
 	void refusesUnknownRouteOrKey(String path, String key, String got) {
-		RelayFixture.RecordingCaller caller = new RelayFixture.RecordingCaller();
+		RecordingCaller caller = new RecordingCaller();
 		this.fixture.service.handle(request(path, key), caller);
 		Truth.assertThat(caller.received.toString()).isEqualTo(got);
 		Truth.assertThat(this.fixture.sent).isEmpty();
@@ -319,7 +319,7 @@
 	@CsvSource({ "900, 1, ''", "1100, 0, own 503" })
 	void leavingDaemonRefusesRequestsWithTooMuchTimeLeft(long left, int sent, String got) {
 		this.fixture.maxTimeLeft = Duration.ofSeconds(1);
-		RelayFixture.RecordingCaller caller = this.fixture.call("/book/1", Duration.ofMillis(left));
+		RecordingCaller caller = this.fixture.call("/book/1", Duration.ofMillis(left));
 		Truth.assertThat(this.fixture.sent).hasSize(sent);
 		Truth.assertThat(caller.received.toString()).isEqualTo(got);
 	}
@@ -348,7 +348,7 @@
 				Optional.empty(), 0, 0, Optional.empty(), List.of());
 	}
 
-	private static void fail(RelayFixture.SentRequest sent, String failure) {
+	private static void fail(SentRequest sent, String failure) {
 		switch (failure) {
 			case "not sent" -> sent.listener.failed(false, "connect");
 			case "refused" -> sent.respond(503, true, "");
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/ReplyFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/ReplyFaultsTests.java
@@ -54,7 +54,7 @@
 	void startedStreamHasOneEndWhateverTheNextEndpointSays() {
 		answers().forEach((answer) -> {
 			RelayFixture fixture = new RelayFixture();
-			RelayFixture.RecordingCaller caller = fixture.call("/stream/1", TIME_LIMIT);
+			RecordingCaller caller = fixture.call("/stream/1", TIME_LIMIT);
 			fixture.last().sendEvents(1, 3);
 			fixture.last().listener.failed(true, "reset");
 			answer.give(fixture.last());
@@ -68,7 +68,7 @@
 	void responseHasOneEndWhateverTheEndpointSays(String path) {
 		answers().forEach((answer) -> {
 			RelayFixture fixture = new RelayFixture();
-			RelayFixture.RecordingCaller caller = fixture.call(path, TIME_LIMIT);
+			RecordingCaller caller = fixture.call(path, TIME_LIMIT);
 			answer.give(fixture.last());
 			check(fixture, caller, path + ", " + answer);
 		});
@@ -85,9 +85,9 @@
 		RelayFixture fixture = new RelayFixture();
 		List<Answer> all = answers().toList();
 		String path = List.of("/stream/1", "/any-pause/1", "/book/1", "/log/1").get(random.nextInt(4));
-		RelayFixture.RecordingCaller caller = fixture.call(path, TIME_LIMIT);
+		RecordingCaller caller = fixture.call(path, TIME_LIMIT);
 		for (int step = 0; step < 12; step++) {
-			RelayFixture.SentRequest last = fixture.last();
+			SentRequest last = fixture.last();
 			switch (random.nextInt(8)) {
 				case 0, 1 -> last.sendEvents(1 + random.nextInt(3), 3 + random.nextInt(5));
 				case 2, 3 -> all.get(random.nextInt(all.size())).give(last);
@@ -110,7 +110,7 @@
 			"/stream/1, true, begin s200 1 2 end" })
 	void timeLimitHoldsUntilTheEndIsOnTheWire(String path, boolean written, String got) {
 		RelayFixture fixture = new RelayFixture();
-		RelayFixture.RecordingCaller caller = fixture.call(path, TIME_LIMIT);
+		RecordingCaller caller = fixture.call(path, TIME_LIMIT);
 		if (path.startsWith("/stream/")) {
 			fixture.last().sendEvents(1, 2);
 			fixture.last().listener.complete();
@@ -129,20 +129,20 @@
 	@Test
 	void responseThatCannotBeWrittenEndsTheRequest() {
 		RelayFixture fixture = new RelayFixture();
-		RelayFixture.RecordingCaller caller = fixture.call("/stream/1", TIME_LIMIT);
+		RecordingCaller caller = fixture.call("/stream/1", TIME_LIMIT);
 		fixture.last().sendEvents(1, 2);
 		caller.abort();
 		Truth.assertThat(fixture.last().cancelled).isTrue();
 		Truth.assertThat(fixture.endedRequests()).isEqualTo(1);
 	}
 
-	private static void flush(RelayFixture.RecordingCaller caller) {
+	private static void flush(RecordingCaller caller) {
 		if (caller.handedOver()) {
 			caller.flush();
 		}
 	}
 
-	private static void check(RelayFixture fixture, RelayFixture.RecordingCaller caller, String what) {
+	private static void check(RelayFixture fixture, RecordingCaller caller, String what) {
 		fixture.scheduler.advance(TIME_LIMIT.minusMillis(1));
 		flush(caller);
 		fixture.scheduler.advance(Duration.ofMillis(1));
@@ -166,7 +166,7 @@
 	 */
 	private record Answer(int status, boolean notRun, boolean genuine, boolean events, String body, String end) {
 
-		void give(RelayFixture.SentRequest to) {
+		void give(SentRequest to) {
 			to.listener.head(RelayFixture.head(this.status, this.notRun, this.genuine, this.events));
 			if (!this.body.isEmpty()) {
 				to.listener.data(this.body.getBytes(StandardCharsets.UTF_8));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StoppedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StoppedRequestTests.java
@@ -29,7 +29,7 @@
 	@ParameterizedTest
 	@EnumSource
 	void waitingRequestIsRefusedInTimeForItsCallerToGoElsewhere(Place place) {
-		RelayFixture.RecordingCaller caller = waitAt(place, Duration.ofSeconds(10));
+		RecordingCaller caller = waitAt(place, Duration.ofSeconds(10));
 		stop(caller, 4_900);
 		Truth.assertThat(caller.received.toString()).isEmpty();
 		stop(caller, 300);
@@ -43,7 +43,7 @@
 	@ParameterizedTest
 	@EnumSource
 	void waitingRequestWhoseCallerLeavesBeforeTheDaemonIsNotRefused(Place place) {
-		RelayFixture.RecordingCaller caller = waitAt(place, Duration.ofSeconds(6));
+		RecordingCaller caller = waitAt(place, Duration.ofSeconds(6));
 		stop(caller, 5_000);
 		Truth.assertThat(caller.received.toString()).isEmpty();
 	}
@@ -53,7 +53,7 @@
 	void waitingRequestIsRefusedOnceItsAnswerWouldTakeTooLong() {
 		this.fixture.offerEngines(2, 1);
 		waitForever();
-		RelayFixture.RecordingCaller caller = this.fixture.call("/other/1", Duration.ofSeconds(10), 0, 10_000);
+		RecordingCaller caller = this.fixture.call("/other/1", Duration.ofSeconds(10), 0, 10_000);
 		stop(caller, 100);
 		Truth.assertThat(caller.received.toString()).isEqualTo("own 503");
 	}
@@ -61,7 +61,7 @@
 	@ParameterizedTest
 	@CsvSource({ "/book/1, 0, own 502", "/stream/1, 0, own 502", "/stream/1, 2, begin s200 1 2 abort" })
 	void requestAtAnEndpointRunsUntilTheDaemonExits(String path, int events, String got) {
-		RelayFixture.RecordingCaller caller = this.fixture.call(path, Duration.ofSeconds(10));
+		RecordingCaller caller = this.fixture.call(path, Duration.ofSeconds(10));
 		if (events > 0) {
 			this.fixture.last().sendEvents(1, events);
 		}
@@ -77,14 +77,14 @@
 	@ParameterizedTest
 	@CsvSource({ "true, own 502", "false, own 503" })
 	void requestBetweenTwoAttemptsIsCalledNotRunOnlyIfItDidNotRun(boolean mayHaveRun, String got) {
-		RelayFixture.RecordingCaller caller = this.fixture.call("/log/1", Duration.ofSeconds(10));
+		RecordingCaller caller = this.fixture.call("/log/1", Duration.ofSeconds(10));
 		waitForever();
 		this.fixture.last().listener.failed(mayHaveRun, "reset");
 		stop(caller, 6_000);
 		Truth.assertThat(caller.received.toString()).isEqualTo(got);
 	}
 
-	private RelayFixture.RecordingCaller waitAt(Place place, Duration left) {
+	private RecordingCaller waitAt(Place place, Duration left) {
 		switch (place) {
 			case QUEUE -> {
 				this.fixture.offerEngines(2, 1);
@@ -113,7 +113,7 @@
 	 * @param caller the caller of the request
 	 * @param millis for how long, in ms
 	 */
-	private void stop(RelayFixture.RecordingCaller caller, long millis) {
+	private void stop(RecordingCaller caller, long millis) {
 		long end = this.stopped.toMillis() + millis;
 		while (this.stopped.toMillis() < end) {
 			caller.request.daemonStops(LIFETIME.minus(this.stopped));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SuspectedRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SuspectedRequestTests.java
@@ -25,7 +25,7 @@
 		Backend holder = this.fixture.engine("b");
 		this.fixture.scriptedPlacements
 			.add(Placement.at(target, List.of(holder), 1, 1, "long").holding(List.of(new MemoryHold(holder, 100))));
-		RelayFixture.RecordingCaller caller = this.fixture.call("/stream/x");
+		RecordingCaller caller = this.fixture.call("/stream/x");
 		this.fixture.scheduler.advance(Duration.ofMillis(1));
 		this.fixture.crashGuard.blocked = true;
 		this.fixture.orders.answer(true);
@@ -38,7 +38,7 @@
 	@CsvSource({ "200, true, completed", "200, false, closed", "500, true, survived" })
 	void onlyWholeAnswersCompleteARequest(int status, boolean framed, String outcome) {
 		this.fixture.call("/book/x");
-		RelayFixture.SentRequest sent = this.fixture.last();
+		SentRequest sent = this.fixture.last();
 		sent.listener.head(RelayFixture.head(status, false, true, false));
 		if (framed) {
 			sent.listener.complete();
