End only the held request that fails when it is passed on

What callers would see: requests held at a start that get no answer until their time is over, behind one whose handling throws. Suspected by the review, read only; no throw is known.

Cause: an exception left the loop that passes held requests on, and nothing polls again.

Change: the failing request is aborted and logged, the others go on.

Measured: StartupQueueTests.aFailureEndsItsOwnRequestOnly, which the exception ends without the change.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/StartupQueue.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/StartupQueue.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.bramleyscale.internal.time.Scheduler;
+import org.jboss.logging.Logger;
 
 /**
  * Holds requests that arrive before this daemon knows the configuration and the
@@ -38,6 +39,8 @@
 
 	private static final int UNAVAILABLE = 503;
 
+	private static final Logger logger = Logger.getLogger(StartupQueue.class);
+
 	private final Scheduler scheduler;
 
 	private final BooleanSupplier ready;
@@ -89,7 +92,15 @@
 			return;
 		}
 		while (!this.held.isEmpty()) {
-			this.held.remove().pass();
+			HeldRequest next = this.held.remove();
+			try {
+				next.pass();
+			}
+			catch (RuntimeException ex) {
+				// The others would stay held for good.
+				logger.errorf(ex, "A held request failed");
+				next.reply.abort();
+			}
 		}
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
@@ -16,6 +16,8 @@
  */
 class StartupQueueTests {
 
+	private static final String FAILS = "fails";
+
 	private final ManualScheduler scheduler = new ManualScheduler();
 
 	private final List<String> handled = new ArrayList<>();
@@ -68,7 +70,7 @@
 	/** Guards against a held request that gets no answer when its daemon exits. */
 	@Test
 	void heldRequestIsRefusedWhenTheDaemonExits() {
-		RelayFixture.RecordingCaller caller = new RelayFixture.RecordingCaller();
+		RecordingCaller caller = new RecordingCaller();
 		this.queue.handle(request("held"), caller).daemonExits();
 		this.ready = true;
 		this.scheduler.advance(Duration.ofMillis(20));
@@ -76,12 +78,27 @@
 		Truth.assertThat(this.handled).isEmpty();
 	}
 
+	/** Guards against requests that stay held behind one that fails. */
+	@Test
+	void aFailureEndsItsOwnRequestOnly() {
+		RecordingCaller caller = new RecordingCaller();
+		this.queue.handle(request(FAILS), caller);
+		this.queue.handle(request("second"), null);
+		this.ready = true;
+		this.scheduler.advance(Duration.ofMillis(20));
+		Truth.assertThat(caller.ended()).isTrue();
+		Truth.assertThat(this.handled).containsExactly("second");
+	}
+
 	private static CallerRequest request(String id) {
 		return new CallerRequest(id, "POST", "/quotes/1", "hire.example", List.of(), new byte[0], Optional.empty(),
 				Optional.of(Duration.ofSeconds(1)), 0, 0, Optional.empty(), List.of());
 	}
 
 	private HandledRequest handle(CallerRequest request, CallerReply reply) {
+		if (request.id().equals(FAILS)) {
+			throw new IllegalStateException("the test wants it");
+		}
 		this.handled.add(request.id());
 		request.timeLeft().ifPresent(this.left::add);
 		return new RecordingRequest(request.id());
