Keep entries that lapsed in an outage until two seconds after its end

Cause: an entry that disappeared within 3 s of an outage was kept for 2 s from its removal. The platform says that lapsed entries are back within about two seconds of the store's return.

Change: such an entry is kept until 2 s after the end of the outage, and an entry that disappears later is gone at once. A body's buffer no longer takes the size that its caller claims before anything has arrived.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -29,8 +29,8 @@
  * live endpoints, and they return within about two seconds of its recovery. If such
  * removals took effect at once, every outage would be followed by seconds in which no
  * endpoint is known. A removal that arrives shortly after an outage therefore takes
- * effect only if the entry is still missing after {@link #LAPSE_GRACE_PERIOD}. Confined
- * to the scheduler's thread.
+ * effect only if the entry is still missing when {@link #LAPSE_GRACE_PERIOD} has passed
+ * since the end of the outage. Confined to the scheduler's thread.
  */
 public final class BackendTable implements EndpointPresence {
 
@@ -148,18 +148,19 @@
 
 	/**
 	 * Removes an entry that is no longer on the list, after an outage only once the grace
-	 * period is over.
+	 * period since its end is over.
 	 * @param id the entry's id
-	 * @param afterOutage true if the store has only just become available again
+	 * @param sinceOutage the time since the store became available again
 	 */
-	public void remove(EndpointId id, boolean afterOutage) {
+	public void remove(EndpointId id, Duration sinceOutage) {
 		this.withheld.remove(id);
 		Backend backend = this.backends.get(id);
 		if (backend == null) {
 			return;
 		}
-		if (afterOutage && !backend.draining()) {
-			this.lapsedUntil.putIfAbsent(id, this.clock.nanos() + LAPSE_GRACE_PERIOD.toNanos());
+		Duration grace = LAPSE_GRACE_PERIOD.minus(sinceOutage);
+		if (grace.compareTo(Duration.ZERO) > 0 && !backend.draining()) {
+			this.lapsedUntil.putIfAbsent(id, this.clock.nanos() + grace.toNanos());
 			this.log.belief("endpoint", id, "lapsed", true);
 			return;
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -117,7 +117,7 @@
 		}
 		BackendCall skipped = this.call;
 		this.channel.config().setAutoRead(true);
-		this.connections.afterSkip(MAX_SKIP_TIME, () -> {
+		this.connections.schedule(MAX_SKIP_TIME, () -> {
 			if (this.call == skipped) {
 				close();
 			}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -160,7 +160,7 @@
 		this.loop.schedule(IDLE_TIMEOUT, channel::closeIfIdle);
 	}
 
-	void afterSkip(Duration limit, Runnable task) {
+	void schedule(Duration limit, Runnable task) {
 		this.loop.schedule(limit, task);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -42,6 +42,9 @@
 	/** Number of pipelined messages at which reading from the caller stops. */
 	private static final int MAX_PIPELINED_MESSAGES = 64;
 
+	/** Allocated for a body before it arrives: its caller may never send what it says. */
+	private static final long FIRST_BODY_BYTES = 8_192;
+
 	private static final int TOO_LARGE = 413;
 
 	private static final int HEADERS_TOO_LARGE = 431;
@@ -187,7 +190,6 @@
 		startTimer(this.server.limits().idleTimeout(), this::idleTimedOut);
 		while (this.reply == null && !this.discarding && !this.pipelined.isEmpty()) {
 			bytesArrived();
-			// The next request is owed an answer, too, although nothing more may arrive.
 			process(this.pipelined.poll());
 		}
 		this.channel.config().setAutoRead(true);
@@ -232,7 +234,8 @@
 		}
 		this.head = request;
 		this.headAt = this.server.scheduler().nanos();
-		this.body = new ByteArrayOutputStream(Math.max(0, (int) HttpUtil.getContentLength(request, 0L)));
+		this.body = new ByteArrayOutputStream(
+				(int) Math.min(FIRST_BODY_BYTES, Math.max(0L, HttpUtil.getContentLength(request, 0L))));
 		startTimer(this.server.bodyTimeout(), this::bodyTimedOut);
 		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/BackendEntries.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/BackendEntries.java
@@ -1,11 +1,12 @@
 package org.bramleyscale.internal.gateway.node;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
@@ -37,7 +38,7 @@
 
 	private final LoadTracker loads;
 
-	private final BooleanSupplier afterOutage;
+	private final Supplier<Duration> sinceOutage;
 
 	private final DecisionLog log;
 
@@ -55,17 +56,17 @@
 	 * @param backends the table of endpoints
 	 * @param health its state of an earlier start is discarded
 	 * @param loads their state of an earlier start is discarded
-	 * @param afterOutage whether a removed entry may have expired during an outage of the
-	 * store
+	 * @param sinceOutage the time since the last outage of the store, in which entries
+	 * may have expired
 	 * @param log takes a line when an entry can't be read
 	 */
 	BackendEntries(Documents documents, BackendTable backends, BackendHealth health, LoadTracker loads,
-			BooleanSupplier afterOutage, DecisionLog log) {
+			Supplier<Duration> sinceOutage, DecisionLog log) {
 		this.documents = documents;
 		this.backends = backends;
 		this.health = health;
 		this.loads = loads;
-		this.afterOutage = afterOutage;
+		this.sinceOutage = sinceOutage;
 		this.log = log;
 	}
 
@@ -87,7 +88,7 @@
 			EndpointStart start = this.starts.remove(object.name());
 			if (start != null) {
 				this.departures.removed(object, start);
-				this.backends.remove(start.id(), this.afterOutage.getAsBoolean());
+				this.backends.remove(start.id(), this.sinceOutage.get());
 				remove(start);
 			}
 			return;
@@ -127,7 +128,7 @@
 	private void markUnreadable(ObjectCopy object, String reason) {
 		EndpointStart start = this.starts.get(object.name());
 		if (start != null) {
-			this.backends.remove(start.id(), false);
+			this.backends.remove(start.id(), BackendTable.LAPSE_GRACE_PERIOD);
 		}
 		if (this.unreadable.add(object.name())) {
 			// Logged once until the entry can be read again, not for each version.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -83,12 +83,6 @@
 	/** The interval between sweeps of expired state and lost connections. */
 	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(100);
 
-	/**
-	 * The time after an outage of the store in which entries removed from its list count
-	 * as expired.
-	 */
-	private static final Duration OUTAGE_WINDOW = Duration.ofSeconds(3);
-
 	private final GatewaySettings settings;
 
 	private final Dependencies dependencies;
@@ -158,7 +152,7 @@
 		this.health = new BackendHealth(loop, log);
 		this.loads = new LoadTracker(loop);
 		BackendEntries backendEntries = new BackendEntries(dependencies.documents(), this.backends, this.health,
-				this.loads, this::mayHaveExpired, log);
+				this.loads, this::sinceOutage, log);
 		ObjectCopies backendCopies = new ObjectCopies(backendEntries::changed);
 		FollowTimes times = FollowTimes.within(settings.propagationLimit());
 		this.catalogFollower = follower(dependencies.documents().catalogKind(), daemons, catalogCopies, times);
@@ -402,13 +396,14 @@
 	}
 
 	/**
-	 * Whether a removed entry may only have expired, because the store was unavailable
-	 * until recently to this daemon or to one that reported it.
-	 * @return true if the endpoint, if it is alive, will soon be registered again
+	 * The time since the store was last unavailable, to this daemon or to one that
+	 * reported it.
+	 * @return the time
 	 */
-	private boolean mayHaveExpired() {
-		return this.backendFollower.sinceOutage().compareTo(OUTAGE_WINDOW) < 0
-				|| this.copies.sinceOutage().compareTo(OUTAGE_WINDOW) < 0;
+	private Duration sinceOutage() {
+		Duration own = this.backendFollower.sinceOutage();
+		Duration reported = this.copies.sinceOutage();
+		return (own.compareTo(reported) < 0) ? own : reported;
 	}
 
 	private boolean accepts(Duration timeLeft) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/BackendTableTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/backend/BackendTableTests.java
@@ -19,6 +19,8 @@
  */
 class BackendTableTests {
 
+	private static final Duration LONG_AGO = Duration.ofHours(1);
+
 	private static final ServiceName SERVICE = new ServiceName("quotes");
 
 	private final ManualScheduler scheduler = new ManualScheduler();
@@ -26,13 +28,13 @@
 	private final BackendTable table = new BackendTable(this.scheduler, DecisionLog.NONE);
 
 	@ParameterizedTest
-	@CsvSource({ "false, 0, 0", "true, 1900, 1", "true, 2000, 0" })
-	void removalsTakeEffectAtOnceUnlessTheStoreWasUnavailable(boolean afterOutage, long millis, int usable) {
+	@CsvSource({ "3600000, 0, 0", "0, 1900, 1", "0, 2000, 0", "1500, 400, 1", "1500, 500, 0", "2000, 0, 0" })
+	void removalsTakeEffectAtOnceUnlessTheStoreWasUnavailable(long sinceOutage, long millis, int usable) {
 		// Guards against having no known endpoint for two seconds after an outage of the
 		// store: entries lapse during the outage, so the recovered store lists none,
 		// and live endpoints need up to two seconds to write their entries again.
 		this.table.put(backend("a", false));
-		this.table.remove(new EndpointId("a"), afterOutage);
+		this.table.remove(new EndpointId("a"), Duration.ofMillis(sinceOutage));
 		this.scheduler.advance(Duration.ofMillis(millis));
 		this.table.expire();
 		Truth.assertThat(this.table.usable(SERVICE)).hasSize(usable);
@@ -41,7 +43,7 @@
 	@Test
 	void lapsedEndpointThatReturnsInTimeIsKept() {
 		this.table.put(backend("a", false));
-		this.table.remove(new EndpointId("a"), true);
+		this.table.remove(new EndpointId("a"), Duration.ZERO);
 		this.scheduler.advance(Duration.ofMillis(1_500));
 		this.table.put(backend("a", false));
 		this.scheduler.advance(Duration.ofSeconds(5));
@@ -54,7 +56,7 @@
 		this.table.put(backend("a", false));
 		this.table.put(backend("a", true));
 		Truth.assertThat(this.table.usable(SERVICE)).isEmpty();
-		this.table.remove(new EndpointId("a"), true);
+		this.table.remove(new EndpointId("a"), Duration.ZERO);
 		Truth.assertThat(this.table.all()).isEmpty();
 	}
 
@@ -67,7 +69,7 @@
 		Truth.assertThat(this.table.acceptsRequests(ready)).isFalse();
 		this.table.put(ready);
 		Truth.assertThat(this.table.usable(SERVICE)).isEmpty();
-		this.table.remove(ready.id(), true);
+		this.table.remove(ready.id(), Duration.ZERO);
 		Truth.assertThat(this.table.all()).isEmpty();
 		this.table.put(ready);
 		Truth.assertThat(this.table.usable(SERVICE)).isEmpty();
@@ -113,7 +115,7 @@
 		Truth.assertThat(this.table.hasRestarted(first)).isFalse();
 		this.table.put(started("a", 2_000));
 		Truth.assertThat(this.table.hasRestarted(first)).isTrue();
-		this.table.remove(new EndpointId("a"), false);
+		this.table.remove(new EndpointId("a"), LONG_AGO);
 		Truth.assertThat(this.table.hasRestarted(first)).isFalse();
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -332,7 +332,7 @@
 	}
 
 	void lapseEntry(SimulatedEndpoint endpoint) {
-		this.backends.remove(endpoint.backend.id(), true);
+		this.backends.remove(endpoint.backend.id(), Duration.ZERO);
 	}
 
 	/**
@@ -345,7 +345,7 @@
 	}
 
 	void removeEntry(Backend backend) {
-		this.backends.remove(backend.id(), false);
+		this.backends.remove(backend.id(), BackendTable.LAPSE_GRACE_PERIOD);
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/BackendEntriesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/BackendEntriesTests.java
@@ -54,7 +54,7 @@
 	private final LoadTracker loads = new LoadTracker(this.scheduler);
 
 	private final BackendEntries entries = new BackendEntries(new NumberDocuments(), this.backends, this.health,
-			this.loads, () -> true, (kind, subject, fields) -> this.lines.add(List.of(fields).toString()));
+			this.loads, () -> Duration.ZERO, (kind, subject, fields) -> this.lines.add(List.of(fields).toString()));
 
 	private long revision;
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/reachability/PathMonitorTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/reachability/PathMonitorTests.java
@@ -135,7 +135,8 @@
 	@Test
 	void endOfAServiceEndsItsLoss() {
 		lose("y1", "y2", "y3");
-		List.of("y1", "y2", "y3").forEach((id) -> this.backends.remove(backend(id).id(), false));
+		List.of("y1", "y2", "y3")
+			.forEach((id) -> this.backends.remove(backend(id).id(), BackendTable.LAPSE_GRACE_PERIOD));
 		Truth.assertThat(this.monitor.lost(YARD)).isFalse();
 		this.scheduler.advance(PathMonitor.CHECK_INTERVAL);
 		Truth.assertThat(this.monitor.broken()).isEmpty();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
@@ -208,7 +208,7 @@
 	void disturb() {
 		Backend chosen = this.running.get(this.random.nextInt(this.running.size()));
 		switch (this.random.nextInt(4)) {
-			case 0 -> this.backends.remove(chosen.id(), false);
+			case 0 -> this.backends.remove(chosen.id(), BackendTable.LAPSE_GRACE_PERIOD);
 			case 1 -> this.backends.put(new Backend(chosen.start(), chosen.service(), chosen.address(),
 					chosen.dataCentre(), chosen.slots(), true));
 			default -> {
