Log what was read on the connection of each attempt

Callers got 2xx answers where the endpoint had answered with a failure, and 504 lines beside them said only that the time was over. Three hypotheses (joined heads, answers without an id, late first answers) look the same in these lines.

The lines that end an attempt or a request now carry earlier_requests, stray_bytes and received. A decoder of our own, with the behaviour of the codec that it replaces, counts the bytes that belong to no whole response; a response that names no request is told from one that names this one. Idle connections have a class of their own, so that the handlers of a connection can be played without sockets; it also drops the empty queues of endpoints that are gone.

No decision changes: BackendConnectionPoolTests, ResponseEndTests, EndlessResponseTests, RelayedRequestTests and PlatformWireTests pass as before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
@@ -13,6 +13,7 @@
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
+import org.bramleyscale.internal.gateway.request.ExchangeTrace;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 
 /**
@@ -38,6 +39,8 @@
 
 	private BackendChannel channel;
 
+	private ExchangeTrace trace = ExchangeTrace.NOT_SENT;
+
 	BackendCall(WireDialect dialect, Backend to, OutgoingRequest request, BackendListener listener) {
 		this.dialect = dialect;
 		this.to = to;
@@ -73,6 +76,11 @@
 		}
 	}
 
+	@Override
+	public ExchangeTrace trace() {
+		return this.trace;
+	}
+
 	void connectFuture(ChannelFuture future) {
 		this.connectFuture = future;
 	}
@@ -81,8 +89,25 @@
 		return this.finished;
 	}
 
-	void assignChannel(BackendChannel channel) {
+	/**
+	 * Assigns the connection that the request is sent on.
+	 * @param channel the connection
+	 * @param earlierRequests the requests that it has carried before
+	 * @param strayBytes the bytes read on it that belong to no whole response
+	 */
+	void assignChannel(BackendChannel channel, int earlierRequests, long strayBytes) {
 		this.channel = channel;
+		this.trace = new ExchangeTrace(earlierRequests, strayBytes, ExchangeTrace.Stage.NOTHING);
+	}
+
+	/**
+	 * Records how far the response has come.
+	 * @param stage a stage, ignored if a later one was reached
+	 */
+	void reached(ExchangeTrace.Stage stage) {
+		if (stage.compareTo(this.trace.stage()) > 0) {
+			this.trace = new ExchangeTrace(this.trace.earlierRequests(), this.trace.strayBytes(), stage);
+		}
 	}
 
 	FullHttpRequest toHttpRequest() {
@@ -100,8 +125,8 @@
 		return HttpMethod.HEAD.name().equals(this.request.original().method());
 	}
 
-	boolean matches(HttpResponse response) {
-		return this.dialect.matches(response, this.request.original());
+	ResponseOwner ownerOf(HttpResponse response) {
+		return this.dialect.ownerOf(response, this.request.original());
 	}
 
 	void head(HttpResponse response) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -9,10 +9,12 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.request.ExchangeTrace;
 import org.jboss.logging.Logger;
 
 /**
@@ -45,7 +47,7 @@
 	/** How long the rest of a response may take to arrive that nobody needs. */
 	private static final Duration MAX_SKIP_TIME = Duration.ofSeconds(1);
 
-	private final BackendConnectionPool connections;
+	private final Owner owner;
 
 	private final EndpointStart endpoint;
 
@@ -53,8 +55,12 @@
 
 	private final EndOfInputDetector input;
 
+	private final EndpointResponseDecoder decoder;
+
 	private BackendCall call;
 
+	private int requests;
+
 	private boolean inResponse;
 
 	private boolean delimited;
@@ -72,16 +78,26 @@
 	private String failure;
 
 	/**
-	 * Creates a connection without a call.
-	 * @param connections the pool
+	 * Adds the handlers of a connection to an endpoint to its channel.
+	 * @param owner the owner of the connection
 	 * @param endpoint the endpoint
-	 * @param channel the channel
-	 * @param input notes the end of its input
+	 * @param channel the channel, which may be half closed
 	 */
-	BackendChannel(BackendConnectionPool connections, EndpointStart endpoint, Channel channel,
-			EndOfInputDetector input) {
+	static void addTo(Channel channel, EndpointStart endpoint, Owner owner) {
+		EndOfInputDetector input = new EndOfInputDetector();
+		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
+		channel.pipeline()
+			.addLast(input)
+			.addLast(decoder)
+			.addLast(new HttpRequestEncoder())
+			.addLast(new BackendChannel(owner, endpoint, channel, input, decoder));
+	}
+
+	private BackendChannel(Owner owner, EndpointStart endpoint, Channel channel, EndOfInputDetector input,
+			EndpointResponseDecoder decoder) {
 		this.input = input;
-		this.connections = connections;
+		this.decoder = decoder;
+		this.owner = owner;
 		this.endpoint = endpoint;
 		this.channel = channel;
 	}
@@ -98,7 +114,8 @@
 		this.call = call;
 		this.interimResponses = 0;
 		this.skippedBytes = 0;
-		call.assignChannel(this);
+		call.assignChannel(this, this.requests++, this.decoder.bytesSinceResponse());
+		this.decoder.expectHeadOnly(call.headOnly());
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
 			if (!future.isSuccess()) {
 				failCall("write: " + future.cause().getMessage());
@@ -117,7 +134,7 @@
 		}
 		BackendCall skipped = this.call;
 		this.channel.config().setAutoRead(true);
-		this.connections.schedule(MAX_SKIP_TIME, () -> {
+		this.owner.schedule(MAX_SKIP_TIME, () -> {
 			if (this.call == skipped) {
 				close();
 			}
@@ -158,6 +175,13 @@
 		}
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.call != null && this.decoder.bytesSinceResponse() > this.call.trace().strayBytes()) {
+			this.call.reached(ExchangeTrace.Stage.PART_OF_HEAD);
+		}
+	}
+
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof ChannelInputShutdownEvent) {
@@ -177,7 +201,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.reusable = false;
-		this.connections.remove(this.endpoint, this);
+		this.owner.remove(this.endpoint, this);
 		failCall((this.failure != null) ? this.failure : "connection closed by the endpoint");
 	}
 
@@ -190,7 +214,8 @@
 			}
 			return;
 		}
-		this.unmatched = this.call == null || !this.call.matches(head);
+		ResponseOwner owner = (this.call != null) ? this.call.ownerOf(head) : ResponseOwner.OTHER_REQUEST;
+		this.unmatched = owner == ResponseOwner.OTHER_REQUEST;
 		if (this.unmatched) {
 			// An unsolicited response: whatever follows it can't be trusted beyond this
 			// call.
@@ -198,14 +223,19 @@
 			if (this.call == null) {
 				close();
 			}
-			else if (!ResponseFraming.isDelimited(head, this.call.headOnly())) {
-				fail("a response to another request without end");
+			else {
+				this.call.reached(ExchangeTrace.Stage.OTHER_RESPONSE);
+				if (!ResponseFraming.isDelimited(head, this.call.headOnly())) {
+					fail("a response to another request without end");
+				}
 			}
 			return;
 		}
 		this.inResponse = true;
 		this.delimited = ResponseFraming.isDelimited(head, this.call.headOnly());
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(head);
+		this.call
+			.reached((owner == ResponseOwner.UNNAMED) ? ExchangeTrace.Stage.UNNAMED_HEAD : ExchangeTrace.Stage.HEAD);
 		this.call.head(head);
 	}
 
@@ -226,6 +256,7 @@
 			this.call.data(data);
 		}
 		if (content instanceof LastHttpContent && this.call != null && (this.delimited || this.input.closedByPeer())) {
+			this.decoder.responseEnded();
 			BackendCall endedCall = this.call;
 			this.call = null;
 			this.inResponse = false;
@@ -254,7 +285,7 @@
 	private void release() {
 		if (isReusable()) {
 			this.channel.config().setAutoRead(true);
-			this.connections.release(this.endpoint, this);
+			this.owner.release(this.endpoint, this);
 		}
 		else {
 			close();
@@ -269,4 +300,32 @@
 		}
 	}
 
+	/**
+	 * Keeps connections while they carry no request. Confined to the loop's thread.
+	 */
+	interface Owner {
+
+		/**
+		 * Takes back a connection whose request has been answered.
+		 * @param endpoint the endpoint
+		 * @param connection the connection, which may be used again
+		 */
+		void release(EndpointStart endpoint, BackendChannel connection);
+
+		/**
+		 * Called when a connection is closed.
+		 * @param endpoint the endpoint
+		 * @param connection the connection
+		 */
+		void remove(EndpointStart endpoint, BackendChannel connection);
+
+		/**
+		 * Runs a task later.
+		 * @param delay the delay
+		 * @param task the task
+		 */
+		void schedule(Duration delay, Runnable task);
+
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -2,10 +2,6 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import io.netty.bootstrap.Bootstrap;
@@ -16,9 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.handler.codec.http.HttpClientCodec;
 import org.bramleyscale.internal.gateway.backend.Backend;
-import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.reachability.ConnectionCheck;
 import org.bramleyscale.internal.gateway.reachability.ConnectionObserver;
 import org.bramleyscale.internal.gateway.reachability.ConnectionOutcome;
@@ -49,19 +43,6 @@
 	static final TcpLiveness LIVENESS = new TcpLiveness(Duration.ofMillis(2_500), Duration.ofSeconds(1),
 			Duration.ofSeconds(1));
 
-	/**
-	 * How long an idle connection is kept. A device between the two ends may drop its
-	 * state of the connection; the shorter the idle time, the rarer a request is
-	 * affected.
-	 */
-	static final Duration IDLE_TIMEOUT = Duration.ofMillis(1_500);
-
-	private static final int MAX_INITIAL_LINE_LENGTH = 8_192;
-
-	private static final int MAX_HEADER_SIZE = 65_536;
-
-	private static final int MAX_CHUNK_SIZE = 16_384;
-
 	/**
 	 * The operating system's message if nothing listens on the port; a connect timeout
 	 * has the same exception type.
@@ -72,7 +53,7 @@
 
 	private final WireDialect dialect;
 
-	private final Map<EndpointStart, Deque<BackendChannel>> idle = new HashMap<>();
+	private final IdleConnections idle;
 
 	private ConnectionObserver observer = ConnectionObserver.NONE;
 
@@ -83,6 +64,7 @@
 	public BackendConnectionPool(NettyLoop loop, WireDialect dialect) {
 		this.loop = loop;
 		this.dialect = dialect;
+		this.idle = new IdleConnections(loop);
 	}
 
 	/**
@@ -96,7 +78,7 @@
 	@Override
 	public BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
 		BackendCall call = new BackendCall(this.dialect, to, request, listener);
-		BackendChannel reused = request.freshConnection() ? null : takeIdle(to.start());
+		BackendChannel reused = request.freshConnection() ? null : this.idle.take(to.start());
 		if (reused != null) {
 			this.reusedCount++;
 			this.loop.execute(() -> {
@@ -155,33 +137,6 @@
 		return this.reusedCount;
 	}
 
-	void release(EndpointStart start, BackendChannel channel) {
-		this.idle.computeIfAbsent(start, (key) -> new ArrayDeque<>()).addFirst(channel);
-		this.loop.schedule(IDLE_TIMEOUT, channel::closeIfIdle);
-	}
-
-	void schedule(Duration limit, Runnable task) {
-		this.loop.schedule(limit, task);
-	}
-
-	void remove(EndpointStart start, BackendChannel channel) {
-		Deque<BackendChannel> channels = this.idle.get(start);
-		if (channels != null && channels.remove(channel) && channels.isEmpty()) {
-			this.idle.remove(start);
-		}
-	}
-
-	private BackendChannel takeIdle(EndpointStart start) {
-		Deque<BackendChannel> channels = this.idle.get(start);
-		while (channels != null && !channels.isEmpty()) {
-			BackendChannel channel = channels.pollFirst();
-			if (channel.isReusable()) {
-				return channel;
-			}
-		}
-		return null;
-	}
-
 	private void connect(Backend to, BackendCall call) {
 		if (call.finished()) {
 			return;
@@ -193,11 +148,7 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					EndOfInputDetector input = new EndOfInputDetector();
-					channel.pipeline()
-						.addLast(input)
-						.addLast(new HttpClientCodec(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_CHUNK_SIZE))
-						.addLast(new BackendChannel(BackendConnectionPool.this, to.start(), channel, input));
+					BackendChannel.addTo(channel, to.start(), BackendConnectionPool.this.idle);
 				}
 
 			});
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/WireDialect.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/WireDialect.java
@@ -36,12 +36,12 @@
 	void writeRequestHeaders(Backend to, OutgoingRequest request, HttpHeaders headers);
 
 	/**
-	 * Whether an endpoint's response belongs to a request.
+	 * Returns which request an endpoint's response names.
 	 * @param response the head of the response
-	 * @param request the request
-	 * @return false if it is a late response to another one
+	 * @param request the request that awaits a response
+	 * @return the owner of the response
 	 */
-	boolean matches(HttpResponse response, CallerRequest request);
+	ResponseOwner ownerOf(HttpResponse response, CallerRequest request);
 
 	/**
 	 * Reads the head of an endpoint's response.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/Attempt.java
@@ -189,6 +189,14 @@
 		return !this.closed && this.dispatched;
 	}
 
+	/**
+	 * Returns what was read for this attempt.
+	 * @return the trace, also after the attempt has ended
+	 */
+	ExchangeTrace trace() {
+		return (this.exchange != null) ? this.exchange.trace() : ExchangeTrace.NOT_SENT;
+	}
+
 	void setReading(boolean on) {
 		if (!this.closed && this.exchange != null) {
 			this.exchange.setReading(on);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/BackendClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/BackendClient.java
@@ -42,6 +42,12 @@
 		 */
 		void setReading(boolean on);
 
+		/**
+		 * Returns what was read for this exchange.
+		 * @return the trace, also after the exchange has ended
+		 */
+		ExchangeTrace trace();
+
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -340,7 +340,7 @@
 		}
 		this.retryState.recordPossibleRun();
 		this.ports.health().failed(from.target().start());
-		this.log.attemptFailed(from.target(), cause, this.stream.lastEventId());
+		this.log.attemptFailed(from.target(), cause, this.stream.lastEventId(), from.trace());
 		this.gate.endpointFailed(from.target());
 		responseInterrupted(from, cause);
 	}
@@ -362,7 +362,7 @@
 		this.ports.health().unreachable(from.target().start(), "silent");
 		this.ports.health().failed(from.target().start());
 		this.ports.metrics().requestResent("silent");
-		this.log.attemptTimedOut(from.target(), this.stream.lastEventId());
+		this.log.attemptTimedOut(from.target(), this.stream.lastEventId(), from.trace());
 		from.cancel();
 		send();
 	}
@@ -417,7 +417,7 @@
 
 	private void resend(Attempt from, String cause) {
 		this.ports.metrics().requestResent("failed");
-		this.log.resent(from.target(), cause, this.stream.lastEventId());
+		this.log.resent(from.target(), cause, this.stream.lastEventId(), from.trace());
 		from.cancel();
 		send();
 	}
@@ -508,7 +508,8 @@
 			this.ports.demands().shortEnded(this.resolved.service().name());
 		}
 		this.ports.metrics().requestEnded(outcome);
-		this.log.ended(decision, this.resolved.route(), this.times.elapsed(), fields);
+		this.log.ended(decision, this.resolved.route(), this.times.elapsed(),
+				(this.attempt != null) ? this.attempt.trace() : ExchangeTrace.NOT_SENT, fields);
 		this.ports.contention().capacityMayBeFree();
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
@@ -68,13 +68,13 @@
 		write("unreachable", "endpoint", endpoint.id(), "cause", cause);
 	}
 
-	void attemptFailed(Backend endpoint, String cause, String lastEventId) {
-		write("fell", "endpoint", endpoint.id(), "cause", cause, "digest", this.digest, "parts", parts(), "after_event",
-				lastEventId);
+	void attemptFailed(Backend endpoint, String cause, String lastEventId, ExchangeTrace trace) {
+		writeTraced("fell", trace, "endpoint", endpoint.id(), "cause", cause, "digest", this.digest, "parts", parts(),
+				"after_event", lastEventId);
 	}
 
-	void attemptTimedOut(Backend endpoint, String lastEventId) {
-		write("taken elsewhere", "endpoint", endpoint.id(), "cause", "silent", "after_event", lastEventId);
+	void attemptTimedOut(Backend endpoint, String lastEventId, ExchangeTrace trace) {
+		writeTraced("taken elsewhere", trace, "endpoint", endpoint.id(), "cause", "silent", "after_event", lastEventId);
 	}
 
 	void refused(Backend endpoint, BackendHead head) {
@@ -82,8 +82,8 @@
 				head.atFault().orElse(null));
 	}
 
-	void resent(Backend endpoint, String cause, String lastEventId) {
-		write("sent again", "endpoint", endpoint.id(), "cause", cause, "after_event", lastEventId);
+	void resent(Backend endpoint, String cause, String lastEventId, ExchangeTrace trace) {
+		writeTraced("sent again", trace, "endpoint", endpoint.id(), "cause", cause, "after_event", lastEventId);
 	}
 
 	/**
@@ -110,18 +110,27 @@
 	 * @param decision how it ended
 	 * @param route its route
 	 * @param elapsed the time since its arrival
+	 * @param trace what was read for its last attempt
 	 * @param fields further fields
 	 */
-	void ended(String decision, Route route, Duration elapsed, Object... fields) {
-		Object[] lastFields = { "route", route, "after_ms", elapsed.toMillis(), "prompt_tokens",
-				this.request.promptTokens() };
-		write(decision, Stream.concat(Stream.of(fields), Stream.of(lastFields)).toArray());
+	void ended(String decision, Route route, Duration elapsed, ExchangeTrace trace, Object... fields) {
+		writeTraced(decision, trace, append(fields, "route", route, "after_ms", elapsed.toMillis(), "prompt_tokens",
+				this.request.promptTokens()));
 	}
 
 	private String parts() {
 		return String.join(" ", this.request.sharedParts());
 	}
 
+	private void writeTraced(String decision, ExchangeTrace trace, Object... fields) {
+		write(decision, append(fields, "earlier_requests", trace.earlierRequests(), "stray_bytes", trace.strayBytes(),
+				"received", trace.stage()));
+	}
+
+	private static Object[] append(Object[] fields, Object... more) {
+		return Stream.concat(Stream.of(fields), Stream.of(more)).toArray();
+	}
+
 	private void write(String decision, Object... fields) {
 		this.log.request(this.request.id(), decision, fields);
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SentRequest.java
@@ -7,6 +7,7 @@
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
+import org.bramleyscale.internal.gateway.request.ExchangeTrace;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 
 /**
@@ -127,6 +128,11 @@
 		cancel();
 	}
 
+	@Override
+	public ExchangeTrace trace() {
+		return ExchangeTrace.NOT_SENT;
+	}
+
 	@Override
 	public void setReading(boolean on) {
 		// Simulated endpoints send whole answers, so there is nothing to pause.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
@@ -43,9 +43,12 @@
 	}
 
 	@Override
-	public boolean matches(HttpResponse response, CallerRequest request) {
+	public ResponseOwner ownerOf(HttpResponse response, CallerRequest request) {
 		String id = response.headers().get("Id");
-		return id == null || id.equals(request.id());
+		if (id == null) {
+			return ResponseOwner.UNNAMED;
+		}
+		return id.equals(request.id()) ? ResponseOwner.THIS_REQUEST : ResponseOwner.OTHER_REQUEST;
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedRun.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/SimulatedRun.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.internal.gateway.request.BackendClient;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
+import org.bramleyscale.internal.gateway.request.ExchangeTrace;
 import org.bramleyscale.internal.gateway.request.Header;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.time.Cancellable;
@@ -163,6 +164,11 @@
 			cancel();
 		}
 
+		@Override
+		public ExchangeTrace trace() {
+			return ExchangeTrace.NOT_SENT;
+		}
+
 		@Override
 		public void setReading(boolean on) {
 			// The channel between caller and daemon takes all events.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/region/RegionFleet.java
@@ -50,6 +50,7 @@
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
+import org.bramleyscale.internal.gateway.request.ExchangeTrace;
 import org.bramleyscale.internal.gateway.request.GatewayMetrics;
 import org.bramleyscale.internal.gateway.request.GatewayPorts;
 import org.bramleyscale.internal.gateway.request.GatewayService;
@@ -375,6 +376,11 @@
 			cancel();
 		}
 
+		@Override
+		public ExchangeTrace trace() {
+			return ExchangeTrace.NOT_SENT;
+		}
+
 		@Override
 		public void setReading(boolean on) {
 			// Events are few, so there is nothing to pause.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SentRequest.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/SentRequest.java
@@ -42,6 +42,11 @@
 		this.skipped = true;
 	}
 
+	@Override
+	public ExchangeTrace trace() {
+		return ExchangeTrace.NOT_SENT;
+	}
+
 	@Override
 	public void setReading(boolean on) {
 		// The endpoints of these tests send only what the test says.
