Put no response together from the bytes of several

Callers got a 2xx where the endpoint had answered 500, and others a 504 while the endpoint's answer had been read. An endpoint sends a part of a second answer, and the next answer follows on the same connection. The decoder kept the part of a head without a word, so the connection was idle and reused; it then took the status line of the part and the fields and body of the next answer for one head, since a line without a colon was a field to it. A part that had the other request's id swallowed the answer, and its caller waited until the time limit.

A head is decoded once all of it has arrived, and only if it begins with its only status line and each line is a field: a part of a head with a head behind it always has a second status line. A connection is reused, and kept, only while no byte is left over from whole responses. A success must name its request, exactly once; a failure without a name counts by its position on a connection that has carried nothing else. The log field stray_bytes would always be 0 and is gone.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.request.BackendClient;
@@ -93,21 +94,23 @@
 	 * Assigns the connection that the request is sent on.
 	 * @param channel the connection
 	 * @param earlierRequests the requests that it has carried before
-	 * @param strayBytes the bytes read on it that belong to no whole response
 	 */
-	void assignChannel(BackendChannel channel, int earlierRequests, long strayBytes) {
+	void assignChannel(BackendChannel channel, int earlierRequests) {
 		this.channel = channel;
-		this.trace = new ExchangeTrace(earlierRequests, strayBytes, ExchangeTrace.Stage.NOTHING);
+		this.trace = new ExchangeTrace(earlierRequests, ExchangeTrace.Stage.NOTHING);
 	}
 
 	/**
 	 * Records how far the response has come.
 	 * @param stage a stage, ignored if a later one was reached
+	 * @return whether it is the latest that was reached, for the first time
 	 */
-	void reached(ExchangeTrace.Stage stage) {
-		if (stage.compareTo(this.trace.stage()) > 0) {
-			this.trace = new ExchangeTrace(this.trace.earlierRequests(), this.trace.strayBytes(), stage);
+	boolean reached(ExchangeTrace.Stage stage) {
+		boolean later = stage.compareTo(this.trace.stage()) > 0;
+		if (later) {
+			this.trace = new ExchangeTrace(this.trace.earlierRequests(), stage);
 		}
+		return later;
 	}
 
 	FullHttpRequest toHttpRequest() {
@@ -129,6 +132,16 @@
 		return this.dialect.ownerOf(response, this.request.original());
 	}
 
+	/**
+	 * Whether only the position of a response on its connection may tell that it belongs
+	 * to this request.
+	 * @param response the head of a response that names no request
+	 * @return false for a success, if the request has an id
+	 */
+	boolean acceptsUnnamed(HttpResponse response) {
+		return !this.request.named() || response.status().codeClass() != HttpStatusClass.SUCCESS;
+	}
+
 	void head(HttpResponse response) {
 		if (!this.finished) {
 			BackendHead head = this.dialect.readResponseHead(response);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -7,10 +7,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
@@ -21,20 +24,22 @@
  * One connection to an endpoint.
  *
  * <p>
- * Endpoints may respond to a request twice, or so late that the response arrives in place
- * of the next one. A response to another request is dropped, the right one is awaited,
- * and the connection isn't reused. A response without a length ends with its connection,
- * and only if it was the endpoint that closed it in an orderly way; a reset, and closing
- * the connection on this side, break the response off. Invariant: what nobody needs
- * (interim responses, responses to other requests, the rest of one that was skipped) is
- * read only up to a bound, since it may have no end. Confined to the loop's thread.
+ * Faulty endpoints respond to a request twice, or so late that the response arrives in
+ * place of the next one, and break such responses off. Invariants: the connection carries
+ * a request only while all bytes read on it belong to whole responses to earlier ones; a
+ * response is passed on only if it names the request of the call, or if the request has
+ * no id or failed and nothing else was ever read. A response to another request is
+ * dropped and the right one is awaited, unless the other one doesn't end. A response
+ * without a length ends with its connection, and only if it was the endpoint that closed
+ * it in an orderly way; a reset, and closing the connection on this side, break the
+ * response off. What nobody needs (interim responses, responses to other requests, the
+ * rest of one that was skipped) is read only up to a bound, since it may have no end.
+ * Confined to the loop's thread.
  */
 final class BackendChannel extends SimpleChannelInboundHandler<HttpObject> {
 
 	private static final Logger logger = Logger.getLogger(BackendChannel.class);
 
-	private static final int FIRST_FINAL_STATUS = 200;
-
 	/** A sound endpoint sends one interim response at most, to 100-continue. */
 	private static final int MAX_INTERIM_RESPONSES = 8;
 
@@ -65,10 +70,12 @@
 
 	private boolean delimited;
 
-	private boolean unmatched;
-
 	private boolean interim;
 
+	private boolean otherResponses;
+
+	private SkippedResponse other;
+
 	private int interimResponses;
 
 	private int skippedBytes;
@@ -114,7 +121,7 @@
 		this.call = call;
 		this.interimResponses = 0;
 		this.skippedBytes = 0;
-		call.assignChannel(this, this.requests++, this.decoder.bytesSinceResponse());
+		call.assignChannel(this, this.requests++);
 		this.decoder.expectHeadOnly(call.headOnly());
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
 			if (!future.isSuccess()) {
@@ -142,7 +149,8 @@
 	}
 
 	boolean isReusable() {
-		return this.reusable && this.call == null && this.channel.isActive() && !this.input.ended();
+		return this.reusable && this.call == null && this.channel.isActive() && !this.input.ended()
+				&& this.decoder.allAccounted();
 	}
 
 	void close() {
@@ -177,8 +185,12 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
-		if (this.call != null && this.decoder.bytesSinceResponse() > this.call.trace().strayBytes()) {
-			this.call.reached(ExchangeTrace.Stage.PART_OF_HEAD);
+		if (this.call == null && !this.decoder.allAccounted()) {
+			close();
+		}
+		else if (this.call != null && this.decoder.unaccountedBytes() > 0
+				&& this.call.reached(ExchangeTrace.Stage.PART_OF_HEAD) && this.requests > 1) {
+			boundPartOfHead();
 		}
 	}
 
@@ -191,10 +203,15 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		if (!(cause instanceof IOException)) {
-			logger.warnf(cause, "Connection to endpoint %s failed", this.endpoint);
+		if (cause instanceof DecoderException) {
+			this.failure = "malformed response: " + cause.getMessage();
+		}
+		else {
+			this.failure = cause.toString();
+			if (!(cause instanceof IOException)) {
+				logger.warnf(cause, "Connection to endpoint %s failed", this.endpoint);
+			}
 		}
-		this.failure = cause.toString();
 		close();
 	}
 
@@ -206,48 +223,78 @@
 	}
 
 	private void startResponse(HttpResponse head) {
-		this.interim = head.status().code() < FIRST_FINAL_STATUS;
+		this.interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		if (this.interim) {
-			this.interimResponses++;
-			if (this.interimResponses > MAX_INTERIM_RESPONSES) {
-				fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
-			}
+			startInterimResponse(head);
 			return;
 		}
-		ResponseOwner owner = (this.call != null) ? this.call.ownerOf(head) : ResponseOwner.OTHER_REQUEST;
-		this.unmatched = owner == ResponseOwner.OTHER_REQUEST;
-		if (this.unmatched) {
-			// An unsolicited response: whatever follows it can't be trusted beyond this
-			// call.
-			this.reusable = false;
-			if (this.call == null) {
-				close();
-			}
-			else {
-				this.call.reached(ExchangeTrace.Stage.OTHER_RESPONSE);
-				if (!ResponseFraming.isDelimited(head, this.call.headOnly())) {
-					fail("a response to another request without end");
+		if (this.call == null) {
+			close();
+			return;
+		}
+		switch (this.call.ownerOf(head)) {
+			case THIS_REQUEST -> startOwnResponse(head, ExchangeTrace.Stage.HEAD);
+			case UNNAMED -> {
+				if (this.requests == 1 && !this.otherResponses && this.call.acceptsUnnamed(head)) {
+					startOwnResponse(head, ExchangeTrace.Stage.UNNAMED_HEAD);
+				}
+				else {
+					this.call.reached(ExchangeTrace.Stage.UNNAMED_HEAD);
+					fail("a response that names no request");
 				}
 			}
-			return;
+			case OTHER_REQUEST -> startOtherResponse(head);
+		}
+	}
+
+	private void startInterimResponse(HttpResponse head) {
+		this.interimResponses++;
+		if (this.interimResponses > MAX_INTERIM_RESPONSES) {
+			fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
 		}
+		else if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			fail("a change of protocol that wasn't asked for");
+		}
+	}
+
+	private void startOwnResponse(HttpResponse head, ExchangeTrace.Stage stage) {
 		this.inResponse = true;
 		this.delimited = ResponseFraming.isDelimited(head, this.call.headOnly());
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(head);
-		this.call
-			.reached((owner == ResponseOwner.UNNAMED) ? ExchangeTrace.Stage.UNNAMED_HEAD : ExchangeTrace.Stage.HEAD);
+		this.call.reached(stage);
 		this.call.head(head);
 	}
 
+	private void startOtherResponse(HttpResponse head) {
+		this.otherResponses = true;
+		this.reusable = false;
+		this.call.reached(ExchangeTrace.Stage.OTHER_RESPONSE);
+		if (!ResponseFraming.isDelimited(head, this.call.headOnly())) {
+			fail("a response to another request without end");
+			return;
+		}
+		this.other = new SkippedResponse();
+		SkippedResponse skipped = this.other;
+		this.owner.schedule(MAX_SKIP_TIME, () -> {
+			if (this.other == skipped) {
+				fail("a response to another request that doesn't end");
+			}
+		});
+	}
+
 	private void forward(HttpContent content) {
 		if (this.failure != null) {
 			return;
 		}
 		int length = content.content().readableBytes();
-		if (this.unmatched || (this.call != null && this.call.finished())) {
+		if (this.other != null) {
+			forwardOther(content);
+			return;
+		}
+		if (this.call != null && this.call.finished()) {
 			skip(length);
 		}
-		if (this.interim || this.unmatched || this.call == null || !this.inResponse) {
+		if (this.interim || this.call == null || !this.inResponse) {
 			return;
 		}
 		if (length > 0) {
@@ -256,17 +303,30 @@
 			this.call.data(data);
 		}
 		if (content instanceof LastHttpContent && this.call != null && (this.delimited || this.input.closedByPeer())) {
-			this.decoder.responseEnded();
-			BackendCall endedCall = this.call;
-			this.call = null;
-			this.inResponse = false;
-			if (this.delimited) {
-				endedCall.complete();
-			}
-			else {
-				endedCall.closed();
-			}
-			release();
+			endResponse();
+		}
+	}
+
+	private void endResponse() {
+		BackendCall endedCall = this.call;
+		this.call = null;
+		this.inResponse = false;
+		if (this.delimited) {
+			endedCall.complete();
+		}
+		else {
+			endedCall.closed();
+		}
+		release();
+	}
+
+	private void forwardOther(HttpContent content) {
+		skip(content.content().readableBytes());
+		if (this.other.swallows(content)) {
+			fail("a response to another request that was broken off");
+		}
+		else if (content instanceof LastHttpContent) {
+			this.other = null;
 		}
 	}
 
@@ -277,6 +337,19 @@
 		}
 	}
 
+	/**
+	 * Fails the call if the head of its response isn't whole after some time. On a
+	 * connection that has carried requests it may be a part of an earlier response.
+	 */
+	private void boundPartOfHead() {
+		BackendCall awaiting = this.call;
+		this.owner.schedule(MAX_SKIP_TIME, () -> {
+			if (this.call == awaiting && awaiting.trace().stage() == ExchangeTrace.Stage.PART_OF_HEAD) {
+				fail("a head that doesn't end");
+			}
+		});
+	}
+
 	private void fail(String cause) {
 		this.failure = cause;
 		close();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -25,10 +25,10 @@
  *
  * <p>
  * Invariants: a request that may run at most once gets a new connection, since on a
- * reused one that turns out to be dead it is unknown whether the bytes arrived; a
- * connection on which anything unexpected was read is never reused; a connection to an
- * earlier start of an endpoint isn't used for a later one, which would only reset it.
- * Confined to the loop's thread.
+ * reused one that turns out to be dead it is unknown whether the bytes arrived; so does
+ * one without an id; a connection is reused only while all bytes read on it belong to
+ * whole responses; a connection to an earlier start of an endpoint isn't used for a later
+ * one, which would only reset it. Confined to the loop's thread.
  */
 public final class BackendConnectionPool implements BackendClient, ConnectionCheck {
 
@@ -78,7 +78,7 @@
 	@Override
 	public BackendExchange send(Backend to, OutgoingRequest request, BackendListener listener) {
 		BackendCall call = new BackendCall(this.dialect, to, request, listener);
-		BackendChannel reused = request.freshConnection() ? null : this.idle.take(to.start());
+		BackendChannel reused = (request.freshConnection() || !request.named()) ? null : this.idle.take(to.start());
 		if (reused != null) {
 			this.reusedCount++;
 			this.loop.execute(() -> {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndpointResponseDecoder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndpointResponseDecoder.java
@@ -1,17 +1,23 @@
 package org.bramleyscale.internal.gateway.http;
 
+import java.util.List;
+import java.util.Optional;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Decodes the responses on one connection to an endpoint, and counts the bytes that
- * belong to no whole response.
+ * Decodes the responses on one connection to an endpoint.
  *
  * <p>
- * Confined to the loop's thread.
+ * Invariants: a head is decoded only once all of it has arrived and only if its bytes are
+ * those of one response; until then its bytes count as unaccounted for, as do all others
+ * that belong to no whole response. Confined to the loop's thread.
  */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
 
@@ -25,9 +31,13 @@
 
 	private boolean headOnly;
 
-	private long received;
+	private boolean betweenResponses = true;
+
+	private boolean corrupt;
 
-	private long accounted;
+	private int searched;
+
+	private int lineLength;
 
 	EndpointResponseDecoder() {
 		super(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_CHUNK_SIZE);
@@ -42,26 +52,33 @@
 	}
 
 	/**
-	 * Records that the message which was just passed on is the end of a response.
+	 * Whether each byte that was read belongs to a whole response.
+	 * @return false within a response, and if other bytes were read
 	 */
-	void responseEnded() {
-		this.accounted = this.received - actualReadableBytes();
+	boolean allAccounted() {
+		return this.betweenResponses && unaccountedBytes() == 0;
 	}
 
 	/**
-	 * Returns the number of bytes read since the last whole response.
-	 * @return the number, including bytes that aren't decoded yet
+	 * Returns the number of bytes read that aren't decoded, such as a part of a head.
+	 * @return the number
 	 */
-	long bytesSinceResponse() {
-		return this.received - this.accounted;
+	int unaccountedBytes() {
+		return actualReadableBytes();
 	}
 
 	@Override
-	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-		if (message instanceof ByteBuf bytes) {
-			this.received += bytes.readableBytes();
+	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+		if (this.corrupt) {
+			bytes.skipBytes(bytes.readableBytes());
+			return;
+		}
+		if (this.betweenResponses && !headArrived(bytes)) {
+			return;
 		}
-		super.channelRead(context, message);
+		this.betweenResponses = false;
+		super.decode(context, bytes, decoded);
+		this.betweenResponses = !decoded.isEmpty() && decoded.get(decoded.size() - 1) instanceof LastHttpContent;
 	}
 
 	@Override
@@ -70,4 +87,45 @@
 		return (isFinal && this.headOnly) || super.isContentAlwaysEmpty(message);
 	}
 
+	private boolean headArrived(ByteBuf bytes) {
+		int length = headLength(bytes);
+		if (length < 0) {
+			if (bytes.readableBytes() > MAX_INITIAL_LINE_LENGTH + MAX_HEADER_SIZE) {
+				fail("head too large");
+			}
+			return false;
+		}
+		Optional<String> fault = ResponseHeadCheck.faultOf(bytes, bytes.readerIndex(), length);
+		fault.ifPresent(this::fail);
+		return true;
+	}
+
+	/**
+	 * Searches the empty line that ends a head, from where the last search has stopped.
+	 * @param bytes the bytes since the last response
+	 * @return the length of the head, or -1 if its end hasn't arrived
+	 */
+	private int headLength(ByteBuf bytes) {
+		while (this.searched < bytes.readableBytes()) {
+			byte value = bytes.getByte(bytes.readerIndex() + this.searched++);
+			if (value == '\n' && this.lineLength == 0) {
+				int length = this.searched;
+				this.searched = 0;
+				return length;
+			}
+			if (value == '\n') {
+				this.lineLength = 0;
+			}
+			else if (value != '\r') {
+				this.lineLength++;
+			}
+		}
+		return -1;
+	}
+
+	private void fail(String fault) {
+		this.corrupt = true;
+		throw new CorruptedFrameException(fault);
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/ExchangeTrace.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/ExchangeTrace.java
@@ -7,14 +7,12 @@
  * Immutable and safe for use by multiple threads.
  *
  * @param earlierRequests the requests that the connection had carried before
- * @param strayBytes the bytes that had been read on it before the request was sent and
- * that belong to no whole response
  * @param stage how far the response has come
  */
-public record ExchangeTrace(int earlierRequests, long strayBytes, Stage stage) {
+public record ExchangeTrace(int earlierRequests, Stage stage) {
 
 	/** The trace of a request that has no connection yet. */
-	public static final ExchangeTrace NOT_SENT = new ExchangeTrace(0, 0, Stage.NOT_SENT);
+	public static final ExchangeTrace NOT_SENT = new ExchangeTrace(0, Stage.NOT_SENT);
 
 	/**
 	 * How far a response has come.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/OutgoingRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/OutgoingRequest.java
@@ -23,4 +23,13 @@
  */
 public record OutgoingRequest(CallerRequest original, Optional<ClientAccountId> account, Duration timeLeft,
 		Optional<String> lastEventId, List<Helper> helpers, int priority, boolean freshConnection) {
+
+	/**
+	 * Whether the request has an id, which its response must name.
+	 * @return false if only the position of a response tells that it belongs to it
+	 */
+	public boolean named() {
+		return !this.original.id().isEmpty();
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RequestLog.java
@@ -123,8 +123,7 @@
 	}
 
 	private void writeTraced(String decision, ExchangeTrace trace, Object... fields) {
-		write(decision, append(fields, "earlier_requests", trace.earlierRequests(), "stray_bytes", trace.strayBytes(),
-				"received", trace.stage()));
+		write(decision, append(fields, "earlier_requests", trace.earlierRequests(), "received", trace.stage()));
 	}
 
 	private static Object[] append(Object[] fields, Object... more) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/PlainDialect.java
@@ -44,11 +44,11 @@
 
 	@Override
 	public ResponseOwner ownerOf(HttpResponse response, CallerRequest request) {
-		String id = response.headers().get("Id");
-		if (id == null) {
+		List<String> ids = response.headers().getAll("Id");
+		if (ids.isEmpty()) {
 			return ResponseOwner.UNNAMED;
 		}
-		return id.equals(request.id()) ? ResponseOwner.THIS_REQUEST : ResponseOwner.OTHER_REQUEST;
+		return ids.equals(List.of(request.id())) ? ResponseOwner.THIS_REQUEST : ResponseOwner.OTHER_REQUEST;
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
@@ -21,7 +21,6 @@
 import org.bramleyscale.internal.gateway.request.CallerRequest;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.time.ManualScheduler;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -52,7 +51,6 @@
 	 */
 	@ParameterizedTest
 	@MethodSource("seeds")
-	@Tag("known-red")
 	void callersReceiveTheirOwnResponseOrNone(long seed) {
 		Random random = new Random(seed);
 		for (int i = 0; i < 500; i++) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedResponse.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedResponse.java
@@ -45,14 +45,25 @@
 		}
 		Collections.shuffle(fields, random);
 		String head = "HTTP/1.1 " + status + "\r\n" + String.join("\r\n", fields) + "\r\n\r\n";
-		return new ScriptedResponse(id, status, bodiless ? Framing.LENGTH : framing, body,
-				head + (bodiless ? "" : framing.encode(body, random)), head.length());
+		return new ScriptedResponse(id, status, (bodiless && framing == Framing.CONNECTION) ? Framing.LENGTH : framing,
+				body, head + (bodiless ? "" : framing.encode(body, random)), head.length());
 	}
 
 	int code() {
 		return Integer.parseInt(this.status.split(" ")[0]);
 	}
 
+	/**
+	 * Whether the end of this response shows whatever was asked for.
+	 * @return false if it ends with its connection, or only because its request asked for
+	 * the head
+	 */
+	boolean showsItsEnd() {
+		boolean hasLastChunk = this.bytes.endsWith("\r\n0\r\n\r\n");
+		return this.framing == Framing.LENGTH || this.status.startsWith("204")
+				|| (this.framing == Framing.CHUNKS && hasLastChunk);
+	}
+
 	/**
 	 * Returns the bytes of this response without those that name its request.
 	 * @return the bytes
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/StrayBytes.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/StrayBytes.java
@@ -25,7 +25,7 @@
 	static StrayBytes draw(Random random, List<ScriptedResponse> sent) {
 		ScriptedResponse copied = sent.get(random.nextInt(sent.size()));
 		return switch (Kind.values()[random.nextInt(Kind.values().length)]) {
-			case WHOLE_COPY -> new StrayBytes(copied.bytes(), copied.framing() != ScriptedResponse.Framing.CONNECTION);
+			case WHOLE_COPY -> new StrayBytes(copied.bytes(), copied.showsItsEnd());
 			case COPY_CUT_IN_ITS_HEAD -> torn(copied.bytes(), copied.headLength(), random);
 			case COPY_CUT_ANYWHERE -> torn(copied.bytes(), copied.bytes().length(), random);
 			case TWO_CUT_COPIES -> new StrayBytes(torn(copied.bytes(), copied.headLength(), random).bytes()
