Keep no connection to an endpoint that has lately sent stray bytes

Nothing tells such a part before it comes, but an endpoint that has sent one sends more.

For 10 s after bytes that belong to no response on a connection that had carried requests, its endpoint gets a new connection for each request; the idle ones are closed, and a belief line says so. Whole second responses don't count: they do no harm. Bytes behind a response in the same read are decoded before the connection is closed, to know which of both they are; nothing is decoded after a failure.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -40,19 +40,10 @@
 
 	private static final Logger logger = Logger.getLogger(BackendChannel.class);
 
-	/** A sound endpoint sends one interim response at most, to 100-continue. */
-	private static final int MAX_INTERIM_RESPONSES = 8;
-
-	/** Bytes that are read and dropped for the sake of one call. */
-	private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
-
-	/** What a chunk counts at least, since each costs time however short it is. */
-	private static final int MIN_CHUNK_BYTES = 64;
-
 	/** How long the rest of a response may take to arrive that nobody needs. */
 	private static final Duration MAX_SKIP_TIME = Duration.ofSeconds(1);
 
-	private final Owner owner;
+	private final ConnectionOwner owner;
 
 	private final EndpointStart endpoint;
 
@@ -76,9 +67,7 @@
 
 	private SkippedResponse other;
 
-	private int interimResponses;
-
-	private int skippedBytes;
+	private UnneededBytes unneeded = new UnneededBytes();
 
 	private boolean reusable = true;
 
@@ -90,7 +79,7 @@
 	 * @param endpoint the endpoint
 	 * @param channel the channel, which may be half closed
 	 */
-	static void addTo(Channel channel, EndpointStart endpoint, Owner owner) {
+	static void addTo(Channel channel, EndpointStart endpoint, ConnectionOwner owner) {
 		EndOfInputDetector input = new EndOfInputDetector();
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
 		channel.pipeline()
@@ -100,7 +89,7 @@
 			.addLast(new BackendChannel(owner, endpoint, channel, input, decoder));
 	}
 
-	private BackendChannel(Owner owner, EndpointStart endpoint, Channel channel, EndOfInputDetector input,
+	private BackendChannel(ConnectionOwner owner, EndpointStart endpoint, Channel channel, EndOfInputDetector input,
 			EndpointResponseDecoder decoder) {
 		this.input = input;
 		this.decoder = decoder;
@@ -119,8 +108,7 @@
 			return;
 		}
 		this.call = call;
-		this.interimResponses = 0;
-		this.skippedBytes = 0;
+		this.unneeded = new UnneededBytes();
 		call.assignChannel(this, this.requests++);
 		this.decoder.expectHeadOnly(call.headOnly());
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
@@ -170,9 +158,11 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+		if (this.failure != null) {
+			return;
+		}
 		if (message.decoderResult().isFailure()) {
-			this.failure = "malformed response: " + message.decoderResult().cause().getMessage();
-			close();
+			failMalformed(message.decoderResult().cause());
 			return;
 		}
 		if (message instanceof HttpResponse head) {
@@ -185,7 +175,10 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
-		if (this.call == null && !this.decoder.allAccounted()) {
+		if (this.call == null && this.failure == null && !this.decoder.allAccounted()) {
+			failByStrayBytes("a part of a response that nobody asked for");
+		}
+		else if (this.call == null && !this.reusable) {
 			close();
 		}
 		else if (this.call != null && this.decoder.unaccountedBytes() > 0
@@ -204,15 +197,13 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		if (cause instanceof DecoderException) {
-			this.failure = "malformed response: " + cause.getMessage();
+			failMalformed(cause);
+			return;
 		}
-		else {
-			this.failure = cause.toString();
-			if (!(cause instanceof IOException)) {
-				logger.warnf(cause, "Connection to endpoint %s failed", this.endpoint);
-			}
+		if (!(cause instanceof IOException)) {
+			logger.warnf(cause, "Connection to endpoint %s failed", this.endpoint);
 		}
-		close();
+		fail(cause.toString());
 	}
 
 	@Override
@@ -240,7 +231,7 @@
 				}
 				else {
 					this.call.reached(ExchangeTrace.Stage.UNNAMED_HEAD);
-					fail("a response that names no request");
+					failByStrayBytes("a response that names no request");
 				}
 			}
 			case OTHER_REQUEST -> startOtherResponse(head);
@@ -248,11 +239,8 @@
 	}
 
 	private void startInterimResponse(HttpResponse head) {
-		this.interimResponses++;
-		if (this.interimResponses > MAX_INTERIM_RESPONSES) {
-			fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
-		}
-		else if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+		this.unneeded.addInterimResponse().ifPresent(this::fail);
+		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
 			fail("a change of protocol that wasn't asked for");
 		}
 	}
@@ -270,29 +258,26 @@
 		this.reusable = false;
 		this.call.reached(ExchangeTrace.Stage.OTHER_RESPONSE);
 		if (!ResponseFraming.isDelimited(head, this.call.headOnly())) {
-			fail("a response to another request without end");
+			failByStrayBytes("a response to another request without end");
 			return;
 		}
 		this.other = new SkippedResponse();
 		SkippedResponse skipped = this.other;
 		this.owner.schedule(MAX_SKIP_TIME, () -> {
 			if (this.other == skipped) {
-				fail("a response to another request that doesn't end");
+				failByStrayBytes("a response to another request that doesn't end");
 			}
 		});
 	}
 
 	private void forward(HttpContent content) {
-		if (this.failure != null) {
-			return;
-		}
 		int length = content.content().readableBytes();
 		if (this.other != null) {
 			forwardOther(content);
 			return;
 		}
 		if (this.call != null && this.call.finished()) {
-			skip(length);
+			this.unneeded.add(length).ifPresent(this::fail);
 		}
 		if (this.interim || this.call == null || !this.inResponse) {
 			return;
@@ -321,22 +306,15 @@
 	}
 
 	private void forwardOther(HttpContent content) {
-		skip(content.content().readableBytes());
+		this.unneeded.add(content.content().readableBytes()).ifPresent(this::fail);
 		if (this.other.swallows(content)) {
-			fail("a response to another request that was broken off");
+			failByStrayBytes("a response to another request that was broken off");
 		}
 		else if (content instanceof LastHttpContent) {
 			this.other = null;
 		}
 	}
 
-	private void skip(int length) {
-		this.skippedBytes += Math.max(MIN_CHUNK_BYTES, length);
-		if (this.skippedBytes > MAX_SKIPPED_BYTES) {
-			fail("more than " + MAX_SKIPPED_BYTES + " bytes that belong to no response");
-		}
-	}
-
 	/**
 	 * Fails the call if the head of its response isn't whole after some time. On a
 	 * connection that has carried requests it may be a part of an earlier response.
@@ -345,11 +323,28 @@
 		BackendCall awaiting = this.call;
 		this.owner.schedule(MAX_SKIP_TIME, () -> {
 			if (this.call == awaiting && awaiting.trace().stage() == ExchangeTrace.Stage.PART_OF_HEAD) {
-				fail("a head that doesn't end");
+				failByStrayBytes("a head that doesn't end");
 			}
 		});
 	}
 
+	private void failMalformed(Throwable cause) {
+		String failure = "malformed response: " + cause.getMessage();
+		if (this.call == null || this.call.trace().stage() != ExchangeTrace.Stage.HEAD) {
+			failByStrayBytes(failure);
+		}
+		else {
+			fail(failure);
+		}
+	}
+
+	private void failByStrayBytes(String cause) {
+		if (this.requests > 1 || this.call == null) {
+			this.owner.strayBytes(this.endpoint, cause);
+		}
+		fail(cause);
+	}
+
 	private void fail(String cause) {
 		this.failure = cause;
 		close();
@@ -360,6 +355,10 @@
 			this.channel.config().setAutoRead(true);
 			this.owner.release(this.endpoint, this);
 		}
+		else if (this.reusable && this.delimited && !this.decoder.allAccounted()) {
+			// The bytes that follow are decoded first, to know whether they are whole.
+			this.reusable = false;
+		}
 		else {
 			close();
 		}
@@ -373,32 +372,4 @@
 		}
 	}
 
-	/**
-	 * Keeps connections while they carry no request. Confined to the loop's thread.
-	 */
-	interface Owner {
-
-		/**
-		 * Takes back a connection whose request has been answered.
-		 * @param endpoint the endpoint
-		 * @param connection the connection, which may be used again
-		 */
-		void release(EndpointStart endpoint, BackendChannel connection);
-
-		/**
-		 * Called when a connection is closed.
-		 * @param endpoint the endpoint
-		 * @param connection the connection
-		 */
-		void remove(EndpointStart endpoint, BackendChannel connection);
-
-		/**
-		 * Runs a task later.
-		 * @param delay the delay
-		 * @param task the task
-		 */
-		void schedule(Duration delay, Runnable task);
-
-	}
-
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendConnectionPool.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.epoll.EpollChannelOption;
 import org.bramleyscale.internal.gateway.backend.Backend;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.reachability.ConnectionCheck;
 import org.bramleyscale.internal.gateway.reachability.ConnectionObserver;
 import org.bramleyscale.internal.gateway.reachability.ConnectionOutcome;
@@ -61,10 +62,16 @@
 
 	private long reusedCount;
 
-	public BackendConnectionPool(NettyLoop loop, WireDialect dialect) {
+	/**
+	 * Creates a pool without connections.
+	 * @param loop the daemon's loop
+	 * @param dialect writes requests and reads responses
+	 * @param log receives a line when no connection is kept to an endpoint any more
+	 */
+	public BackendConnectionPool(NettyLoop loop, WireDialect dialect, DecisionLog log) {
 		this.loop = loop;
 		this.dialect = dialect;
-		this.idle = new IdleConnections(loop);
+		this.idle = new IdleConnections(loop, log);
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/IdleConnections.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/IdleConnections.java
@@ -4,19 +4,23 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
  * The connections to endpoints that carry no request.
  *
  * <p>
- * Invariant: a connection is closed once it has been idle for {@link #IDLE_TIMEOUT}.
- * Confined to the scheduler's thread.
+ * Invariants: a connection is closed once it has been idle for {@link #IDLE_TIMEOUT};
+ * none is kept to an endpoint that has lately sent bytes which belong to no response,
+ * since such bytes may arrive just after the next request was sent and then spoil its
+ * response. Confined to the scheduler's thread.
  */
-final class IdleConnections implements BackendChannel.Owner {
+final class IdleConnections implements ConnectionOwner {
 
 	/**
 	 * How long an idle connection is kept. A device between the two ends may drop its
@@ -25,12 +29,20 @@
 	 */
 	static final Duration IDLE_TIMEOUT = Duration.ofMillis(1_500);
 
+	/** For how long no connection is kept to an endpoint that has sent stray bytes. */
+	static final Duration DISTRUST_TIME = Duration.ofSeconds(10);
+
 	private final Scheduler scheduler;
 
+	private final DecisionLog log;
+
 	private final Map<EndpointStart, Deque<BackendChannel>> idle = new HashMap<>();
 
-	IdleConnections(Scheduler scheduler) {
+	private final Map<EndpointStart, Long> distrustedUntil = new HashMap<>();
+
+	IdleConnections(Scheduler scheduler, DecisionLog log) {
 		this.scheduler = scheduler;
+		this.log = log;
 	}
 
 	/**
@@ -51,6 +63,10 @@
 
 	@Override
 	public void release(EndpointStart endpoint, BackendChannel connection) {
+		if (distrusted(endpoint)) {
+			connection.close();
+			return;
+		}
 		this.idle.computeIfAbsent(endpoint, (key) -> new ArrayDeque<>()).addFirst(connection);
 		this.scheduler.schedule(IDLE_TIMEOUT, connection::closeIfIdle);
 	}
@@ -66,6 +82,20 @@
 		}
 	}
 
+	@Override
+	public void strayBytes(EndpointStart endpoint, String cause) {
+		this.distrustedUntil.values().removeIf((until) -> this.scheduler.nanos() - until >= 0);
+		this.distrustedUntil.put(endpoint, this.scheduler.nanos() + DISTRUST_TIME.toNanos());
+		this.log.belief("endpoint", endpoint, "keeps_connections", false, "for_ms", DISTRUST_TIME.toMillis(), "cause",
+				cause);
+		List.copyOf(this.idle.getOrDefault(endpoint, new ArrayDeque<>())).forEach(BackendChannel::close);
+	}
+
+	private boolean distrusted(EndpointStart endpoint) {
+		Long until = this.distrustedUntil.get(endpoint);
+		return until != null && this.scheduler.nanos() - until < 0;
+	}
+
 	@Override
 	public void schedule(Duration delay, Runnable task) {
 		this.scheduler.schedule(delay, task);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -170,7 +170,7 @@
 		this.directory = new FleetDirectory(this.membership);
 		backendCopies.onLaterEra((revision) -> this.registration.renewIfLost(revision, this.random,
 				this.membership.expectedDaemonCount()));
-		BackendConnectionPool connections = new BackendConnectionPool(loop, dependencies.dialect());
+		BackendConnectionPool connections = new BackendConnectionPool(loop, dependencies.dialect(), log);
 		ContentionQueues contention = new ContentionQueues(loop, new ContentionMetrics(dependencies.metrics()));
 		PathMonitor paths = new PathMonitor(loop, connections, this.backends, this.random, log);
 		connections.onConnection(paths);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
@@ -15,6 +15,7 @@
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.request.BackendHead;
 import org.bramleyscale.internal.gateway.request.BackendListener;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
@@ -38,7 +39,8 @@
 
 	private final NettyLoop loop = new NettyLoop("test");
 
-	private final BackendConnectionPool connections = new BackendConnectionPool(this.loop, new PlainDialect());
+	private final BackendConnectionPool connections = new BackendConnectionPool(this.loop, new PlainDialect(),
+			DecisionLog.NONE);
 
 	@AfterEach
 	void close() {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
@@ -77,7 +77,7 @@
 		List.of(routes).forEach(catalog::route);
 		catalogs.offer(catalog.build());
 		GatewayPorts ports = new GatewayPorts(this.loop, new DataCentre("east"),
-				new BackendConnectionPool(this.loop, new PlainDialect()),
+				new BackendConnectionPool(this.loop, new PlainDialect(), DecisionLog.NONE),
 				new PlainPlacement(backends, health, loads, new Random(1)), new EndpointNotices(backends, health),
 				health, EndpointPaths.INTACT, loads, new DemandTracker(this.loop),
 				new ContentionQueues(this.loop, new ContentionMetrics(new MetricRegistry())),
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
@@ -18,6 +18,7 @@
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.internal.gateway.backend.Backend;
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
+import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.gateway.request.CallerRequest;
 import org.bramleyscale.internal.gateway.request.OutgoingRequest;
 import org.bramleyscale.internal.time.ManualScheduler;
@@ -95,7 +96,7 @@
 			this.random = random;
 			this.name = name;
 			this.faulty = faulty;
-			BackendChannel.addTo(this.channel, ENDPOINT.start(), new IdleConnections(this.scheduler));
+			BackendChannel.addTo(this.channel, ENDPOINT.start(), new IdleConnections(this.scheduler, DecisionLog.NONE));
 			this.connection = this.channel.pipeline().get(BackendChannel.class);
 		}
 
