Recognise a second response within the body of a broken one

An independent review showed over sockets: an endpoint breaks its response off in the body and sends a second one on the same connection. The second one's bytes fill the length of the first, or follow it where it has none: callers got a 200 whose body held the head of a 500, or an event with a status line in it, also on new connections. By chance of the lengths others waited for their time limit.

Bodies may quote status lines, so a head within a body counts only if one of its fields is the id of a request that the connection has carried; it is searched in the bytes as they were read, chunk sizes and trailers included, and behind the end of a body that ends within a status line. Nothing of these bytes is passed on. From the same review: a response that names several requests fails its call at once; a connection isn't reused after a response without a name, after a trailer, nor after an interim response that nobody asked for; a part of a head is bounded also behind another response; a genuine response has one signature; other transfer codings than chunks are refused, since they can't be relayed as they are. Not told apart: a body of the right length whose missing bytes are the first of the next response, if the rest of that response arrives in a later read.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
@@ -124,12 +124,16 @@
 		return message;
 	}
 
+	String id() {
+		return this.request.original().id();
+	}
+
 	boolean headOnly() {
 		return HttpMethod.HEAD.name().equals(this.request.original().method());
 	}
 
 	ResponseOwner ownerOf(HttpResponse response) {
-		return this.dialect.ownerOf(response, this.request.original());
+		return ResponseOwner.of(this.dialect.requestIds(response), id());
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -65,6 +65,8 @@
 
 	private boolean otherResponses;
 
+	private boolean partOfHeadBounded;
+
 	private SkippedResponse other;
 
 	private UnneededBytes unneeded = new UnneededBytes();
@@ -109,8 +111,9 @@
 		}
 		this.call = call;
 		this.unneeded = new UnneededBytes();
+		this.partOfHeadBounded = false;
 		call.assignChannel(this, this.requests++);
-		this.decoder.expectHeadOnly(call.headOnly());
+		this.decoder.requestSent(call.id(), call.headOnly());
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
 			if (!future.isSuccess()) {
 				failCall("write: " + future.cause().getMessage());
@@ -181,9 +184,11 @@
 		else if (this.call == null && !this.reusable) {
 			close();
 		}
-		else if (this.call != null && this.decoder.unaccountedBytes() > 0
-				&& this.call.reached(ExchangeTrace.Stage.PART_OF_HEAD) && this.requests > 1) {
-			boundPartOfHead();
+		else if (awaitsHead() && this.decoder.unaccountedBytes() > 0) {
+			this.call.reached(ExchangeTrace.Stage.PART_OF_HEAD);
+			if (!this.partOfHeadBounded && (this.requests > 1 || this.otherResponses)) {
+				boundPartOfHead();
+			}
 		}
 	}
 
@@ -227,6 +232,7 @@
 			case THIS_REQUEST -> startOwnResponse(head, ExchangeTrace.Stage.HEAD);
 			case UNNAMED -> {
 				if (this.requests == 1 && !this.otherResponses && this.call.acceptsUnnamed(head)) {
+					this.reusable = false;
 					startOwnResponse(head, ExchangeTrace.Stage.UNNAMED_HEAD);
 				}
 				else {
@@ -235,17 +241,25 @@
 				}
 			}
 			case OTHER_REQUEST -> startOtherResponse(head);
+			case SEVERAL_REQUESTS -> failByStrayBytes("a response that names several requests");
 		}
 	}
 
 	private void startInterimResponse(HttpResponse head) {
 		this.unneeded.addInterimResponse().ifPresent(this::fail);
-		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+		if (this.call == null) {
+			failByStrayBytes("an interim response that nobody asked for");
+		}
+		else if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
 			fail("a change of protocol that wasn't asked for");
 		}
 	}
 
 	private void startOwnResponse(HttpResponse head, ExchangeTrace.Stage stage) {
+		if (!ResponseFraming.isSupported(head)) {
+			fail("a transfer coding that wasn't asked for");
+			return;
+		}
 		this.inResponse = true;
 		this.delimited = ResponseFraming.isDelimited(head, this.call.headOnly());
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(head);
@@ -287,12 +301,15 @@
 			content.content().readBytes(data);
 			this.call.data(data);
 		}
-		if (content instanceof LastHttpContent && this.call != null && (this.delimited || this.input.closedByPeer())) {
-			endResponse();
+		if (content instanceof LastHttpContent end && this.call != null
+				&& (this.delimited || this.input.closedByPeer())) {
+			endResponse(end);
 		}
 	}
 
-	private void endResponse() {
+	private void endResponse(LastHttpContent end) {
+		// What stands in a trailer may be the head of another response.
+		this.reusable = this.reusable && end.trailingHeaders().isEmpty();
 		BackendCall endedCall = this.call;
 		this.call = null;
 		this.inResponse = false;
@@ -321,13 +338,21 @@
 	 */
 	private void boundPartOfHead() {
 		BackendCall awaiting = this.call;
+		this.partOfHeadBounded = true;
 		this.owner.schedule(MAX_SKIP_TIME, () -> {
-			if (this.call == awaiting && awaiting.trace().stage() == ExchangeTrace.Stage.PART_OF_HEAD) {
+			if (this.call == awaiting && awaitsHead() && this.decoder.unaccountedBytes() > 0) {
 				failByStrayBytes("a head that doesn't end");
 			}
+			else if (this.call == awaiting) {
+				this.partOfHeadBounded = false;
+			}
 		});
 	}
 
+	private boolean awaitsHead() {
+		return this.call != null && !this.inResponse && this.other == null;
+	}
+
 	private void failMalformed(Throwable cause) {
 		String failure = "malformed response: " + cause.getMessage();
 		if (this.call == null || this.call.trace().stage() != ExchangeTrace.Stage.HEAD) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndpointResponseDecoder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndpointResponseDecoder.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Decodes the responses on one connection to an endpoint.
@@ -17,7 +18,8 @@
  * <p>
  * Invariants: a head is decoded only once all of it has arrived and only if its bytes are
  * those of one response; until then its bytes count as unaccounted for, as do all others
- * that belong to no whole response. Confined to the loop's thread.
+ * that belong to no whole response; nothing is passed on of bytes that hold the head of
+ * another response to a request on this connection. Confined to the loop's thread.
  */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
 
@@ -29,6 +31,8 @@
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
+	private final JoinedResponseDetector joined = new JoinedResponseDetector();
+
 	private boolean headOnly;
 
 	private boolean betweenResponses = true;
@@ -44,11 +48,13 @@
 	}
 
 	/**
-	 * Sets whether the next final response has no body.
-	 * @param on true if its request asks for the head only
+	 * Notes a request that is sent on the connection.
+	 * @param id its id, or empty
+	 * @param asksForHead whether its response has no body
 	 */
-	void expectHeadOnly(boolean on) {
-		this.headOnly = on;
+	void requestSent(String id, boolean asksForHead) {
+		this.joined.add(id);
+		this.headOnly = asksForHead;
 	}
 
 	/**
@@ -73,11 +79,31 @@
 			bytes.skipBytes(bytes.readableBytes());
 			return;
 		}
-		if (this.betweenResponses && !headArrived(bytes)) {
+		if (this.betweenResponses) {
+			if (headArrived(bytes)) {
+				decodeHead(context, bytes, decoded);
+			}
 			return;
 		}
+		int start = bytes.readerIndex();
+		super.decode(context, bytes, decoded);
+		noteEnd(decoded);
+		boolean joinedBefore = this.joined.finds(bytes, start, bytes.readerIndex() - start);
+		if (joinedBefore || (this.betweenResponses && this.joined.continuesIn(bytes))) {
+			decoded.forEach(ReferenceCountUtil::release);
+			decoded.clear();
+			fail("a second response within the body of the first");
+		}
+	}
+
+	private void decodeHead(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
 		this.betweenResponses = false;
+		this.joined.reset();
 		super.decode(context, bytes, decoded);
+		noteEnd(decoded);
+	}
+
+	private void noteEnd(List<Object> decoded) {
 		this.betweenResponses = !decoded.isEmpty() && decoded.get(decoded.size() - 1) instanceof LastHttpContent;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseFraming.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseFraming.java
@@ -2,6 +2,8 @@
 
 import java.util.Set;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -18,6 +20,18 @@
 	private ResponseFraming() {
 	}
 
+	/**
+	 * Whether a response has no other transfer coding than chunks.
+	 * @param head the head
+	 * @return false if its body can't be relayed as it is
+	 */
+	static boolean isSupported(HttpResponse head) {
+		return head.headers()
+			.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+			.stream()
+			.allMatch(HttpHeaderValues.CHUNKED::contentEqualsIgnoreCase);
+	}
+
 	/**
 	 * Whether a response shows its own end.
 	 * @param head the head
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/StatusLineFinder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/StatusLineFinder.java
@@ -33,6 +33,18 @@
 		return true;
 	}
 
+	void reset() {
+		this.matched = 0;
+	}
+
+	/**
+	 * Whether the last bytes may be the beginning of a status line.
+	 * @return true if further bytes may complete one
+	 */
+	boolean started() {
+		return this.matched > 0;
+	}
+
 	private boolean matches(byte value) {
 		char expected = PATTERN.charAt(this.matched);
 		return (expected == '0') ? value >= '0' && value <= '9' : value == expected;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/WireDialect.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/WireDialect.java
@@ -1,5 +1,7 @@
 package org.bramleyscale.internal.gateway.http;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -36,12 +38,11 @@
 	void writeRequestHeaders(Backend to, OutgoingRequest request, HttpHeaders headers);
 
 	/**
-	 * Returns which request an endpoint's response names.
+	 * Returns the ids of the requests that an endpoint's response names.
 	 * @param response the head of the response
-	 * @param request the request that awaits a response
-	 * @return the owner of the response
+	 * @return the ids; a sound response has one
 	 */
-	ResponseOwner ownerOf(HttpResponse response, CallerRequest request);
+	List<String> requestIds(HttpResponse response);
 
 	/**
 	 * Reads the head of an endpoint's response.
