Hold the port of an endpoint that must not listen

The test now binds the port without listening on it, which refuses connections for as long as the test needs.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
@@ -1,5 +1,8 @@
 package org.bramleyscale.internal.gateway.http;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -122,9 +125,13 @@
 
 	@Test
 	void requestThatCouldNotConnectIsReportedUnsent() throws Exception {
-		ScriptedServer server = new ScriptedServer(List.of(OK));
-		server.close();
-		Truth.assertThat(send(server, "r1", false)).isEqualTo("unsent");
+		try (Socket bound = new Socket()) {
+			// Bound, so that no other process listens on the port meanwhile.
+			bound.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+			RecordingListener listener = sendTo(bound.getLocalPort(), EndpointStart.withUnknownStart("e1"), "r1", false,
+					"GET");
+			Truth.assertThat(listener.ended.get(20, TimeUnit.SECONDS)).isEqualTo("unsent");
+		}
 	}
 
 	@Test
@@ -166,7 +173,11 @@
 
 	private RecordingListener sendTo(ScriptedServer server, EndpointStart start, String id, boolean fresh,
 			String method) {
-		Backend to = new Backend(start, new ServiceName("quotes"), HostAndPort.fromParts("127.0.0.1", server.port()),
+		return sendTo(server.port(), start, id, fresh, method);
+	}
+
+	private RecordingListener sendTo(int port, EndpointStart start, String id, boolean fresh, String method) {
+		Backend to = new Backend(start, new ServiceName("quotes"), HostAndPort.fromParts("127.0.0.1", port),
 				new DataCentre("east"), 4, false);
 		CallerRequest request = new CallerRequest(id, method, "/quotes?x=1%202", "hire.example",
 				List.of(new Header("Host", "hire.example"), new Header("Colour", "red")), new byte[0], Optional.empty(),
