Let each rest of a connection to an endpoint have its own time

A connection that was used every 400 ms was closed after its fourth request: the timer of its first rest closed it whenever it had no call, so connections were opened without need (found by a review). A connection's timer is now cancelled when it is taken. IdleConnectionsTests: idleTimeStartsAnewWithEachRequest failed before; ResponseBytesTests takes its connection as the pool does.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -149,12 +149,6 @@
 		this.channel.close();
 	}
 
-	void closeIfIdle() {
-		if (this.call == null) {
-			close();
-		}
-	}
-
 	void setReading(boolean on) {
 		this.channel.config().setAutoRead(on);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/IdleConnections.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/IdleConnections.java
@@ -9,6 +9,7 @@
 
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
+import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.Scheduler;
 
 /**
@@ -38,6 +39,8 @@
 
 	private final Map<EndpointStart, Deque<BackendChannel>> idle = new HashMap<>();
 
+	private final Map<BackendChannel, Cancellable> timers = new HashMap<>();
+
 	private final Map<EndpointStart, Long> distrustedUntil = new HashMap<>();
 
 	IdleConnections(Scheduler scheduler, DecisionLog log) {
@@ -54,6 +57,7 @@
 		Deque<BackendChannel> channels = this.idle.get(endpoint);
 		while (channels != null && !channels.isEmpty()) {
 			BackendChannel channel = channels.pollFirst();
+			cancelTimer(channel);
 			if (channel.isReusable()) {
 				return channel;
 			}
@@ -68,11 +72,12 @@
 			return;
 		}
 		this.idle.computeIfAbsent(endpoint, (key) -> new ArrayDeque<>()).addFirst(connection);
-		this.scheduler.schedule(IDLE_TIMEOUT, connection::closeIfIdle);
+		this.timers.put(connection, this.scheduler.schedule(IDLE_TIMEOUT, connection::close));
 	}
 
 	@Override
 	public void remove(EndpointStart endpoint, BackendChannel connection) {
+		cancelTimer(connection);
 		Deque<BackendChannel> channels = this.idle.get(endpoint);
 		if (channels != null) {
 			channels.remove(connection);
@@ -91,6 +96,13 @@
 		List.copyOf(this.idle.getOrDefault(endpoint, new ArrayDeque<>())).forEach(BackendChannel::close);
 	}
 
+	private void cancelTimer(BackendChannel connection) {
+		Cancellable timer = this.timers.remove(connection);
+		if (timer != null) {
+			timer.cancel();
+		}
+	}
+
 	private boolean distrusted(EndpointStart endpoint) {
 		Long until = this.distrustedUntil.get(endpoint);
 		return until != null && this.scheduler.nanos() - until < 0;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/IdleConnectionsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/IdleConnectionsTests.java
@@ -70,18 +70,31 @@
 		Truth.assertThat(this.idle.take(ENDPOINT.start())).isNull();
 	}
 
+	/** Guards against closing a connection in use by the time of an earlier rest. */
+	@Test
+	void idleTimeStartsAnewWithEachRequest() {
+		EmbeddedChannel connection = answered("");
+		for (int i = 0; i < 10; i++) {
+			this.scheduler.advance(IdleConnections.IDLE_TIMEOUT.dividedBy(3));
+			answer(connection, this.idle.take(ENDPOINT.start()), "");
+		}
+		Truth.assertThat(connection.isActive()).isTrue();
+	}
+
 	private EmbeddedChannel answered(String stray) {
 		EmbeddedChannel channel = new EmbeddedChannel();
 		BackendChannel.addTo(channel, ENDPOINT.start(), this.idle);
+		answer(channel, channel.pipeline().get(BackendChannel.class), stray);
+		return channel;
+	}
+
+	private static void answer(EmbeddedChannel channel, BackendChannel connection, String stray) {
 		CallerRequest request = new CallerRequest("r1", "GET", "/quotes", "hire.example", List.of(), new byte[0],
 				Optional.empty(), Optional.empty(), 0, 0, Optional.empty(), List.of());
 		OutgoingRequest outgoing = new OutgoingRequest(request, Optional.empty(), Duration.ofSeconds(5),
 				Optional.empty(), List.of(), 5, false);
-		channel.pipeline()
-			.get(BackendChannel.class)
-			.send(new BackendCall(new PlainDialect(), ENDPOINT, outgoing, new RecordedResponse()));
+		connection.send(new BackendCall(new PlainDialect(), ENDPOINT, outgoing, new RecordedResponse()));
 		channel.writeInbound(Unpooled.copiedBuffer(RESPONSE + stray, StandardCharsets.UTF_8));
-		return channel;
 	}
 
 }
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
@@ -85,6 +85,8 @@
 
 		private final ManualScheduler scheduler = new ManualScheduler();
 
+		private final IdleConnections idle = new IdleConnections(this.scheduler, DecisionLog.NONE);
+
 		private final EmbeddedChannel channel = new EmbeddedChannel();
 
 		private final BackendChannel connection;
@@ -99,7 +101,7 @@
 			this.random = random;
 			this.name = name;
 			this.faulty = faulty;
-			BackendChannel.addTo(this.channel, ENDPOINT.start(), new IdleConnections(this.scheduler, DecisionLog.NONE));
+			BackendChannel.addTo(this.channel, ENDPOINT.start(), this.idle);
 			this.connection = this.channel.pipeline().get(BackendChannel.class);
 		}
 
@@ -108,7 +110,7 @@
 			for (int i = 0; i < MAX_REQUESTS && reusable; i++) {
 				playRequest("r" + i);
 				deliver(stray(0.2));
-				reusable = this.connection.isReusable();
+				reusable = this.idle.take(ENDPOINT.start()) == this.connection;
 				Truth.assertWithMessage("reused if all bytes are accounted for, %s", this)
 					.that(reusable)
 					.isEqualTo(this.accounted);
