--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/GatewayFixture.java
@@ -47,6 +47,8 @@
 
 	static final CallerLimits LIMITS = new CallerLimits(1_000, 2_000, Duration.ofMillis(400), Duration.ofMillis(600));
 
+	private static final int MAX_BIND_ATTEMPTS = 5;
+
 	final NettyLoop loop = new NettyLoop("test");
 
 	final ScriptedServer endpoint;
@@ -89,10 +91,30 @@
 		this.server = new CallerServer(this.loop, new OpenRequests(),
 				new GatewayService(ports, catalogs, (timeLeft) -> true, new Random(1)), new PlainDialect(),
 				() -> LIMITS);
-		try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			this.port = free.getLocalPort();
+		this.port = listen(this.server, this.loop);
+	}
+
+	/**
+	 * Starts to listen on a free port, which another socket may take before it is bound.
+	 * @param server the server
+	 * @param loop the server's loop
+	 * @return the port
+	 * @throws IOException if no port can be bound
+	 */
+	private static int listen(CallerServer server, NettyLoop loop) throws IOException {
+		IOException failure = null;
+		for (int tries = 0; tries < MAX_BIND_ATTEMPTS; tries++) {
+			try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+				int port = free.getLocalPort();
+				free.close();
+				server.listen(loop, new InetSocketAddress("127.0.0.1", port));
+				return port;
+			}
+			catch (IOException ex) {
+				failure = ex;
+			}
 		}
-		this.server.listen(this.loop, new InetSocketAddress("127.0.0.1", this.port));
+		throw failure;
 	}
 
 	@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/Reception.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/Reception.java
@@ -39,6 +39,22 @@
 		}
 	}
 
+	/**
+	 * Sends a request and reads to the end of the connection.
+	 * @param gateway the gateway
+	 * @param request the bytes of the request, which asks for the connection to be closed
+	 * @return what was received
+	 * @throws IOException if the gateway can't be reached
+	 */
+	static Reception of(GatewayFixture gateway, String request) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", gateway.port)) {
+			socket.setSoTimeout(20_000);
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+			Reception reception = read(socket.getInputStream());
+			return request.startsWith("HEAD ") ? reception.withoutBody() : reception;
+		}
+	}
+
 	/**
 	 * Sends a request and begins to read only after some time.
 	 * @param gateway the gateway
@@ -78,6 +94,14 @@
 		return (this.status != OK) ? "" : this.body;
 	}
 
+	/**
+	 * Returns what was received in response to a request for a head.
+	 * @return a reception that is complete only if no body has come
+	 */
+	private Reception withoutBody() {
+		return new Reception(this.status, this.body, this.status > 0 && this.body.isEmpty());
+	}
+
 	private static Socket request(GatewayFixture gateway, String path, String version) throws IOException {
 		Socket socket = new Socket("127.0.0.1", gateway.port);
 		socket.setSoTimeout(20_000);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedServer.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedServer.java
@@ -15,8 +15,9 @@
  *
  * <p>
  * In the bytes, {@code !reset} at the end resets the connection, {@code !close} closes
- * it, and {@code !endless} repeats what stands between {@code !repeat} and it until the
- * other end closes the connection. Safe for use by multiple threads.
+ * it, {@code !shut} ends the output only, and {@code !endless} repeats what stands
+ * between {@code !repeat} and it until the other end closes the connection. Safe for use
+ * by multiple threads.
  */
 final class ScriptedServer implements AutoCloseable {
 
@@ -82,9 +83,12 @@
 				if (response.endsWith("!endless")) {
 					sendWithoutEnd(socket, response);
 				}
-				String bytes = response.replace("!reset", "").replace("!close", "");
+				String bytes = response.replace("!reset", "").replace("!close", "").replace("!shut", "");
 				socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
 				socket.getOutputStream().flush();
+				if (response.endsWith("!shut")) {
+					socket.shutdownOutput();
+				}
 				if (reset) {
 					socket.setSoLinger(true, 0);
 				}
