Give the response behind an interim one the body of its own request

Pipelined behind a request with Expect: 100-continue, a HEAD made the daemon send the first response without its body: a 200 with content-length: 5 was followed by the head of the next response, which its caller takes for the body. The other way round, a HEAD that expects a 100 received a body, which its caller takes for the next response. HttpServerCodec keeps the methods of decoded requests in a queue and takes one for each response, also for a 100, so every final response after it is encoded for the next request's method.

The encoder is now told by the connection, which handles one request at a time, whether the response in turn is one to a HEAD, and interim responses don't count. SimpleHttpServer had the same fault where a HEAD expects a 100.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -62,6 +63,8 @@
 
 	private final Channel channel;
 
+	private final ServerResponseEncoder encoder;
+
 	private final Deque<Object> pipelined = new ArrayDeque<>();
 
 	private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -80,9 +83,10 @@
 
 	private Cancellable timer;
 
-	CallerChannel(CallerServer server, Channel channel) {
+	CallerChannel(CallerServer server, Channel channel, ServerResponseEncoder encoder) {
 		this.server = server;
 		this.channel = channel;
+		this.encoder = encoder;
 		this.timer = server.scheduler().schedule(server.limits().idleTimeout(), this::idleTimedOut);
 	}
 
@@ -276,6 +280,7 @@
 			refuse(BAD_REQUEST);
 			return;
 		}
+		this.encoder.expectHeadOnly(HttpMethod.HEAD.equals(request.method()));
 		this.reply = new ChannelReply(this, request);
 		ChannelReply current = this.reply;
 		HandledRequest taken = this.server.requests().handle(parsed, current);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -13,7 +13,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.request.CallerRequestHandler;
 import org.bramleyscale.internal.gateway.request.OpenRequests;
@@ -164,13 +164,13 @@
 			channel.close();
 			return;
 		}
-		CallerChannel caller = new CallerChannel(this, channel);
-		this.channels.add(caller);
 		// The decoder's limits for the request line and for the headers are separate.
-		channel.pipeline()
-			.addLast(new FirstByteDetector(caller))
-			.addLast(new HttpServerCodec(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(), MAX_CHUNK_SIZE))
-			.addLast(caller);
+		HttpRequestDecoder decoder = new HttpRequestDecoder(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(),
+				MAX_CHUNK_SIZE);
+		ServerResponseEncoder encoder = new ServerResponseEncoder();
+		CallerChannel caller = new CallerChannel(this, channel, encoder);
+		this.channels.add(caller);
+		channel.pipeline().addLast(new FirstByteDetector(caller)).addLast(decoder).addLast(encoder).addLast(caller);
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/SimpleHttpServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/SimpleHttpServer.java
@@ -18,9 +18,10 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -68,11 +69,13 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
+					ServerResponseEncoder encoder = new ServerResponseEncoder();
 					channel.pipeline()
 						.addLast(new ReadTimeoutHandler(IDLE_SECONDS))
-						.addLast(new HttpServerCodec())
+						.addLast(new HttpRequestDecoder())
+						.addLast(encoder)
 						.addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
-						.addLast(new RequestHandler());
+						.addLast(new RequestHandler(encoder));
 				}
 
 			})
@@ -122,6 +125,12 @@
 	 */
 	private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+		private final ServerResponseEncoder encoder;
+
+		RequestHandler(ServerResponseEncoder encoder) {
+			this.encoder = encoder;
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
 			QueryStringDecoder query = new QueryStringDecoder(request.uri());
@@ -132,6 +141,7 @@
 			httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.type());
 			HttpUtil.setContentLength(httpResponse, response.body().length);
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
+			this.encoder.expectHeadOnly(HttpMethod.HEAD.equals(request.method()));
 			if (!keepAlive) {
 				httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
