Reject requests whose bytes can be read in more than one way

A caller can hide a request in another one if two readers find different ends of the first.

A head is decoded once all of it has arrived, and only if each line is exact as RFC 7230 has it and one field at most frames the body; chunks are checked byte by byte before they are decoded. All else is one invalid message: 400, and the connection closes. Limits and 431 are as before. SimpleHttpServer uses the same decoder and answers 400 where it had answered a part of an invalid request.

relaysChunkedBodyThatLooksLikeARequest sent Content-Length and Transfer-Encoding both and expected the request to be passed on by its chunks. Such a request has two ends and RFC 7230 (3.3.3) wants it handled as an error, so the same bytes must now be rejected, reach no endpoint and be followed by nothing; a body of chunks alone that looks like a request must still be relayed as a body, exactly once, which wasn't checked before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.request.CallerRequestHandler;
 import org.bramleyscale.internal.gateway.request.OpenRequests;
@@ -165,7 +164,7 @@
 			return;
 		}
 		// The decoder's limits for the request line and for the headers are separate.
-		HttpRequestDecoder decoder = new HttpRequestDecoder(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(),
+		ServerRequestDecoder decoder = new ServerRequestDecoder(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(),
 				MAX_CHUNK_SIZE);
 		ServerResponseEncoder encoder = new ServerResponseEncoder();
 		CallerChannel caller = new CallerChannel(this, channel, encoder);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/SimpleHttpServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/SimpleHttpServer.java
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -37,6 +36,10 @@
  */
 public final class SimpleHttpServer {
 
+	private static final int MAX_INITIAL_LINE_LENGTH = 4_096;
+
+	private static final int MAX_HEADER_SIZE = 8_192;
+
 	private static final int MAX_REQUEST_BYTES = 65_536;
 
 	private static final int IDLE_SECONDS = 30;
@@ -72,7 +75,7 @@
 					ServerResponseEncoder encoder = new ServerResponseEncoder();
 					channel.pipeline()
 						.addLast(new ReadTimeoutHandler(IDLE_SECONDS))
-						.addLast(new HttpRequestDecoder())
+						.addLast(new ServerRequestDecoder(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_REQUEST_BYTES))
 						.addLast(encoder)
 						.addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
 						.addLast(new RequestHandler(encoder));
@@ -118,6 +121,9 @@
 		/** The response for a path that doesn't exist. */
 		public static final Response NOT_FOUND = new Response(404, "text/plain", new byte[0]);
 
+		/** The response to bytes that aren't a request. */
+		private static final Response BAD_REQUEST = new Response(400, "text/plain", new byte[0]);
+
 	}
 
 	/**
@@ -133,14 +139,13 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-			QueryStringDecoder query = new QueryStringDecoder(request.uri());
-			Response response = SimpleHttpServer.this.handler
-				.apply(new Request(request.method().name(), query.path(), query));
+			boolean valid = request.decoderResult().isSuccess();
+			Response response = valid ? respond(request) : Response.BAD_REQUEST;
 			FullHttpResponse httpResponse = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(response.status()), Unpooled.wrappedBuffer(response.body()));
 			httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.type());
 			HttpUtil.setContentLength(httpResponse, response.body().length);
-			boolean keepAlive = HttpUtil.isKeepAlive(request);
+			boolean keepAlive = valid && HttpUtil.isKeepAlive(request);
 			this.encoder.expectHeadOnly(HttpMethod.HEAD.equals(request.method()));
 			if (!keepAlive) {
 				httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -151,6 +156,11 @@
 			}
 		}
 
+		private Response respond(FullHttpRequest request) {
+			QueryStringDecoder query = new QueryStringDecoder(request.uri());
+			return SimpleHttpServer.this.handler.apply(new Request(request.method().name(), query.path(), query));
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 			context.close();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerServerTests.java
@@ -22,6 +22,11 @@
 @Timeout(30)
 class CallerServerTests {
 
+	private static final String HIDDEN = "GET /log/9 HTTP/1.1\r\n\r\n";
+
+	private static final String HIDDEN_IN_CHUNK = Integer.toHexString(HIDDEN.length()) + "\r\n" + HIDDEN
+			+ "\r\n0\r\n\r\n";
+
 	private GatewayFixture gateway;
 
 	@BeforeEach
@@ -65,16 +70,29 @@
 		Truth.assertThat(this.gateway.endpoint.requests).hasSize(3);
 	}
 
+	/** Guards against taking the body of a request for another request. */
 	@Test
 	void relaysChunkedBodyThatLooksLikeARequest() throws IOException {
+		exchange("POST /log/1 HTTP/1.1\r\nHost: hire.example\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+				+ HIDDEN_IN_CHUNK, false);
+		// The scripted endpoint reads on in the body, which bears no mark of the gateway.
+		List<String> relayed = this.gateway.endpoint.requests.stream()
+			.filter((head) -> head.contains("Expect-Endpoint: "))
+			.toList();
+		Truth.assertThat(relayed).hasSize(1);
+		Truth.assertThat(relayed.get(0)).contains("content-length: " + HIDDEN.length());
+	}
+
+	@Test
+	void rejectsBodyWithTwoFramings() throws IOException {
 		// Guards against request smuggling: a caller hides a request in a body with two
 		// conflicting framings, and two readers that determine different lengths make an
 		// endpoint run a request that no caller sent.
-		String hidden = "GET /log/9 HTTP/1.1\r\n\r\n";
-		exchange("POST /log/1 HTTP/1.1\r\nHost: hire.example\r\nContent-Length: 4\r\n"
-				+ "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n" + Integer.toHexString(hidden.length())
-				+ "\r\n" + hidden + "\r\n0\r\n\r\n", false);
-		Truth.assertThat(this.gateway.endpoint.requests.get(0)).contains("content-length: " + hidden.length());
+		String responses = exchange("POST /log/1 HTTP/1.1\r\nHost: hire.example\r\nContent-Length: 4\r\n"
+				+ "Transfer-Encoding: chunked\r\n\r\n" + HIDDEN_IN_CHUNK, false);
+		Truth.assertThat(responses).startsWith("HTTP/1.1 400 ");
+		Truth.assertThat(responses.split("HTTP/1.1", -1)).hasLength(2);
+		Truth.assertThat(this.gateway.endpoint.requests).isEmpty();
 	}
 
 	@Test
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/SimpleHttpServerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/SimpleHttpServerTests.java
@@ -10,9 +10,11 @@
 import com.google.common.truth.Truth;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Contract tests of {@link SimpleHttpServer} over real sockets.
@@ -57,6 +59,28 @@
 		}
 	}
 
+	/** Guards against answering bytes that can be read in more than one way. */
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /1 HTTP/1.1\nHost: h\n\n", "GET /1" + HOST + "Content-Length : 3\r\n\r\n",
+			"GET /1" + HOST + "Transfer-Encoding: gzip\r\n\r\n",
+			"GET /1" + HOST + "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
+			"GET /1" + HOST + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" })
+	void requestThatIsNotExactIsRejected(String request) throws IOException {
+		String received = exchange(request + "GET /2" + HOST + "\r\n");
+		Truth.assertThat(received).startsWith("HTTP/1.1 400 ");
+		Truth.assertThat(received.split("HTTP/1.1", -1)).hasLength(2);
+	}
+
+	/** Guards against leniency towards a request behind one whose body isn't wanted. */
+	@Test
+	void requestBehindAnUnwantedBodyIsChecked() throws IOException {
+		String received = exchange("POST /1" + HOST + "Expect: 100-continue\r\nContent-Length: 70000\r\n\r\n"
+				+ "GET /2 HTTP/1.1\nHost: h\n\n");
+		Truth.assertThat(received).startsWith("HTTP/1.1 413 ");
+		Truth.assertThat(received.split("HTTP/1.1 400 ", -1)).hasLength(2);
+		Truth.assertThat(received).doesNotContain(" 200 ");
+	}
+
 	private static String body(String method, int number) {
 		return method.equals("HEAD") ? "" : "b of " + number;
 	}
