Count a request whose first bytes arrive behind another one

A caller that pipelined a part of a head behind a request got no 408 for it: the first byte was noticed while the response to the request before it was pending, and not again afterwards, so the connection counted as idle, was closed after the idle time without a response, and wasn't among the open requests at a stop.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerChannel.java
@@ -63,6 +63,8 @@
 
 	private final Channel channel;
 
+	private final ServerRequestDecoder decoder;
+
 	private final ServerResponseEncoder encoder;
 
 	private final Deque<Object> pipelined = new ArrayDeque<>();
@@ -83,9 +85,10 @@
 
 	private Cancellable timer;
 
-	CallerChannel(CallerServer server, Channel channel, ServerResponseEncoder encoder) {
+	CallerChannel(CallerServer server, Channel channel, ServerRequestDecoder decoder, ServerResponseEncoder encoder) {
 		this.server = server;
 		this.channel = channel;
+		this.decoder = decoder;
 		this.encoder = encoder;
 		this.timer = server.scheduler().schedule(server.limits().idleTimeout(), this::idleTimedOut);
 	}
@@ -196,6 +199,9 @@
 			bytesArrived();
 			process(this.pipelined.poll());
 		}
+		if (!this.discarding && this.decoder.holdsPartOfHead()) {
+			bytesArrived();
+		}
 		this.channel.config().setAutoRead(true);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -167,7 +167,7 @@
 		ServerRequestDecoder decoder = new ServerRequestDecoder(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(),
 				MAX_CHUNK_SIZE);
 		ServerResponseEncoder encoder = new ServerResponseEncoder();
-		CallerChannel caller = new CallerChannel(this, channel, encoder);
+		CallerChannel caller = new CallerChannel(this, channel, decoder, encoder);
 		this.channels.add(caller);
 		channel.pipeline().addLast(new FirstByteDetector(caller)).addLast(decoder).addLast(encoder).addLast(caller);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ServerRequestDecoder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ServerRequestDecoder.java
@@ -64,6 +64,14 @@
 		this.maxHeaderSize = maxHeaderSize;
 	}
 
+	/**
+	 * Whether bytes of a request have arrived that isn't decoded at all.
+	 * @return false within a request, and if no byte was read since the last one
+	 */
+	boolean holdsPartOfHead() {
+		return this.betweenRequests && !this.corrupt && actualReadableBytes() > 0;
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
 		if (this.corrupt) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerPipelineTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerPipelineTests.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * What callers receive on a connection that carries several requests, over real sockets.
@@ -93,6 +94,21 @@
 		}
 	}
 
+	/** Guards against a refusal that overtakes a response or is followed by one. */
+	@ParameterizedTest
+	@ValueSource(strings = { "G", "GET /book/1 HTTP/1.1\r\nHost: hire.example\r\nId: i1\r\n",
+			"POST /book/1 HTTP/1.1\r\nHost: hire.example\r\nContent-Length: 5\r\n\r\nab",
+			"POST /book/1 HTTP/1.1\r\nHost: hire.example\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" })
+	void requestThatStallsBehindAnotherIsRefusedAfterIt(String part) throws IOException {
+		Sent whole = Sent.of(0, "GET", "book", "", 200);
+		Sent stalled = Sent.refused(part, 408);
+		try (GatewayFixture gateway = new GatewayFixture(List.of(whole.response()), ROUTES)) {
+			Received received = exchange(gateway, whole.request() + part, new Random(1));
+			received.check(List.of(whole, stalled), part);
+			Truth.assertThat(gateway.endpoint.requests).hasSize(1);
+		}
+	}
+
 	/** Guards against the rest of an abandoned response on a later connection. */
 	@Test
 	void restOfAnAbandonedResponseReachesNobody() throws IOException {
