End the response of a connection that is closed already

If a caller resets its connection while a stream is written, the failed write closes the socket and then tells CallerChannel of the failure. ChannelReply.abort set the linger option of the closed socket, which throws: the end of the response wasn't passed on, and Netty printed a stack trace in plain text for each such caller. What the request held was still released, when the connection became inactive.

The option is set, and the connection closed, only while it is open. responseOfAResetConnectionEndsWithoutFault recorded a message of Netty before, and none after. Nothing of an abandoned response was seen on a later connection (restOfAnAbandonedResponseReachesNobody), before and after.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ChannelReply.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ChannelReply.java
@@ -165,10 +165,12 @@
 	@Override
 	public void abort() {
 		if (this.state.take(Step.ABORT) == ReplyState.Result.TAKEN) {
-			// Zero linger turns the close into a reset, including for callers that read a
-			// body until its connection ends.
-			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
-			this.channel.close();
+			if (this.channel.isOpen()) {
+				// Zero linger turns the close into a reset, including for callers that
+				// read a body until its connection ends. A closed socket has no options.
+				this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+				this.channel.close();
+			}
 			end(true);
 		}
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerPipelineTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/CallerPipelineTests.java
@@ -9,6 +9,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.LongStream;
@@ -132,6 +136,33 @@
 		}
 	}
 
+	/** Guards against a response that can't be ended because its connection is gone. */
+	@Test
+	void responseOfAResetConnectionEndsWithoutFault() throws IOException {
+		String endless = "HTTP/1.1 200 OK\r\nId: i0\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n" + EVENTS
+				+ "!repeatdata: rest\n\n!endless";
+		List<String> faults = new CopyOnWriteArrayList<>();
+		Logger logger = Logger.getLogger("io.netty.channel.AbstractChannelHandlerContext");
+		Handler recorder = new Recorder(faults);
+		logger.addHandler(recorder);
+		try (GatewayFixture gateway = new GatewayFixture(List.of(endless), ROUTES)) {
+			for (int i = 0; i < 10; i++) {
+				try (Socket socket = new Socket("127.0.0.1", gateway.port)) {
+					socket.getOutputStream()
+						.write(Sent.of(0, "GET", "watch", "", 200).request().getBytes(StandardCharsets.ISO_8859_1));
+					Truth.assertThat(socket.getInputStream().readNBytes(200)).hasLength(200);
+					socket.setSoLinger(true, 0);
+				}
+				Truth.assertThat(gateway.endpoint.awaitEndOfEndless(Duration.ofSeconds(2))).isTrue();
+			}
+			Truth.assertThat(gateway.heldBytes.total()).isEqualTo(0);
+		}
+		finally {
+			logger.removeHandler(recorder);
+		}
+		Truth.assertThat(faults).isEmpty();
+	}
+
 	private static Received exchange(GatewayFixture gateway, String request, Random random) throws IOException {
 		byte[] bytes = request.getBytes(StandardCharsets.ISO_8859_1);
 		ByteArrayOutputStream read = new ByteArrayOutputStream();
@@ -159,6 +190,34 @@
 		return Route.builder(name, "hire.example", "/" + name + "/").service("yard").timeout(Duration.ofSeconds(10));
 	}
 
+	/**
+	 * Records the messages of a logger.
+	 */
+	private static final class Recorder extends Handler {
+
+		private final List<String> messages;
+
+		Recorder(List<String> messages) {
+			this.messages = messages;
+		}
+
+		@Override
+		public void publish(LogRecord message) {
+			this.messages.add(message.getMessage());
+		}
+
+		@Override
+		public void flush() {
+			// Messages are recorded at once.
+		}
+
+		@Override
+		public void close() {
+			// There is nothing to close.
+		}
+
+	}
+
 	/**
 	 * A request, its endpoint's response and what its caller is owed.
 	 *
