--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/CallerServer.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpServerCodec;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
 import org.bramleyscale.internal.gateway.request.CallerRequestHandler;
 import org.bramleyscale.internal.gateway.request.OpenRequests;
@@ -164,13 +163,13 @@
 			channel.close();
 			return;
 		}
-		CallerChannel caller = new CallerChannel(this, channel);
-		this.channels.add(caller);
 		// The decoder's limits for the request line and for the headers are separate.
-		channel.pipeline()
-			.addLast(new FirstByteDetector(caller))
-			.addLast(new HttpServerCodec(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(), MAX_CHUNK_SIZE))
-			.addLast(caller);
+		ServerRequestDecoder decoder = new ServerRequestDecoder(MAX_INITIAL_LINE_LENGTH, limits().headerBytes(),
+				MAX_CHUNK_SIZE);
+		ServerResponseEncoder encoder = new ServerResponseEncoder();
+		CallerChannel caller = new CallerChannel(this, channel, decoder, encoder);
+		this.channels.add(caller);
+		channel.pipeline().addLast(new FirstByteDetector(caller)).addLast(decoder).addLast(encoder).addLast(caller);
 	}
 
 	/**
