Call endpoints over a connection of their own each

Callers of plain services got the status of an earlier response with the body of their own, and calls of engines believed a result, a refusal or a report that belonged to an earlier call. An endpoint sends its response again, whole or in part, and the copy is read once the next request has been sent on the kept connection. Only the position tells there to which call a response belongs, so no check of a response tells a whole copy from the call's own response: a `NEVER_STARTED` of another cancel, or a refusal that says "not run", lets a request run twice.

All calls of endpoints use a connection each, as the calls that aren't GET or HEAD did. What remembered silent kept connections isn't needed any more and is gone, and so is the pool for streams. Its test now demands that no call is lost: each is served at once on a connection of its own (before, the first one timed out).

OwnResponseTests.aSecondCopyIsNotTakenForTheNextResponse failed before for each exchange with an endpoint where the copy comes in front of the next response.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/EngineStream.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/EngineStream.java
@@ -47,8 +47,6 @@
 
 	private final Mailbox mailbox;
 
-	private final Runnable whenBroken;
-
 	private final EventDecoder decoder = new EventDecoder(LARGEST_EVENT, this::event);
 
 	private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
@@ -75,17 +73,13 @@
 	 * @param firstStep what is being done until the engine accepts
 	 * @param listener takes the answer
 	 * @param mailbox leads to the scheduler's thread
-	 * @param whenBroken called on the scheduler's thread if the connection failed or its
-	 * time ran out
 	 */
-	EngineStream(EndpointEntry endpoint, RequestId id, Step firstStep, EngineListener listener, Mailbox mailbox,
-			Runnable whenBroken) {
+	EngineStream(EndpointEntry endpoint, RequestId id, Step firstStep, EngineListener listener, Mailbox mailbox) {
 		this.endpoint = endpoint;
 		this.id = id;
 		this.firstStep = firstStep;
 		this.listener = listener;
 		this.mailbox = mailbox;
-		this.whenBroken = whenBroken;
 	}
 
 	/**
@@ -105,7 +99,6 @@
 	 * @param limit how long it was
 	 */
 	void timedOut(Duration limit) {
-		this.whenBroken.run();
 		fail(new ServingException(ErrorCode.DEADLINE_EXCEEDED, ranIfUnanswered(), step(), this.endpoint.name().value(),
 				"no complete answer within " + limit.toMillis() + " ms"));
 	}
@@ -133,7 +126,6 @@
 	void broken(Throwable cause) {
 		this.mailbox.post(() -> {
 			if (!this.ended) {
-				this.whenBroken.run();
 				fail(EngineFailure.of(this.endpoint.name(), step(), ranIfUnanswered(), cause));
 			}
 		});
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpEngineClient.java
@@ -28,7 +28,6 @@
 import ratpack.exec.Promise;
 import ratpack.func.Action;
 import ratpack.func.Factory;
-import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
 import ratpack.http.client.StreamedResponse;
@@ -53,13 +52,12 @@
  *
  * <p>
  * Invariants: no call is ever sent twice by this class. {@link Ran#NO} is said only if no
- * connection was made or the engine said so. Calls to plain services that are neither GET
- * nor HEAD use a new connection each: on a kept one that the other side had closed
- * unnoticed, the call would end as {@link Ran#UNKNOWN} although it never arrived, and a
- * not repeatable call can't be tried again then. Generations use kept connections, as an
- * unknown start can be settled by {@link #cancel}. Confined to the scheduler's thread.
+ * connection was made or the engine said so. Each call uses a connection of its own: on
+ * one that was used before, only its position tells that a response belongs to a call, so
+ * a repeated response, or a part of one, would be taken for the next one or for its
+ * beginning. Confined to the scheduler's thread.
  */
-public final class HttpEngineClient implements EngineClient, AutoCloseable {
+public final class HttpEngineClient implements EngineClient {
 
 	private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
@@ -84,8 +82,6 @@
 
 	private final Mailbox mailbox;
 
-	private final EngineConnections connections;
-
 	/**
 	 * Creates a client.
 	 * @param scheduler the daemon's scheduler
@@ -106,12 +102,6 @@
 		this.http = http;
 		this.connectTimeout = connectTimeout;
 		this.mailbox = new Mailbox(scheduler);
-		this.connections = new EngineConnections(scheduler, http, connectTimeout);
-	}
-
-	@Override
-	public void close() {
-		this.connections.close();
 	}
 
 	@Override
@@ -122,9 +112,8 @@
 			return stream;
 		}
 		stream.timer(this.scheduler.schedule(request.timeLeft(), () -> stream.timedOut(request.timeLeft())));
-		HttpClient client = this.connections.forStream(endpoint);
 		URI uri = uri(endpoint, "/v1/generate");
-		open(stream, () -> body(request).flatMap((bytes) -> client.requestStream(uri, (spec) -> {
+		open(stream, () -> body(request).flatMap((bytes) -> this.http.freshClient().requestStream(uri, (spec) -> {
 			configure(spec.post(), request.timeLeft().plus(READ_MARGIN));
 			spec.body((body) -> body.type(ErrorBody.JSON).bytes(bytes));
 		})));
@@ -146,7 +135,6 @@
 
 	@Override
 	public Cancellable resume(EndpointEntry endpoint, RequestId id, int attempt, long offset, EngineListener listener) {
-		this.connections.failed(endpoint);
 		EngineStream stream = stream(endpoint, id, Step.RESUME, listener);
 		URI uri = uri(endpoint, attemptPath(id, attempt) + "/stream?offset=" + offset);
 		open(stream,
@@ -155,7 +143,7 @@
 	}
 
 	private EngineStream stream(EndpointEntry endpoint, RequestId id, Step step, EngineListener listener) {
-		return new EngineStream(endpoint, id, step, listener, this.mailbox, () -> this.connections.failed(endpoint));
+		return new EngineStream(endpoint, id, step, listener, this.mailbox);
 	}
 
 	private void open(EngineStream stream, Factory<Promise<StreamedResponse>> request) {
@@ -220,10 +208,8 @@
 			return CompletableFuture
 				.failedFuture(notSent(endpoint, ErrorCode.BAD_REQUEST, "'" + call.path() + "' is not a path of a URI"));
 		}
-		HttpClient client = ServiceCallHttp.safe(call.method()) ? this.connections.forCall(endpoint)
-				: this.connections.fresh();
-		return result(endpoint, Step.START,
-				this.http.call(call.timeLeft(), () -> client.requestStream(uri(endpoint, call.path()), (spec) -> {
+		return result(endpoint, Step.START, this.http.call(call.timeLeft(),
+				() -> this.http.freshClient().requestStream(uri(endpoint, call.path()), (spec) -> {
 					configure(spec, call.timeLeft().plus(READ_MARGIN));
 					ServiceCallHttp.write(call, spec);
 				}).flatMap(ServiceCallHttp::reply)));
@@ -235,7 +221,7 @@
 
 	private <T> CompletableFuture<T> control(EndpointEntry endpoint, Step step, String path,
 			Action<RequestSpec> request, Reader<byte[], T> reader) {
-		return send(endpoint, step, CONTROL_TIMEOUT, this.connections.forCall(endpoint), path, request, (response) -> {
+		return send(endpoint, step, CONTROL_TIMEOUT, path, request, (response) -> {
 			byte[] body = response.getBody().getBytes();
 			if (response.getStatusCode() == HTTP_CONFLICT) {
 				throw new ServingException(ErrorCode.CONFLICT, Ran.NO, step, endpoint.name().value(),
@@ -248,12 +234,13 @@
 		});
 	}
 
-	private <T> CompletableFuture<T> send(EndpointEntry endpoint, Step step, Duration limit, HttpClient client,
-			String path, Action<RequestSpec> request, Reader<ReceivedResponse, T> reader) {
-		return result(endpoint, step, this.http.call(limit, () -> client.request(uri(endpoint, path), (spec) -> {
-			configure(spec, limit.plus(READ_MARGIN));
-			request.execute(spec);
-		}).map(reader::read)));
+	private <T> CompletableFuture<T> send(EndpointEntry endpoint, Step step, Duration limit, String path,
+			Action<RequestSpec> request, Reader<ReceivedResponse, T> reader) {
+		return result(endpoint, step,
+				this.http.call(limit, () -> this.http.freshClient().request(uri(endpoint, path), (spec) -> {
+					configure(spec, limit.plus(READ_MARGIN));
+					request.execute(spec);
+				}).map(reader::read)));
 	}
 
 	private <T> CompletableFuture<T> result(EndpointEntry endpoint, Step step, CompletableFuture<T> call) {
@@ -263,9 +250,6 @@
 				result.complete(value);
 				return;
 			}
-			if (!(failure instanceof ServingException)) {
-				this.connections.failed(endpoint);
-			}
 			result.completeExceptionally(EngineFailure.of(endpoint.name(), step, Ran.UNKNOWN, failure));
 		});
 		return result;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/Node.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/Node.java
@@ -133,7 +133,6 @@
 		}
 		this.tcp.close();
 		this.loop.close();
-		this.engines.close();
 		this.http.close();
 		this.ended.complete(false);
 	}
