Call the object store over a connection of its own each

A daemon took the version of one object with the value of another, a write that the store had refused with 409 for done, and an object that exists for absent: a copy of the reply before, whole or cut, was read once the next call had been sent on the kept connection. A reply names neither kind nor name, so nothing in it ties it to its call.

Each call opens a connection.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/platform/HttpObjectStore.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/HttpObjectStore.java
@@ -9,14 +9,12 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeoutException;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bramleyscale.internal.http.HttpExecution;
 import org.bramleyscale.internal.time.Scheduler;
 import ratpack.func.Action;
 import ratpack.http.HttpMethod;
-import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
 
@@ -27,7 +25,9 @@
  * Invariant: each call completes on the scheduler's thread within the timeout, a watch
  * within its wait plus the timeout. A write or delete without a valid reply fails with
  * {@link PlatformException.Kind#UNKNOWN_OUTCOME} unless no connection was established.
- * Confined to the scheduler's thread.
+ * Each call uses a connection of its own: replies name no call, so on one that was used
+ * before a repeated reply, or a part of one, would be taken for the next one or for its
+ * beginning. Confined to the scheduler's thread.
  */
 public final class HttpObjectStore implements ObjectStore {
 
@@ -41,8 +41,6 @@
 
 	private final MetricRegistry metrics;
 
-	private long bypassPoolUntil;
-
 	/**
 	 * Creates the adapter.
 	 * @param scheduler the daemon's scheduler
@@ -61,7 +59,6 @@
 		this.base = URI.create("http://" + address + "/");
 		this.timeout = timeout;
 		this.metrics = metrics;
-		this.bypassPoolUntil = scheduler.nanos();
 	}
 
 	@Override
@@ -113,10 +110,9 @@
 		long sentAt = this.scheduler.nanos();
 		CompletableFuture<T> result = new CompletableFuture<>();
 		Duration limit = this.timeout.plus(call.watchWait());
-		HttpClient client = client();
 		this.execution.call(limit, () -> {
 			URI uri = this.base.resolve(call.path());
-			return client.request(uri, request(call, limit)).map(Reply::of);
+			return this.execution.freshClient().request(uri, request(call, limit)).map(Reply::of);
 		}).whenComplete((reply, failure) -> {
 			Duration duration = Duration.ofNanos(this.scheduler.nanos() - sentAt);
 			this.metrics.timer("platform." + operation).update(duration);
@@ -142,14 +138,11 @@
 		}
 	}
 
-	private PlatformException toException(Call call, Throwable failure) {
+	private static PlatformException toException(Call call, Throwable failure) {
 		if (failure instanceof ConnectException) {
 			return new PlatformException(PlatformException.Kind.UNAVAILABLE,
 					call + " could not connect: " + failure.getMessage());
 		}
-		if (failure instanceof TimeoutException) {
-			bypassPool();
-		}
 		return noValidReply(call, failure.toString());
 	}
 
@@ -159,23 +152,6 @@
 		return new PlatformException(kind, call + " got no valid reply: " + reason);
 	}
 
-	/**
-	 * Bypasses the connection pool for twice the pool's idle timeout.
-	 * <p>
-	 * A pooled connection may have become unresponsive: each call over it would time out
-	 * again although the platform is available, so that one daemon alone would see
-	 * consecutive timeouts. Twice the idle timeout is enough for the pool to close its
-	 * connections.
-	 */
-	private void bypassPool() {
-		this.bypassPoolUntil = this.scheduler.nanos() + this.execution.poolIdleTimeout().multipliedBy(2).toNanos();
-	}
-
-	private HttpClient client() {
-		boolean fresh = this.scheduler.nanos() - this.bypassPoolUntil < 0;
-		return (fresh) ? this.execution.freshClient() : this.execution.client();
-	}
-
 	private static Action<RequestSpec> request(Call call, Duration limit) {
 		return (spec) -> {
 			spec.method(call.method());
