Show that frames of other requests and attempts are refused

A frame names its request and attempt, and the attempt that reads it compares both. No test sent a foreign frame on a connection that is open.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/request/WholeAnswerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/request/WholeAnswerTests.java
@@ -10,6 +10,7 @@
 import org.bramleyscale.ErrorCode;
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.Ran;
+import org.bramleyscale.RequestId;
 import org.bramleyscale.ServingException;
 import org.bramleyscale.Step;
 import org.bramleyscale.VmId;
@@ -134,6 +135,19 @@
 		Truth.assertThat(Set.copyOf(this.fixture.engines.cancels)).containsExactly("engine-1 entry-1~1~_0 1");
 	}
 
+	/** Guards against an answer with the text of another request or attempt. */
+	@Test
+	void framesOfOtherRequestsAndAttemptsAreRefused() {
+		FakeEngines.Connection connection = start(true);
+		RequestId other = new RequestId(connection.id.issuer(), "other");
+		connection.listener.frame(new EngineFrame(other, connection.attempt, 0, 1, "X"));
+		connection.listener.frame(new EngineFrame(connection.id, connection.attempt + 1, 0, 1, "X"));
+		connection.frames(TEXT, 0, END);
+		connection.complete(END);
+		expectWhole(this.sink);
+		Truth.assertThat(this.fixture.count("entry-1", "lateFrames")).isEqualTo(2);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "0, ENDPOINT_FAILED UNKNOWN", "7, ENDPOINT_FAILED YES" })
 	void failedEngineEndsANotRepeatableAnswerImmediately(int at, String end) {
