Tell operators of no part of a reply

The command line's client took a reply that its daemon broke off, inside its head or between two chunks, for a whole one: status 200 and an empty body, or a part of it, so a list looked shorter and a change that got a cut answer looked confirmed. It opens a connection for each call, so replies of other calls don't reach it.

It reads replies as the other clients do, whole or not at all.

--- a/daemon/src/main/java/org/bramleyscale/daemon/operator/DaemonClient.java
+++ b/daemon/src/main/java/org/bramleyscale/daemon/operator/DaemonClient.java
@@ -2,6 +2,7 @@
 
 import java.net.ConnectException;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,9 +14,9 @@
 import org.bramleyscale.daemon.CommandException;
 import org.bramleyscale.daemon.ExitCode;
 import org.bramleyscale.internal.http.HttpExecution;
+import org.bramleyscale.internal.http.WholeReply;
 import org.bramleyscale.internal.status.OperatorHandlers;
 import org.bramleyscale.internal.time.EventLoop;
-import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
 
 /**
@@ -114,8 +115,9 @@
 			return this.execution
 				.call(this.timeout,
 						() -> this.execution.freshClient()
-							.request(uri, (request) -> prepare(request, call))
-							.map((response) -> reply(address, response)))
+							.requestStream(uri, (request) -> prepare(request, call))
+							.flatMap(WholeReply::of)
+							.map((reply) -> reply(address, reply)))
 				.get();
 		}
 		catch (InterruptedException ex) {
@@ -134,10 +136,10 @@
 		}
 	}
 
-	private static Reply reply(String address, ReceivedResponse response) {
-		Optional<Long> version = Optional.ofNullable(response.getHeaders().get(OperatorHandlers.VERSION_HEADER))
+	private static Reply reply(String address, WholeReply reply) {
+		Optional<Long> version = Optional.ofNullable(reply.headers().get(OperatorHandlers.VERSION_HEADER))
 			.map(Long::valueOf);
-		return new Reply(address, response.getStatusCode(), version, response.getBody().getText(), false);
+		return new Reply(address, reply.status(), version, new String(reply.body(), StandardCharsets.UTF_8), false);
 	}
 
 	private static boolean neverSent(Throwable cause) {
