--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpExecution.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/HttpExecution.java
@@ -21,7 +21,7 @@
  * Invariant: each future given out completes on the scheduler's thread, at the latest
  * when its timeout has passed. One instance is shared by all HTTP adapters of a process.
  * Safe for use by multiple threads. <pre>
- * execution.call(timeout, () -&gt; execution.client().get(uri).map(Reply::of))
+ * execution.call(timeout, () -&gt; execution.freshClient().get(uri).map(Reply::of))
  *     .whenComplete(this::answered);
  * </pre>
  */
@@ -29,20 +29,14 @@
 
 	private static final int THREADS = 2;
 
-	private static final int POOL_SIZE = 64;
-
 	private static final int LARGEST_REPLY = 64 * 1024 * 1024;
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
-	private static final Duration POOL_IDLE_TIMEOUT = Duration.ofSeconds(5);
-
 	private final Scheduler scheduler;
 
 	private final ExecController controller;
 
-	private final HttpClient client;
-
 	private final HttpClient freshClient;
 
 	/**
@@ -53,39 +47,21 @@
 		this.scheduler = scheduler;
 		// Ratpack 1.9 has no public factory for a controller without a server.
 		this.controller = new DefaultExecController(THREADS);
-		this.client = newClient(POOL_SIZE);
-		this.freshClient = newClient(0);
+		this.freshClient = newClient();
 	}
 
 	/**
-	 * The client that keeps connections open between calls.
-	 * @return the pooling client
-	 */
-	public HttpClient client() {
-		return this.client;
-	}
-
-	/**
-	 * The client that opens a connection for each call.
+	 * The client, which opens a connection for each call.
 	 * <p>
-	 * An open connection can go silent for good while new ones work. Calls over it then
-	 * all time out although the server is well. Who saw such a timeout uses this client
-	 * for at least {@link #poolIdleTimeout()}, after which the pool has dropped its
-	 * silent connections.
+	 * A kept connection may have gone silent, and what is read on it may belong to an
+	 * earlier call: Ratpack drops bytes that arrive between two calls and takes those
+	 * that arrive after the next request for its response.
 	 * @return the client without a pool
 	 */
 	public HttpClient freshClient() {
 		return this.freshClient;
 	}
 
-	/**
-	 * How long the pooling client keeps an unused connection.
-	 * @return the idle timeout
-	 */
-	public Duration poolIdleTimeout() {
-		return POOL_IDLE_TIMEOUT;
-	}
-
 	/**
 	 * The controller of the client's threads, to fork executions of one's own.
 	 * @return the controller
@@ -120,7 +96,6 @@
 
 	@Override
 	public void close() {
-		this.client.close();
 		this.freshClient.close();
 		this.controller.close();
 	}
@@ -139,19 +114,18 @@
 		});
 	}
 
-	private HttpClient newClient(int poolSize) {
+	private HttpClient newClient() {
 		try {
-			return HttpClient.of((spec) -> configure(spec, poolSize));
+			return HttpClient.of(this::configure);
 		}
 		catch (Exception ex) {
 			throw new IllegalStateException("The HTTP client could not be configured", ex);
 		}
 	}
 
-	private void configure(HttpClientSpec spec, int poolSize) {
+	private void configure(HttpClientSpec spec) {
 		spec.execController(this.controller);
-		spec.poolSize(poolSize);
-		spec.idleTimeout(POOL_IDLE_TIMEOUT);
+		spec.poolSize(0);
 		spec.connectTimeout(CONNECT_TIMEOUT);
 		spec.maxContentLength(LARGEST_REPLY);
 	}
