--- a/daemon/src/test/java/org/bramleyscale/daemon/operator/DaemonClientTests.java
+++ b/daemon/src/test/java/org/bramleyscale/daemon/operator/DaemonClientTests.java
@@ -56,8 +56,7 @@
 		for (int length = 0; length <= reply.length(); length++) {
 			try (Socket connection = server.accept()) {
 				readHead(connection.getInputStream());
-				connection.getOutputStream()
-					.write(reply.substring(0, length).getBytes(StandardCharsets.UTF_8));
+				connection.getOutputStream().write(reply.substring(0, length).getBytes(StandardCharsets.UTF_8));
 			}
 			catch (IOException ex) {
 				// The test has ended.
