Move connections of the JSON client to classes of their own

The client, its connections and the idle ones were one class that needs a socket, so bytes of a server can't be played against it. JsonConnection and IdleJsonConnections take the code over unchanged.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -3,30 +3,20 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.bramleyscale.internal.time.Cancellable;
 
 /**
  * Calls one server that exchanges small documents, such as the platform's store.
@@ -52,7 +42,7 @@
 
 	private final int maxResponseBytes;
 
-	private final Deque<Connection> idle = new ArrayDeque<>();
+	private final IdleJsonConnections idle = new IdleJsonConnections(MAX_IDLE_CONNECTIONS);
 
 	/**
 	 * Creates a client of a server that sends lists.
@@ -93,7 +83,7 @@
 			request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		}
-		Connection reused = takeIdle();
+		JsonConnection reused = this.idle.take();
 		if (reused != null) {
 			reused.send(request, result, limit);
 		}
@@ -103,16 +93,6 @@
 		return result;
 	}
 
-	private Connection takeIdle() {
-		while (!this.idle.isEmpty()) {
-			Connection connection = this.idle.pollFirst();
-			if (connection.channel.isActive()) {
-				return connection;
-			}
-		}
-		return null;
-	}
-
 	private void connect(FullHttpRequest request, CompletableFuture<Response> result, Duration limit) {
 		new Bootstrap().group(this.loop.group())
 			.channel(this.loop.channel())
@@ -124,20 +104,15 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					EndOfInputDetector input = new EndOfInputDetector();
-					channel.pipeline()
-						.addLast(input)
-						.addLast(new HttpClientCodec())
-						.addLast(new WholeResponseFilter(input))
-						.addLast(new HttpObjectAggregator(JsonClient.this.maxResponseBytes))
-						.addLast(new Connection(channel));
+					JsonConnection.addTo(channel, JsonClient.this.idle, JsonClient.this.loop,
+							JsonClient.this.address.toString(), JsonClient.this.maxResponseBytes);
 				}
 
 			})
 			.connect(this.address.getHost(), this.address.getPort())
 			.addListener((io.netty.channel.ChannelFuture future) -> {
 				if (future.isSuccess()) {
-					future.channel().pipeline().get(Connection.class).send(request, result, limit);
+					future.channel().pipeline().get(JsonConnection.class).send(request, result, limit);
 				}
 				else {
 					request.release();
@@ -176,81 +151,4 @@
 
 	}
 
-	/**
-	 * One connection and the call in progress on it.
-	 */
-	private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
-
-		private final Channel channel;
-
-		private CompletableFuture<Response> result;
-
-		private Cancellable timer = () -> {
-		};
-
-		private Connection(Channel channel) {
-			this.channel = channel;
-		}
-
-		private void send(FullHttpRequest request, CompletableFuture<Response> result, Duration limit) {
-			this.result = result;
-			this.timer = JsonClient.this.loop.schedule(limit, () -> fail("no response within " + limit));
-			this.channel.writeAndFlush(request).addListener((future) -> {
-				if (!future.isSuccess()) {
-					fail("write: " + future.cause().getMessage());
-				}
-			});
-		}
-
-		@Override
-		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-			if (this.result == null || response.decoderResult().isFailure()) {
-				fail("malformed or unsolicited response");
-				return;
-			}
-			byte[] body = new byte[response.content().readableBytes()];
-			response.content().readBytes(body);
-			CompletableFuture<Response> completed = this.result;
-			this.result = null;
-			this.timer.cancel();
-			if (HttpUtil.isKeepAlive(response) && JsonClient.this.idle.size() < MAX_IDLE_CONNECTIONS) {
-				JsonClient.this.idle.addFirst(this);
-			}
-			else {
-				this.channel.close();
-			}
-			completed.complete(new Response(response.status().code(), response.headers(), body));
-		}
-
-		@Override
-		public void userEventTriggered(ChannelHandlerContext context, Object event) {
-			if (event instanceof ChannelInputShutdownEvent) {
-				fail("connection closed by the server");
-			}
-		}
-
-		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			fail(cause.toString());
-		}
-
-		@Override
-		public void channelInactive(ChannelHandlerContext context) {
-			JsonClient.this.idle.remove(this);
-			fail("connection closed");
-		}
-
-		private void fail(String cause) {
-			this.timer.cancel();
-			this.channel.close();
-			JsonClient.this.idle.remove(this);
-			if (this.result != null) {
-				CompletableFuture<Response> pending = this.result;
-				this.result = null;
-				pending.completeExceptionally(new IOException(JsonClient.this.address + ": " + cause));
-			}
-		}
-
-	}
-
 }
--- /dev/null
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
@@ -0,0 +1,165 @@
+package org.bramleyscale.internal.gateway.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import org.bramleyscale.internal.time.Cancellable;
+import org.bramleyscale.internal.time.Scheduler;
+
+/**
+ * One connection of a {@link JsonClient} and the call in progress on it.
+ *
+ * <p>
+ * Invariant: a connection on which a call failed or timed out is closed. Confined to the
+ * scheduler's thread.
+ */
+final class JsonConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+	private final Owner owner;
+
+	private final Scheduler scheduler;
+
+	private final String server;
+
+	private final Channel channel;
+
+	private CompletableFuture<JsonClient.Response> result;
+
+	private Cancellable timer = () -> {
+	};
+
+	/**
+	 * Adds the handlers of a connection to its channel.
+	 * @param channel the channel, which may be half closed
+	 * @param owner the owner of the connection
+	 * @param scheduler times the calls
+	 * @param server the server, for error messages
+	 * @param maxResponseBytes the size above which a response is a failure
+	 * @return the connection
+	 */
+	static JsonConnection addTo(Channel channel, Owner owner, Scheduler scheduler, String server,
+			int maxResponseBytes) {
+		EndOfInputDetector input = new EndOfInputDetector();
+		JsonConnection connection = new JsonConnection(channel, owner, scheduler, server);
+		channel.pipeline()
+			.addLast(input)
+			.addLast(new HttpClientCodec())
+			.addLast(new WholeResponseFilter(input))
+			.addLast(new HttpObjectAggregator(maxResponseBytes))
+			.addLast(connection);
+		return connection;
+	}
+
+	private JsonConnection(Channel channel, Owner owner, Scheduler scheduler, String server) {
+		this.channel = channel;
+		this.owner = owner;
+		this.scheduler = scheduler;
+		this.server = server;
+	}
+
+	/**
+	 * Sends a call.
+	 * @param request the request
+	 * @param newResult completes with the response, or with an {@link IOException}
+	 * @param limit the time limit of the call
+	 */
+	void send(FullHttpRequest request, CompletableFuture<JsonClient.Response> newResult, Duration limit) {
+		this.result = newResult;
+		this.timer = this.scheduler.schedule(limit, () -> fail("no response within " + limit));
+		this.channel.writeAndFlush(request).addListener((future) -> {
+			if (!future.isSuccess()) {
+				fail("write: " + future.cause().getMessage());
+			}
+		});
+	}
+
+	/**
+	 * Whether this connection may carry a call.
+	 * @return false if it carries one or is closed
+	 */
+	boolean isReusable() {
+		return this.result == null && this.channel.isActive();
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+		if (this.result == null || response.decoderResult().isFailure()) {
+			fail("malformed or unsolicited response");
+			return;
+		}
+		byte[] body = new byte[response.content().readableBytes()];
+		response.content().readBytes(body);
+		CompletableFuture<JsonClient.Response> completed = this.result;
+		this.result = null;
+		this.timer.cancel();
+		if (HttpUtil.isKeepAlive(response)) {
+			this.owner.release(this);
+		}
+		else {
+			close();
+		}
+		completed.complete(new JsonClient.Response(response.status().code(), response.headers(), body));
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			fail("connection closed by the server");
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		fail(cause.toString());
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		fail("connection closed");
+	}
+
+	private void fail(String cause) {
+		this.timer.cancel();
+		close();
+		this.owner.remove(this);
+		if (this.result != null) {
+			CompletableFuture<JsonClient.Response> pending = this.result;
+			this.result = null;
+			pending.completeExceptionally(new IOException(this.server + ": " + cause));
+		}
+	}
+
+	/**
+	 * Keeps connections while they carry no call. Confined to the scheduler's thread.
+	 */
+	interface Owner {
+
+		/**
+		 * Takes back a connection whose call has been answered.
+		 * @param connection the connection, which may be used again
+		 */
+		void release(JsonConnection connection);
+
+		/**
+		 * Called when a connection is closed.
+		 * @param connection the connection
+		 */
+		void remove(JsonConnection connection);
+
+	}
+
+}
