Put no response of the store together from the bytes of several

Found by playing drawn bytes against a connection of the JSON client, which calls the platform's store: the fault of the connections to endpoints is there too, and no response names its call. The client's decoder keeps a part of a head without a word, so a connection on which a part of an earlier response was read is idle and reused, and the part and the next response make one head. An interim response completes a call with its own status, and the head of a response is taken for the trailer of another.

The client uses the strict decoder of endpoints, which is now named ResponseDecoder. A connection is kept only while all bytes read on it belong to whole responses. A call fails if its response has a trailer, if bytes have arrived behind it, or if its body holds a status line and isn't one JSON document. What remains: a whole copy of an earlier response that arrives alone, after a call was sent and before its own response, is taken for it.

JsonClientTests and ResponseBytesTests pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -60,7 +60,7 @@
 
 	private final EndOfInputDetector input;
 
-	private final EndpointResponseDecoder decoder;
+	private final ResponseDecoder decoder;
 
 	private BackendCall call;
 
@@ -92,7 +92,7 @@
 	 */
 	static void addTo(Channel channel, EndpointStart endpoint, Owner owner) {
 		EndOfInputDetector input = new EndOfInputDetector();
-		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
+		ResponseDecoder decoder = new ResponseDecoder();
 		channel.pipeline()
 			.addLast(input)
 			.addLast(decoder)
@@ -101,7 +101,7 @@
 	}
 
 	private BackendChannel(Owner owner, EndpointStart endpoint, Channel channel, EndOfInputDetector input,
-			EndpointResponseDecoder decoder) {
+			ResponseDecoder decoder) {
 		this.input = input;
 		this.decoder = decoder;
 		this.owner = owner;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
@@ -8,10 +8,12 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.Scheduler;
@@ -20,8 +22,11 @@
  * One connection of a {@link JsonClient} and the call in progress on it.
  *
  * <p>
- * Invariant: a connection on which a call failed or timed out is closed. Confined to the
- * scheduler's thread.
+ * No response names its call, so only its position tells. Invariants: the connection
+ * carries a call only while all bytes read on it belong to whole responses to earlier
+ * ones; a call completes only with status, head and body of one response that began after
+ * the call was sent, and only if no bytes have arrived behind it; a connection on which a
+ * call failed or timed out is closed. Confined to the scheduler's thread.
  */
 final class JsonConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
@@ -33,6 +38,12 @@
 
 	private final Channel channel;
 
+	private final EndOfInputDetector input;
+
+	private final ResponseDecoder decoder;
+
+	private final WholeResponseFilter filter;
+
 	private CompletableFuture<JsonClient.Response> result;
 
 	private Cancellable timer = () -> {
@@ -49,12 +60,12 @@
 	 */
 	static JsonConnection addTo(Channel channel, Owner owner, Scheduler scheduler, String server,
 			int maxResponseBytes) {
-		EndOfInputDetector input = new EndOfInputDetector();
 		JsonConnection connection = new JsonConnection(channel, owner, scheduler, server);
 		channel.pipeline()
-			.addLast(input)
-			.addLast(new HttpClientCodec())
-			.addLast(new WholeResponseFilter(input))
+			.addLast(connection.input)
+			.addLast(connection.decoder)
+			.addLast(new HttpRequestEncoder())
+			.addLast(connection.filter)
 			.addLast(new HttpObjectAggregator(maxResponseBytes))
 			.addLast(connection);
 		return connection;
@@ -65,6 +76,9 @@
 		this.owner = owner;
 		this.scheduler = scheduler;
 		this.server = server;
+		this.input = new EndOfInputDetector();
+		this.decoder = new ResponseDecoder();
+		this.filter = new WholeResponseFilter(this.input);
 	}
 
 	/**
@@ -74,6 +88,9 @@
 	 * @param limit the time limit of the call
 	 */
 	void send(FullHttpRequest request, CompletableFuture<JsonClient.Response> newResult, Duration limit) {
+		boolean headOnly = request.method().equals(HttpMethod.HEAD);
+		this.decoder.expectHeadOnly(headOnly);
+		this.filter.await(headOnly);
 		this.result = newResult;
 		this.timer = this.scheduler.schedule(limit, () -> fail("no response within " + limit));
 		this.channel.writeAndFlush(request).addListener((future) -> {
@@ -85,10 +102,10 @@
 
 	/**
 	 * Whether this connection may carry a call.
-	 * @return false if it carries one or is closed
+	 * @return false if it carries one, has ended, or if other bytes were read
 	 */
 	boolean isReusable() {
-		return this.result == null && this.channel.isActive();
+		return this.result == null && this.channel.isActive() && !this.input.ended() && this.decoder.allAccounted();
 	}
 
 	void close() {
@@ -103,6 +120,10 @@
 		}
 		byte[] body = new byte[response.content().readableBytes()];
 		response.content().readBytes(body);
+		if (this.decoder.unaccountedBytes() > 0 || ResponseBodyCheck.holdsAnotherResponse(body)) {
+			fail("bytes of another response");
+			return;
+		}
 		CompletableFuture<JsonClient.Response> completed = this.result;
 		this.result = null;
 		this.timer.cancel();
@@ -115,6 +136,13 @@
 		completed.complete(new JsonClient.Response(response.status().code(), response.headers(), body));
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.result == null && !this.decoder.allAccounted()) {
+			close();
+		}
+	}
+
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof ChannelInputShutdownEvent) {
@@ -124,7 +152,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		fail(cause.toString());
+		fail((cause instanceof DecoderException) ? "malformed response: " + cause.getMessage() : cause.toString());
 	}
 
 	@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndpointResponseDecoder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseDecoder.java
@@ -12,14 +12,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Decodes the responses on one connection to an endpoint.
+ * Decodes the responses on one connection to an endpoint or to the platform's store.
  *
  * <p>
  * Invariants: a head is decoded only once all of it has arrived and only if its bytes are
  * those of one response; until then its bytes count as unaccounted for, as do all others
  * that belong to no whole response. Confined to the loop's thread.
  */
-final class EndpointResponseDecoder extends HttpResponseDecoder {
+final class ResponseDecoder extends HttpResponseDecoder {
 
 	private static final int MAX_INITIAL_LINE_LENGTH = 8_192;
 
@@ -39,7 +39,7 @@
 
 	private int lineLength;
 
-	EndpointResponseDecoder() {
+	ResponseDecoder() {
 		super(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_CHUNK_SIZE);
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/StatusLineFinder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/StatusLineFinder.java
@@ -33,6 +33,14 @@
 		return true;
 	}
 
+	/**
+	 * Whether the last bytes may be the beginning of a status line.
+	 * @return false if the next byte can only begin one
+	 */
+	boolean begun() {
+		return this.matched > 0;
+	}
+
 	private boolean matches(byte value) {
 		char expected = PATTERN.charAt(this.matched);
 		return (expected == '0') ? value >= '0' && value <= '9' : value == expected;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ResponseBytesTests.java
@@ -1,6 +1,5 @@
 package org.bramleyscale.internal.gateway.http;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +9,6 @@
 
 import com.google.common.net.HostAndPort;
 import com.google.common.truth.Truth;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
@@ -87,7 +85,7 @@
 
 		private final List<ScriptedResponse> sent = new ArrayList<>();
 
-		private final StringBuilder read = new StringBuilder();
+		private final PiecewiseDelivery delivery;
 
 		private boolean accounted = true;
 
@@ -95,6 +93,7 @@
 			this.random = random;
 			this.name = name;
 			this.faulty = faulty;
+			this.delivery = new PiecewiseDelivery(random, this.channel);
 			BackendChannel.addTo(this.channel, ENDPOINT.start(), new IdleConnections(this.scheduler));
 			this.connection = this.channel.pipeline().get(BackendChannel.class);
 		}
@@ -150,7 +149,7 @@
 			boolean byConnection = response.framing() == ScriptedResponse.Framing.CONNECTION;
 			StrayBytes with = byConnection ? StrayBytes.NONE : stray(0.2);
 			this.accounted &= with.bytes().isEmpty();
-			deliver(response.bytes() + with.bytes());
+			this.delivery.deliver(response.bytes() + with.bytes());
 			if (byConnection) {
 				this.accounted = false;
 				this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
@@ -165,19 +164,7 @@
 
 		private void deliver(StrayBytes stray) {
 			this.accounted &= stray.bytes().isEmpty();
-			deliver(stray.bytes());
-		}
-
-		private void deliver(String bytes) {
-			this.read.append(bytes);
-			String rest = bytes;
-			while (!rest.isEmpty()) {
-				int length = this.random.nextBoolean() ? rest.length() : 1 + this.random.nextInt(rest.length());
-				if (this.channel.isActive()) {
-					this.channel.writeInbound(Unpooled.copiedBuffer(rest.substring(0, length), StandardCharsets.UTF_8));
-				}
-				rest = rest.substring(length);
-			}
+			this.delivery.deliver(stray.bytes());
 		}
 
 		private static OutgoingRequest request(String id, boolean headOnly) {
@@ -189,8 +176,7 @@
 
 		@Override
 		public String toString() {
-			String bytes = this.read.toString().replace("\r", "\\r").replace("\n", "\\n").replace("\0", "\\0");
-			return "seed " + this.name + ", all bytes: " + bytes;
+			return "seed " + this.name + ", all bytes: " + this.delivery;
 		}
 
 	}
