Read one path of the store on a connection, and make each change on its own

A whole copy of an earlier response that arrives after a call was sent and before its own response is taken for it, since only position tells them apart: an acknowledged write that wasn't made, a list of daemons for one of endpoints. Found beside it: orders to endpoints, each of which creates a client, leave their connections open for good.

No copy of another call's response can arrive where no other call was made, so a call that changes state has a connection of its own, which is closed after the response. A connection carries reads of one path, where a copy is an earlier state of the same objects, whose revision tells its age. At most four are kept; now the one that was idle for longest is closed, as a path may be read only once.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/IdleJsonConnections.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/IdleJsonConnections.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 /**
  * The connections of a {@link JsonClient} that carry no call.
  *
  * <p>
- * Confined to the scheduler's thread.
+ * Invariant: of more connections than the maximum, those that became idle first are
+ * closed. Confined to the scheduler's thread.
  */
 final class IdleJsonConnections implements JsonConnection.Owner {
 
@@ -24,27 +26,28 @@
 	}
 
 	/**
-	 * Takes the connection that became idle last.
+	 * Takes the connection of a path that became idle last.
+	 * @param path the path of the calls that it has carried
 	 * @return the connection, or null if there is none that may be reused
 	 */
-	JsonConnection take() {
-		while (!this.idle.isEmpty()) {
-			JsonConnection connection = this.idle.pollFirst();
-			if (connection.isReusable()) {
-				return connection;
+	JsonConnection take(String path) {
+		for (JsonConnection connection : List.copyOf(this.idle)) {
+			if (connection.path().equals(path)) {
+				this.idle.remove(connection);
+				if (connection.isReusable()) {
+					return connection;
+				}
+				connection.close();
 			}
-			connection.close();
 		}
 		return null;
 	}
 
 	@Override
 	public void release(JsonConnection connection) {
-		if (this.idle.size() < this.max) {
-			this.idle.addFirst(connection);
-		}
-		else {
-			connection.close();
+		this.idle.addFirst(connection);
+		if (this.idle.size() > this.max) {
+			this.idle.removeLast().close();
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -17,12 +17,16 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 
 /**
  * Calls one server that exchanges small documents, such as the platform's store.
  *
  * <p>
- * Invariants: each call completes on the loop's thread within its time limit; a
+ * A server may send a response twice, and a copy that arrives in place of the next
+ * response can't be told from it. Invariants: a call that changes state has a connection
+ * of its own; a connection carries reads of one path, so that a copy is an earlier state
+ * of what is read; each call completes on the loop's thread within its time limit; a
  * connection on which a call failed or timed out is closed, since a server that lost a
  * response sends nothing more on it, and a connection may stay silent for good while new
  * ones work. Confined to the loop's thread.
@@ -44,6 +48,8 @@
 
 	private final IdleJsonConnections idle = new IdleJsonConnections(MAX_IDLE_CONNECTIONS);
 
+	private final IdleJsonConnections closing = new IdleJsonConnections(0);
+
 	/**
 	 * Creates a client of a server that sends lists.
 	 * @param loop the daemon's loop
@@ -83,17 +89,26 @@
 			request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		}
-		JsonConnection reused = this.idle.take();
+		if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.HEAD)) {
+			connect(this.closing, request, result, limit);
+			return result;
+		}
+		JsonConnection reused = this.idle.take(path(request));
 		if (reused != null) {
 			reused.send(request, result, limit);
 		}
 		else {
-			connect(request, result, limit);
+			connect(this.idle, request, result, limit);
 		}
 		return result;
 	}
 
-	private void connect(FullHttpRequest request, CompletableFuture<Response> result, Duration limit) {
+	private static String path(FullHttpRequest request) {
+		return new QueryStringDecoder(request.uri()).rawPath();
+	}
+
+	private void connect(JsonConnection.Owner owner, FullHttpRequest request, CompletableFuture<Response> result,
+			Duration limit) {
 		new Bootstrap().group(this.loop.group())
 			.channel(this.loop.channel())
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
@@ -104,8 +119,8 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					JsonConnection.addTo(channel, JsonClient.this.idle, JsonClient.this.loop,
-							JsonClient.this.address.toString(), JsonClient.this.maxResponseBytes);
+					JsonConnection.addTo(channel, owner, JsonClient.this.loop, JsonClient.this.address.toString(),
+							path(request), JsonClient.this.maxResponseBytes);
 				}
 
 			})
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
@@ -36,6 +36,8 @@
 
 	private final String server;
 
+	private final String path;
+
 	private final Channel channel;
 
 	private final EndOfInputDetector input;
@@ -55,12 +57,13 @@
 	 * @param owner the owner of the connection
 	 * @param scheduler times the calls
 	 * @param server the server, for error messages
+	 * @param path the path of all calls on the connection
 	 * @param maxResponseBytes the size above which a response is a failure
 	 * @return the connection
 	 */
-	static JsonConnection addTo(Channel channel, Owner owner, Scheduler scheduler, String server,
+	static JsonConnection addTo(Channel channel, Owner owner, Scheduler scheduler, String server, String path,
 			int maxResponseBytes) {
-		JsonConnection connection = new JsonConnection(channel, owner, scheduler, server);
+		JsonConnection connection = new JsonConnection(channel, owner, scheduler, server, path);
 		channel.pipeline()
 			.addLast(connection.input)
 			.addLast(connection.decoder)
@@ -71,11 +74,12 @@
 		return connection;
 	}
 
-	private JsonConnection(Channel channel, Owner owner, Scheduler scheduler, String server) {
+	private JsonConnection(Channel channel, Owner owner, Scheduler scheduler, String server, String path) {
 		this.channel = channel;
 		this.owner = owner;
 		this.scheduler = scheduler;
 		this.server = server;
+		this.path = path;
 		this.input = new EndOfInputDetector();
 		this.decoder = new ResponseDecoder();
 		this.filter = new WholeResponseFilter(this.input);
@@ -108,6 +112,10 @@
 		return this.result == null && this.channel.isActive() && !this.input.ended() && this.decoder.allAccounted();
 	}
 
+	String path() {
+		return this.path;
+	}
+
 	void close() {
 		this.channel.close();
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonClientBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonClientBytesTests.java
@@ -86,13 +86,23 @@
 		exchange.close();
 	}
 
+	/** Guards against reading another protocol until the time limit. */
+	@Test
+	void changeOfProtocolFailsTheCall() {
+		JsonExchange exchange = used();
+		exchange.call();
+		exchange.read("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+		Truth.assertThat(exchange.ended()).isTrue();
+		Truth.assertThat(exchange.succeeded()).isFalse();
+		exchange.close();
+	}
+
 	/**
 	 * Guards against taking what a sound server doesn't send for a response: a trailer
 	 * may be the head of the next response.
 	 */
 	@ParameterizedTest
-	@ValueSource(strings = { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n",
-			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + WHOLE,
+	@ValueSource(strings = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + WHOLE,
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r" + WHOLE,
 			"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}" + WHOLE,
 			"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"a\": " + WHOLE, WHOLE + WHOLE, "\r\n" + WHOLE,
@@ -120,8 +130,8 @@
 		exchange.call();
 		exchange.read(WHOLE);
 		exchange.read(bytes);
-		Truth.assertThat(exchange.takeAgain()).isFalse();
 		Truth.assertThat(exchange.channel().isOpen()).isFalse();
+		Truth.assertThat(exchange.takeAgain()).isFalse();
 		exchange.close();
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonClientTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonClientTests.java
@@ -55,10 +55,57 @@
 		}
 	}
 
+	/**
+	 * Guards against a copy of an earlier response that is taken for that to a call of
+	 * another kind.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "GET /a GET /a GET /a?after=x, 1", "GET /a GET /b GET /a GET /b, 2", "GET /a POST /a, 2",
+			"GET /a POST /a GET /a, 2", "POST /a POST /a, 2", "GET /a/b DELETE /a/b PUT /a/b GET /a/b, 3" })
+	void connectionsCarryReadsOfOnePathOrOneChange(String calls, int connections) throws Exception {
+		try (ScriptedServer server = new ScriptedServer(List.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))) {
+			JsonClient client = client(server);
+			String[] words = calls.split(" ");
+			for (int i = 0; i < words.length; i += 2) {
+				Truth.assertThat(call(client, words[i], words[i + 1]).get(20, TimeUnit.SECONDS)).isEqualTo("{}");
+			}
+			Truth.assertThat(server.connections()).isEqualTo(connections);
+		}
+	}
+
+	/** Guards against connections of orders that nobody uses and nobody closes. */
+	@Test
+	void connectionOfAChangeIsClosedAfterItsResponse() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(List.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))) {
+			Truth.assertThat(call(client(server), "POST", "/orders").get(20, TimeUnit.SECONDS)).isEqualTo("{}");
+			Truth.assertThat(server.awaitEnded(1, LIMIT)).isTrue();
+		}
+	}
+
+	/** Guards against keeping the connections of every path that was ever read. */
+	@Test
+	void connectionIdleForLongestIsClosedIfThereAreTooMany() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(List.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))) {
+			JsonClient client = client(server);
+			for (String path : List.of("/a", "/b", "/c", "/d", "/e", "/e", "/b")) {
+				call(client, "GET", path).get(20, TimeUnit.SECONDS);
+			}
+			Truth.assertThat(server.awaitEnded(1, LIMIT)).isTrue();
+			Truth.assertThat(server.connections()).isEqualTo(5);
+		}
+	}
+
 	private CompletableFuture<String> call(ScriptedServer server) {
+		return call(client(server), "GET", "/objects");
+	}
+
+	private JsonClient client(ScriptedServer server) {
+		return new JsonClient(this.loop, HostAndPort.fromParts("127.0.0.1", server.port()));
+	}
+
+	private CompletableFuture<String> call(JsonClient client, String method, String target) {
 		CompletableFuture<String> received = new CompletableFuture<>();
-		this.loop.execute(() -> new JsonClient(this.loop, HostAndPort.fromParts("127.0.0.1", server.port()))
-			.call(HttpMethod.GET, "/objects", new byte[0], LIMIT)
+		this.loop.execute(() -> client.call(HttpMethod.valueOf(method), target, new byte[0], LIMIT)
 			.whenComplete((response, failure) -> received
 				.complete((failure != null) ? "failed" : new String(response.body()))));
 		return received;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonExchange.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonExchange.java
@@ -21,6 +21,8 @@
 
 	private static final Duration LIMIT = Duration.ofSeconds(1);
 
+	private static final String PATH = "/objects";
+
 	private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
 	private final ManualScheduler scheduler = new ManualScheduler();
@@ -30,7 +32,7 @@
 	private final IdleJsonConnections idle = new IdleJsonConnections(1);
 
 	private final JsonConnection connection = JsonConnection.addTo(this.channel, this.idle, this.scheduler, "store",
-			MAX_RESPONSE_BYTES);
+			PATH, MAX_RESPONSE_BYTES);
 
 	private CompletableFuture<JsonClient.Response> result;
 
@@ -43,7 +45,7 @@
 	 */
 	void call() {
 		this.result = new CompletableFuture<>();
-		this.connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/objects"), this.result,
+		this.connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH), this.result,
 				LIMIT);
 		this.channel.releaseOutbound();
 	}
@@ -78,7 +80,7 @@
 	 * @return false if it may not carry one
 	 */
 	boolean takeAgain() {
-		return this.idle.take() == this.connection;
+		return this.idle.take(PATH) == this.connection;
 	}
 
 	boolean ended() {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedServer.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/ScriptedServer.java
@@ -35,6 +35,8 @@
 
 	private int served;
 
+	private int ended;
+
 	ScriptedServer(List<String> responses) throws IOException {
 		this.responses = responses;
 		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -96,6 +98,9 @@
 		catch (IOException ex) {
 			// The other end has closed the connection.
 		}
+		finally {
+			countEnded();
+		}
 	}
 
 	private void sendWithoutEnd(Socket socket, String response) throws IOException {
@@ -138,6 +143,26 @@
 		return this.endless == 0;
 	}
 
+	private synchronized void countEnded() {
+		this.ended++;
+		notifyAll();
+	}
+
+	/**
+	 * Waits until connections have been closed by either end.
+	 * @param connections the number of connections
+	 * @param limit the longest time to wait
+	 * @return false if fewer were closed
+	 */
+	synchronized boolean awaitEnded(int connections, Duration limit) throws InterruptedException {
+		long end = System.nanoTime() + limit.toNanos();
+		for (long left = limit.toMillis(); this.ended < connections
+				&& left > 0; left = (end - System.nanoTime()) / 1_000_000) {
+			wait(left);
+		}
+		return this.ended >= connections;
+	}
+
 	private synchronized String next() {
 		return this.responses.get(Math.min(this.served++, this.responses.size() - 1));
 	}
