Drop frames of a peer that arrive together with a malformed one

Found by reading the connections of peers for bytes that belong to no whole frame. A malformed frame closes the connection, but frames behind it that were read with it are still decoded and delivered, although it isn't known where a frame begins by then. Further frames of such a connection are dropped.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/peer/PeerChannel.java
@@ -18,8 +18,9 @@
  * <p>
  * Invariants: only handshake messages are accepted before the handshake is complete, and
  * an unauthenticated peer can't make this side buffer more than a small frame or stay
- * connected beyond the handshake timeout. Confined to the channel's event loop, except
- * for the counts of bytes.
+ * connected beyond the handshake timeout; frames behind a malformed one are dropped, also
+ * if they have arrived with it. Confined to the channel's event loop, except for the
+ * counts of bytes.
  */
 final class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
 
@@ -43,6 +44,8 @@
 
 	private ChannelPeerLink link;
 
+	private boolean corrupt;
+
 	PeerChannel(TcpPeerNetwork network, Handshake handshake, Hello hello) {
 		this.network = network;
 		this.handshake = handshake;
@@ -66,6 +69,9 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws PeerProtocolException {
+		if (this.corrupt) {
+			return;
+		}
 		byte[] payload = ByteBufUtil.getBytes(frame);
 		this.network.counters().received(LENGTH_BYTES + payload.length);
 		if (!this.handshake.complete()) {
@@ -156,6 +162,7 @@
 	}
 
 	private void closeOnProtocolError(ChannelHandlerContext context, PeerProtocolException.Kind kind, String reason) {
+		this.corrupt = true;
 		if (context.channel().isActive()) {
 			this.network.counters().protocolError(kind);
 			logger.warnf("Closed connection to %s after a protocol error: %s", peer(context), reason);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/RawPeer.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/RawPeer.java
@@ -85,6 +85,17 @@
 		write(payload, this.output);
 	}
 
+	/**
+	 * Sends frames in one write.
+	 */
+	void writeTogether(byte[]... payloads) throws IOException {
+		ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+		for (byte[] payload : payloads) {
+			write(payload, buffer);
+		}
+		this.output.write(buffer.toByteArray());
+	}
+
 	private static void write(byte[] payload, OutputStream target) throws IOException {
 		DataOutputStream data = new DataOutputStream(target);
 		data.writeInt(payload.length);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/peer/TcpPeerNetworkTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/peer/TcpPeerNetworkTests.java
@@ -130,6 +130,21 @@
 		a.awaitCount("peer.cut-off.malformed");
 	}
 
+	/** Guards against reading on where it isn't known where a frame begins. */
+	@Test
+	void framesBehindAMalformedOneAreDropped() throws Exception {
+		Daemon a = daemon("a", KEY);
+		try (RawPeer peer = connect(a)) {
+			peer.writeTogether(new byte[] { 1, 2, 3 }, CODEC.encode(new Note(1, new byte[3])));
+			peer.awaitClose();
+		}
+		a.awaitCount("peer.cut-off.malformed");
+		while (!a.callOnLoop(() -> a.network.connected()).isEmpty()) {
+			Thread.onSpinWait();
+		}
+		Truth.assertThat(a.notes).isEmpty();
+	}
+
 	/**
 	 * Guards against an attacker without the key that is accepted as a daemon: it dials
 	 * two daemons and relays the hello and proof of each to the other, which succeeds if
