Log connections to the store that are closed for stray bytes

A connection that is closed between two calls, because something else was read on it, left no line that says so.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import org.bramleyscale.internal.time.Cancellable;
 import org.bramleyscale.internal.time.Scheduler;
+import org.jboss.logging.Logger;
 
 /**
  * One connection of a {@link JsonClient} and the call in progress on it.
@@ -30,6 +31,8 @@
  */
 final class JsonConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+	private static final Logger logger = Logger.getLogger(JsonConnection.class);
+
 	private final Owner owner;
 
 	private final Scheduler scheduler;
@@ -146,7 +149,8 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
-		if (this.result == null && !this.decoder.allAccounted()) {
+		if (this.result == null && this.channel.isActive() && !this.decoder.allAccounted()) {
+			logger.warnf("Closing a connection to %s: bytes of no response between two calls", this.server);
 			close();
 		}
 	}
@@ -160,7 +164,14 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		fail((cause instanceof DecoderException) ? "malformed response: " + cause.getMessage() : cause.toString());
+		if (!(cause instanceof DecoderException)) {
+			fail(cause.toString());
+			return;
+		}
+		if (this.result == null && this.channel.isActive()) {
+			logger.warnf("Closing a connection to %s between two calls: %s", this.server, cause.getMessage());
+		}
+		fail("malformed response: " + cause.getMessage());
 	}
 
 	@Override
