--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -51,7 +51,7 @@
 
 	private final EndOfInputDetector input;
 
-	private final EndpointResponseDecoder decoder;
+	private final ResponseDecoder decoder;
 
 	private BackendCall call;
 
@@ -83,7 +83,7 @@
 	 */
 	static void addTo(Channel channel, EndpointStart endpoint, ConnectionOwner owner) {
 		EndOfInputDetector input = new EndOfInputDetector();
-		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
+		ResponseDecoder decoder = new ResponseDecoder();
 		channel.pipeline()
 			.addLast(input)
 			.addLast(decoder)
@@ -92,7 +92,7 @@
 	}
 
 	private BackendChannel(ConnectionOwner owner, EndpointStart endpoint, Channel channel, EndOfInputDetector input,
-			EndpointResponseDecoder decoder) {
+			ResponseDecoder decoder) {
 		this.input = input;
 		this.decoder = decoder;
 		this.owner = owner;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/EndpointResponseDecoder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseDecoder.java
@@ -13,7 +13,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Decodes the responses on one connection to an endpoint.
+ * Decodes the responses on one connection to an endpoint or to the platform's store.
  *
  * <p>
  * Invariants: a head is decoded only once all of it has arrived and only if its bytes are
@@ -21,7 +21,7 @@
  * that belong to no whole response; nothing is passed on of bytes that hold the head of
  * another response to a request on this connection. Confined to the loop's thread.
  */
-final class EndpointResponseDecoder extends HttpResponseDecoder {
+final class ResponseDecoder extends HttpResponseDecoder {
 
 	private static final int MAX_INITIAL_LINE_LENGTH = 8_192;
 
@@ -43,7 +43,7 @@
 
 	private int lineLength;
 
-	EndpointResponseDecoder() {
+	ResponseDecoder() {
 		super(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_SIZE, MAX_CHUNK_SIZE);
 	}
 
