--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/StrayBytes.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/StrayBytes.java
@@ -52,6 +52,14 @@
 		return this.bytes.isEmpty() || this.bytes.equals(INTERIM);
 	}
 
+	/**
+	 * Returns these bytes without the first of two ids.
+	 * @return the bytes
+	 */
+	String withoutSecondId() {
+		return this.bytes.replaceFirst("\r\nId: r\\d\r\nId: ", "\r\nId: ");
+	}
+
 	private static StrayBytes torn(String bytes, int limit, Random random) {
 		return new StrayBytes(bytes.substring(0, 1 + random.nextInt(limit - 1)), false);
 	}
