Refuse chunks of endpoints that aren't exact

The decoder skips whatever stands between a chunk and the next line end, and takes any line for a trailer, so bytes that belong to no response were read and a response with them was whole (found by the review). The check of callers' chunks now reads those of endpoints and of the store as well: a length in digits, the data, exactly a line end, and fields in a trailer.

BackendConnectionPoolTests.responseIsCompleteOnlyByItsOwnFraming: both new cases were relayed as whole before and fail now.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseDecoder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
@@ -33,6 +34,8 @@
 
 	private final JoinedResponseDetector joined = new JoinedResponseDetector();
 
+	private ChunkFramingCheck chunks;
+
 	private boolean headOnly;
 
 	private boolean betweenResponses = true;
@@ -88,18 +91,28 @@
 		int start = bytes.readerIndex();
 		super.decode(context, bytes, decoded);
 		noteEnd(decoded);
-		boolean joinedBefore = this.joined.finds(bytes, start, bytes.readerIndex() - start);
-		if (joinedBefore || (this.betweenResponses && this.joined.continuesIn(bytes))) {
-			decoded.forEach(ReferenceCountUtil::release);
-			decoded.clear();
+		int length = bytes.readerIndex() - start;
+		if (this.joined.finds(bytes, start, length) || (this.betweenResponses && this.joined.continuesIn(bytes))) {
+			discard(decoded);
 			fail("a second response within the body of the first");
 		}
+		if (this.chunks != null && !this.chunks.accepts(bytes, start, length)) {
+			discard(decoded);
+			fail("a chunk that isn't exact");
+		}
+	}
+
+	private static void discard(List<Object> decoded) {
+		decoded.forEach(ReferenceCountUtil::release);
+		decoded.clear();
 	}
 
 	private void decodeHead(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
 		this.betweenResponses = false;
 		this.joined.reset();
 		super.decode(context, bytes, decoded);
+		this.chunks = (decoded.size() == 1 && decoded.get(0) instanceof HttpResponse head
+				&& HttpUtil.isTransferEncodingChunked(head)) ? new ChunkFramingCheck() : null;
 		noteEnd(decoded);
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
@@ -51,15 +51,16 @@
 	}
 
 	@ParameterizedTest
-	@CsvSource(delimiter = '|', quoteCharacter = '`',
-			value = { "Content-Length: 2\\r\\n\\r\\naa | 200 aa complete",
-					"Transfer-Encoding: chunked\\r\\n\\r\\n2\\r\\naa\\r\\n0\\r\\n\\r\\n | 200 aa complete",
-					"\\r\\naa!close | 200 aa closed", "\\r\\naa!reset | 200 aa failed",
-					"Content-Length: 4\\r\\n\\r\\naa!close | 200 aa failed",
-					"Content-Length: 4\\r\\n\\r\\naa!reset | 200 aa failed",
-					"Transfer-Encoding: chunked\\r\\n\\r\\n2\\r\\naa\\r\\n!close | 200 aa failed",
-					"Transfer-Encoding: chunked\\r\\n\\r\\n4\\r\\naa!close | 200 aa failed",
-					"Transfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\naa | 200 failed" })
+	@CsvSource(delimiter = '|', quoteCharacter = '`', value = { "Content-Length: 2\\r\\n\\r\\naa | 200 aa complete",
+			"Transfer-Encoding: chunked\\r\\n\\r\\n2\\r\\naa\\r\\n0\\r\\n\\r\\n | 200 aa complete",
+			"\\r\\naa!close | 200 aa closed", "\\r\\naa!reset | 200 aa failed",
+			"Content-Length: 4\\r\\n\\r\\naa!close | 200 aa failed",
+			"Content-Length: 4\\r\\n\\r\\naa!reset | 200 aa failed",
+			"Transfer-Encoding: chunked\\r\\n\\r\\n2\\r\\naa\\r\\n!close | 200 aa failed",
+			"Transfer-Encoding: chunked\\r\\n\\r\\n4\\r\\naa!close | 200 aa failed",
+			"Transfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\naa | 200 failed",
+			"Transfer-Encoding: chunked\\r\\n\\r\\n2\\r\\naabb\\r\\n0\\r\\n\\r\\n | 200 failed",
+			"Transfer-Encoding: chunked\\r\\n\\r\\n2\\r\\naa\\r\\n0\\r\\nHTTP/1.1 200 OK\\r\\n\\r\\n | 200 aa failed" })
 	void responseIsCompleteOnlyByItsOwnFraming(String rest, String received) throws Exception {
 		// Guards against taking a truncated response for complete: an endpoint breaks off
 		// a response, and the end of the connection looks like the end of the response.
