Write the last lines of a log whose queue is full when it is closed

close() left at once if the queue was full, since its end marker found no place: lines that were queued, and the number of dropped ones, weren't written although the reader went on.

It waits for a place as it waits for the writer, 200 ms for both together, and reports what was dropped. closeWaitsForAReaderThatGoesOn fails without it each time and passes with it.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/log/JsonDecisionLog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/log/JsonDecisionLog.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
@@ -29,6 +31,8 @@
 	 */
 	private static final int MAX_QUEUED_LINES = 1_000;
 
+	private static final Duration MAX_CLOSE_TIME = Duration.ofMillis(200);
+
 	private static final String END_MARKER = "";
 
 	private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
@@ -39,6 +43,8 @@
 
 	private final String daemon;
 
+	private final Duration maxCloseTime;
+
 	private final Thread writer;
 
 	/**
@@ -48,6 +54,11 @@
 	 * @param time the time of day
 	 */
 	public JsonDecisionLog(OutputStream output, String daemon, Supplier<Instant> time) {
+		this(output, daemon, time, MAX_CLOSE_TIME);
+	}
+
+	JsonDecisionLog(OutputStream output, String daemon, Supplier<Instant> time, Duration maxCloseTime) {
+		this.maxCloseTime = maxCloseTime;
 		this.time = time;
 		this.daemon = daemon;
 		this.writer = new Thread(() -> writeTo(output), "log");
@@ -75,24 +86,36 @@
 	}
 
 	/**
-	 * Writes the queued lines and ends the writer, waiting for it only briefly.
+	 * Writes the queued lines and the number of dropped ones, and ends the writer,
+	 * waiting for both only briefly.
 	 */
 	@Override
 	public void close() {
-		if (this.queue.offer(END_MARKER)) {
-			try {
-				this.writer.join(200);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
+		long end = System.nanoTime() + this.maxCloseTime.toNanos();
+		try {
+			long unreported = this.dropped.getAndSet(0);
+			boolean fits = unreported == 0 || offerUntil(end, droppedLine(unreported));
+			if (fits && offerUntil(end, END_MARKER)) {
+				this.writer.join(Math.max(1, TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())));
 			}
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private boolean offerUntil(long end, String line) throws InterruptedException {
+		return this.queue.offer(line, Math.max(0, end - System.nanoTime()), TimeUnit.NANOSECONDS);
+	}
+
+	private static String droppedLine(long count) {
+		return "{\"kind\":\"daemon\",\"event\":\"lines dropped\",\"count\":" + count + "}\n";
 	}
 
 	private void offer(String line) {
 		long unreported = this.dropped.get();
 		if (unreported > 0 && this.queue.remainingCapacity() > 1 && this.dropped.compareAndSet(unreported, 0)) {
-			this.queue.offer("{\"kind\":\"daemon\",\"event\":\"lines dropped\",\"count\":" + unreported + "}\n");
+			this.queue.offer(droppedLine(unreported));
 		}
 		if (!this.queue.offer(line)) {
 			this.dropped.incrementAndGet();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/log/JsonDecisionLogTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/log/JsonDecisionLogTests.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -58,6 +59,32 @@
 		Truth.assertThat(written.toString(StandardCharsets.UTF_8)).contains("\"event\":\"lines dropped\",\"count\":");
 	}
 
+	/** Guards against losing the last lines of a daemon whose reader is slow. */
+	@Test
+	@Timeout(20)
+	void closeWaitsForAReaderThatGoesOn() throws Exception {
+		CountDownLatch unblocked = new CountDownLatch(1);
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		JsonDecisionLog lines = new JsonDecisionLog(new BlockedOutput(unblocked, written), "entry-1",
+				() -> Instant.EPOCH, Duration.ofSeconds(15));
+		for (int i = 0; i < LINES; i++) {
+			lines.request("r" + i, "sent");
+		}
+		Thread reader = new Thread(() -> {
+			try {
+				TimeUnit.MILLISECONDS.sleep(20);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			unblocked.countDown();
+		});
+		reader.start();
+		lines.close();
+		reader.join();
+		Truth.assertThat(written.toString(StandardCharsets.UTF_8)).contains("\"event\":\"lines dropped\",\"count\":");
+	}
+
 	/**
 	 * An output stream that blocks until the test unblocks it.
 	 */
