Keep connections to an endpoint whose response ends with its connection

A response without length or chunks leaves the decoder within a response when its connection is closed, and the end of that read looked like stray bytes: no connection was kept to the endpoint for 10 s, and a line said so. Found by reading the change. Bytes are stray only on a connection that is open.

connectionsAreKeptToAnEndpointWhoseResponseEndsWithItsConnection opened three connections before, two now; the tests of gateway.http pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -172,7 +172,7 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
-		if (this.call == null && this.failure == null && !this.decoder.allAccounted()) {
+		if (this.call == null && this.channel.isActive() && this.failure == null && !this.decoder.allAccounted()) {
 			failByStrayBytes("a part of a response that nobody asked for");
 		}
 		else if (this.call == null && !this.reusable) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/BackendConnectionPoolTests.java
@@ -124,6 +124,18 @@
 		}
 	}
 
+	/** Guards against new connections because of responses that end with theirs. */
+	@Test
+	void connectionsAreKeptToAnEndpointWhoseResponseEndsWithItsConnection() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(
+				List.of(OK + "\r\naa!close", SECOND_RESPONSE, SECOND_RESPONSE.replace("r2", "r3")))) {
+			Truth.assertThat(send(server, "r1", false)).isEqualTo("200 aa closed");
+			Truth.assertThat(send(server, "r2", false)).isEqualTo("200 bb complete");
+			Truth.assertThat(send(server, "r3", false)).isEqualTo("200 bb complete");
+			Truth.assertThat(server.connections()).isEqualTo(2);
+		}
+	}
+
 	@Test
 	void requestThatCouldNotConnectIsReportedUnsent() throws Exception {
 		try (Socket bound = new Socket()) {
