Count interim responses of endpoints and of the store in one place

Read again: the filter of the store's responses counted interim responses beside UnneededBytes, with the same bound and the same words, and BackendCall.reached still returned what told the timer of a part of a head, which has had a flag of its own since.

The filter uses UnneededBytes, and reached returns nothing. No change of behaviour: the 1,586 tests of gateway.http and gateway.request pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
@@ -103,14 +103,11 @@
 	/**
 	 * Records how far the response has come.
 	 * @param stage a stage, ignored if a later one was reached
-	 * @return whether it is the latest that was reached, for the first time
 	 */
-	boolean reached(ExchangeTrace.Stage stage) {
-		boolean later = stage.compareTo(this.trace.stage()) > 0;
-		if (later) {
+	void reached(ExchangeTrace.Stage stage) {
+		if (stage.compareTo(this.trace.stage()) > 0) {
 			this.trace = new ExchangeTrace(this.trace.earlierRequests(), stage);
 		}
-		return later;
 	}
 
 	FullHttpRequest toHttpRequest() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/WholeResponseFilter.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/WholeResponseFilter.java
@@ -25,9 +25,6 @@
  */
 final class WholeResponseFilter extends MessageToMessageDecoder<HttpObject> {
 
-	/** A sound server sends none, since no request expects one. */
-	private static final int MAX_INTERIM_RESPONSES = 8;
-
 	private final EndOfInputDetector input;
 
 	private boolean awaited;
@@ -38,7 +35,7 @@
 
 	private boolean interim;
 
-	private int interimResponses;
+	private UnneededBytes unneeded = new UnneededBytes();
 
 	WholeResponseFilter(EndOfInputDetector input) {
 		this.input = input;
@@ -51,7 +48,7 @@
 	void await(boolean toHeadOnly) {
 		this.awaited = true;
 		this.headOnly = toHeadOnly;
-		this.interimResponses = 0;
+		this.unneeded = new UnneededBytes();
 	}
 
 	@Override
@@ -81,9 +78,9 @@
 				"a change of protocol that wasn't asked for");
 		this.interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		if (this.interim) {
-			this.interimResponses++;
-			require(this.interimResponses <= MAX_INTERIM_RESPONSES,
-					"more than " + MAX_INTERIM_RESPONSES + " interim responses");
+			this.unneeded.addInterimResponse().ifPresent((fault) -> {
+				throw new CorruptedFrameException(fault);
+			});
 		}
 		this.delimited = ResponseFraming.isDelimited(head, this.headOnly);
 	}
