Play departures with faults of peers and of the store, which fails

What callers may see: requests that reach an endpoint whose removal the store has confirmed more than 2 s ago. DepartureFaultsTests draws cuts between daemons, restarts with cached lists, suspensions, refused, lost and late answers and lost history on the manual clock.

--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedFleet.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.stream.Collectors;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
@@ -47,6 +49,10 @@
 
 	private Topology topology = new FullMesh();
 
+	private BiPredicate<Integer, Integer> cut = (one, other) -> false;
+
+	private int starts;
+
 	private int copiesSent;
 
 	private boolean tooLarge;
@@ -87,6 +93,33 @@
 		return daemon;
 	}
 
+	/**
+	 * Ends a daemon's process and starts another one in its place.
+	 * @param rank its rank
+	 * @param cacheAge the age of the list that it starts with
+	 * @return the new daemon
+	 */
+	Daemon restart(int rank, Duration cacheAge) {
+		this.daemons.get(rank).clock.crash();
+		Daemon daemon = new Daemon(rank);
+		this.daemons.set(rank, daemon);
+		daemon.store.cacheAge(cacheAge);
+		daemon.start();
+		return daemon;
+	}
+
+	/**
+	 * Cuts connections between daemons, instead of those that were cut before.
+	 * @param between whether the connection between two ranks is cut
+	 */
+	void cut(BiPredicate<Integer, Integer> between) {
+		this.cut = between;
+	}
+
+	private boolean isCut(int one, int other) {
+		return this.cut.test(one, other) || this.cut.test(other, one);
+	}
+
 	void topology(Topology newTopology) {
 		this.topology = newTopology;
 	}
@@ -202,7 +235,7 @@
 
 		private Daemon(int rank) {
 			this.rank = rank;
-			this.self = new Incarnation(new VmId("d" + rank), 1);
+			this.self = new Incarnation(new VmId("d" + rank), ++SimulatedFleet.this.starts);
 			this.exchange = new PeerCopies(this.self, this.clock, this, Map.of(SimulatedStore.KIND, this.copies), this,
 					DecisionLog.NONE);
 			this.follower = new StoreFollower(SimulatedStore.KIND, this.clock, new Random(rank), this.store,
@@ -285,7 +318,8 @@
 			long now = SimulatedFleet.this.scheduler.nanos();
 			this.arrivesAt = Math.max(this.arrivesAt, now + this.queueDelay.plus(LINK_DELAY).toNanos());
 			for (Daemon other : SimulatedFleet.this.daemons) {
-				if (other.self.vm().equals(to) && this.connectedToPeers && other.connectedToPeers) {
+				if (other.self.vm().equals(to) && this.connectedToPeers && other.connectedToPeers
+						&& !isCut(this.rank, other.rank)) {
 					SimulatedFleet.this.scheduler.schedule(Duration.ofNanos(this.arrivesAt - now),
 							() -> other.clock.execute(() -> other.received(this, message)));
 				}
@@ -298,9 +332,20 @@
 			((PeerListener<PeerMessage>) this.listeners.get(message.getClass())).received(from.self, message);
 		}
 
+		/**
+		 * The objects that the daemon takes for stored.
+		 * @return their copies
+		 */
+		List<ObjectCopy> held() {
+			return this.copies.changedAfter(0);
+		}
+
 		@Override
 		public Set<VmId> connected() {
-			return vms(SimulatedFleet.this.topology.connected(this.rank));
+			return vms(SimulatedFleet.this.topology.connected(this.rank)
+				.stream()
+				.filter((other) -> !isCut(this.rank, other))
+				.collect(Collectors.toSet()));
 		}
 
 		@Override
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedStore.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -39,8 +41,14 @@
 
 	private final List<PendingWatch> pendingWatches = new ArrayList<>();
 
+	private final Map<String, Write> lastWrites = new TreeMap<>();
+
+	private final NavigableMap<Long, List<StoredObject>> states = new TreeMap<>();
+
 	private long era = 1;
 
+	private long historyStart;
+
 	private long revision = StoreRevision.of(1, 1);
 
 	private int calls;
@@ -49,6 +57,25 @@
 		this.scheduler = scheduler;
 	}
 
+	/** Makes the store one that names no era; called before anything is written. */
+	void nameNoEra() {
+		this.era = 0;
+		this.revision = StoreRevision.of(0, 1);
+	}
+
+	/** Discards the history, so that watches from before have a gap. */
+	void loseHistory() {
+		this.historyStart = this.revision;
+	}
+
+	/**
+	 * The last write of each object that was ever stored.
+	 * @return the writes by name
+	 */
+	Map<String, Write> lastWrites() {
+		return this.lastWrites;
+	}
+
 	/**
 	 * The number of calls to the store.
 	 * @return how many were made since the start
@@ -66,6 +93,7 @@
 		StoredObject object = new StoredObject(new ObjectKey(KIND, name), this.revision, new byte[1]);
 		this.stored.put(name, object);
 		this.deletions.remove(name);
+		written(name, false);
 		answerWatches(new WatchBatch(this.revision, false, List.of(object)));
 	}
 
@@ -83,9 +111,15 @@
 		this.revision++;
 		this.stored.remove(name);
 		this.deletions.put(name, this.revision);
+		written(name, true);
 		answerWatches(new WatchBatch(this.revision, false, List.of(), List.of(name)));
 	}
 
+	private void written(String name, boolean deleted) {
+		this.lastWrites.put(name, new Write(this.scheduler.nanos(), this.revision, deleted));
+		this.states.put(this.scheduler.nanos(), List.copyOf(this.stored.values()));
+	}
+
 	/**
 	 * Returns a copy of the store, which keeps working.
 	 * @return the copy
@@ -133,6 +167,16 @@
 			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "no answer")));
 	}
 
+	/**
+	 * A write of an object.
+	 *
+	 * @param at the time at which it was confirmed
+	 * @param revision its revision
+	 * @param deleted whether it was a deletion
+	 */
+	record Write(long at, long revision, boolean deleted) {
+	}
+
 	/**
 	 * A copy of the store.
 	 *
@@ -165,6 +209,12 @@
 
 		private CompletableFuture<WatchBatch> watch;
 
+		private Optional<Duration> cacheAge = Optional.empty();
+
+		private Duration answerDelay = Duration.ZERO;
+
+		private Duration longestWatch = Duration.ofHours(1);
+
 		private int calls;
 
 		/**
@@ -202,6 +252,41 @@
 			return this.calls;
 		}
 
+		/**
+		 * Makes cached lists older than the store's state.
+		 * @param age their age
+		 */
+		void cacheAge(Duration age) {
+			this.cacheAge = Optional.of(age);
+		}
+
+		/**
+		 * Makes answers arrive late, and watches end before the time that they ask for.
+		 * @param delay the time for which each answer is under way
+		 * @param longest the longest time for which the store holds a watch
+		 */
+		void slowAnswers(Duration delay, Duration longest) {
+			this.answerDelay = delay;
+			this.longestWatch = longest;
+		}
+
+		@Override
+		public CompletableFuture<WatchBatch> listCached(String kind) {
+			if (this.cacheAge.isEmpty() || this.outcome != CallOutcome.WORKS) {
+				return list(kind);
+			}
+			count();
+			Map.Entry<Long, List<StoredObject>> state = SimulatedStore.this.states
+				.floorEntry(SimulatedStore.this.scheduler.nanos() - this.cacheAge.get().toNanos());
+			List<StoredObject> objects = (state != null) ? state.getValue() : List.of();
+			return deliver(CompletableFuture
+				.completedFuture(new WatchBatch(StoreRevision.revision(SimulatedStore.this.revision), false,
+						objects.stream()
+							.map((object) -> new StoredObject(object.key(), StoreRevision.revision(object.version()),
+									object.value()))
+							.toList())));
+		}
+
 		@Override
 		public CompletableFuture<WatchBatch> list(String kind) {
 			count();
@@ -215,12 +300,14 @@
 		@Override
 		public CompletableFuture<WatchBatch> watch(String kind, long after, Duration wait) {
 			count();
-			this.watch = (this.outcome == CallOutcome.WORKS) ? answered(after, wait) : unanswered(wait);
+			Duration held = (wait.compareTo(this.longestWatch) < 0) ? wait : this.longestWatch;
+			this.watch = (this.outcome == CallOutcome.WORKS) ? answered(after, held) : unanswered(wait);
 			return deliver(this.watch);
 		}
 
 		private CompletableFuture<WatchBatch> answered(long after, Duration wait) {
-			if (after > SimulatedStore.this.revision || StoreRevision.era(after) != SimulatedStore.this.era) {
+			if (after > SimulatedStore.this.revision || StoreRevision.era(after) != SimulatedStore.this.era
+					|| after < SimulatedStore.this.historyStart) {
 				CompletableFuture<WatchBatch> gone = new CompletableFuture<>();
 				SimulatedStore.this.scheduler.schedule(REFUSAL,
 						() -> gone.complete(new WatchBatch(after, true, List.of())));
@@ -250,7 +337,7 @@
 
 		private CompletableFuture<WatchBatch> deliver(CompletableFuture<WatchBatch> call) {
 			CompletableFuture<WatchBatch> delivered = new CompletableFuture<>();
-			call.whenComplete((batch, failure) -> this.process.execute(() -> {
+			call.whenComplete((batch, failure) -> this.process.schedule(this.answerDelay, () -> {
 				if (failure != null) {
 					delivered.completeExceptionally(failure);
 					return;
