Log by which copies of the entries an unreachable endpoint was chosen

The lines of a daemon didn't tell copies that peers confirm without holding a change from a store that answers with old lists. The line of an unreachable endpoint now names revision and age of the copies, and a gauge shows the age for each kind. Ages that are told to peers are rounded up, as a fraction of a millisecond was lost at each daemon on the way.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendHealth.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendHealth.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.time.Clock;
@@ -52,11 +53,21 @@
 
 	private final Map<EndpointStart, Long> requestedBackoffUntil = new HashMap<>();
 
+	private Supplier<EntriesState> entries = () -> EntriesState.NONE;
+
 	public BackendHealth(Clock clock, DecisionLog log) {
 		this.clock = clock;
 		this.log = log;
 	}
 
+	/**
+	 * Sets what is logged of the entries by which an unreachable endpoint was chosen.
+	 * @param state the state of their copies
+	 */
+	public void logEntries(Supplier<EntriesState> state) {
+		this.entries = state;
+	}
+
 	/**
 	 * Records that an endpoint was unreachable or became unresponsive.
 	 * @param start the endpoint
@@ -67,7 +78,9 @@
 		long backoff = Math.min(MIN_BACKOFF.toNanos() << Math.min(state.unreachableCount, 8), MAX_BACKOFF.toNanos());
 		state.unreachableCount++;
 		state.backoffUntil = this.clock.nanos() + backoff;
-		this.log.belief("endpoint", start, "reachable", false, "rest_ms", backoff / 1_000_000, "cause", cause);
+		EntriesState known = this.entries.get();
+		this.log.belief("endpoint", start, "reachable", false, "rest_ms", backoff / 1_000_000, "entries",
+				known.revision(), "entries_age_ms", known.ageMillis(), "cause", cause);
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
@@ -45,6 +45,8 @@
 	 */
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final Map<String, ObjectCopy> copies = new HashMap<>();
 
 	private final Listener listener;
@@ -130,6 +132,16 @@
 		return this.confirmedAt;
 	}
 
+	/**
+	 * How long ago the store confirmed these copies, rounded up so that they never look
+	 * newer.
+	 * @param now the scheduler's time
+	 * @return the age, ms
+	 */
+	public long ageMillis(long now) {
+		return Math.floorDiv(now - this.confirmedAt + NANOS_PER_MILLI - 1, NANOS_PER_MILLI);
+	}
+
 	/**
 	 * Whether the store is known to have confirmed these copies at any time.
 	 * @return false before the first confirmation
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -234,7 +234,7 @@
 	}
 
 	private long age(ObjectCopies ours) {
-		return Duration.ofNanos(this.scheduler.nanos() - ours.confirmedAt()).toMillis();
+		return ours.ageMillis(this.scheduler.nanos());
 	}
 
 	private void sendDigests() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -16,6 +16,7 @@
 import org.bramleyscale.internal.gateway.backend.BackendHealth;
 import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.backend.EndpointNotices;
+import org.bramleyscale.internal.gateway.backend.EntriesState;
 import org.bramleyscale.internal.gateway.backend.FleetPresence;
 import org.bramleyscale.internal.gateway.catalog.AllowedRegions;
 import org.bramleyscale.internal.gateway.catalog.CallerLimits;
@@ -66,6 +67,7 @@
 import org.bramleyscale.internal.peer.MessageCodec;
 import org.bramleyscale.internal.peer.TcpPeerNetwork;
 import org.bramleyscale.internal.platform.ObjectStore;
+import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.status.StatusSummary;
 
 /**
@@ -154,6 +156,8 @@
 		BackendEntries backendEntries = new BackendEntries(dependencies.documents(), this.backends, this.health,
 				this.loads, this::sinceOutage, log);
 		ObjectCopies backendCopies = new ObjectCopies(backendEntries::changed);
+		this.health.logEntries(() -> new EntriesState(StoreRevision.text(backendCopies.complete()),
+				backendCopies.ageMillis(loop.nanos())));
 		FollowTimes times = FollowTimes.within(settings.propagationLimit());
 		this.catalogFollower = follower(dependencies.documents().catalogKind(), daemons, catalogCopies, times);
 		this.backendFollower = follower(dependencies.documents().backendKind(), daemons, backendCopies, times);
@@ -201,6 +205,8 @@
 		this.evacuated
 			.ifPresent((evacuations) -> kinds.put(dependencies.documents().evacuationKind(), evacuations.copies()));
 		this.copies = new PeerCopies(this.self, loop, this.network, kinds, this.directory, log);
+		kinds.forEach((kind, held) -> dependencies.metrics()
+			.gauge("gateway.copies." + kind + ".age_ms", () -> () -> held.ageMillis(loop.nanos())));
 		DemandTracker demands = new DemandTracker(loop);
 		this.loadExchange = new LoadExchange(loop, this.network, settings.vm(), this.directory, this.loads, demands);
 		this.entries = new EntryList(loop, this.membership, this.network, new NodeFleetView(settings.vm(),
