Doubt watches that the store ends early, that fall silent, or that answer with less

What callers see: requests that reach a removed endpoint, from daemons whose peers or own answers confirm copies as of a later time than they are. Causes: an empty answer counted for the whole wait of its watch also if the store had ended it early and the answer was under way; a copy of an earlier answer confirmed what is known now; after a silent watch was abandoned the next one was as long on the same silent path; a watch on a silent connection was kept to its end though no peer confirmed anything any more; and each lost history was followed by a list and a watch at once. Change: WatchHealth judges watches. A store that has ended one early is not taken to hold others; an answer below the revision that was known confirms nothing and is a failed call; after an abandoned watch calls are short until the store answers; a watch is abandoned if peers that confirmed the copies stop doing so; lists after gaps in a row are spaced.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowTimes.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowTimes.java
@@ -28,6 +28,15 @@
 	public static final FollowTimes RELAXED = new FollowTimes(Duration.ofSeconds(20), COALESCE, Duration.ofSeconds(30),
 			Duration.ofSeconds(4));
 
+	/** How much later each next rank queries, since updates need some ms to propagate. */
+	private static final Duration RANK_DELAY = Duration.ofMillis(100);
+
+	/**
+	 * The most delays added; daemons of higher ranks query together, which bounds the age
+	 * of copies.
+	 */
+	private static final int MAX_RANK_DELAYS = 8;
+
 	/** Half of the bound is for the check, the rest for propagation and a lost call. */
 	private static final int CHECKS_PER_BOUND = 2;
 
@@ -43,4 +52,21 @@
 		return new FollowTimes(WATCH, COALESCE, propagationLimit.dividedBy(CHECKS_PER_BOUND), propagationLimit);
 	}
 
+	/**
+	 * How old copies get before a daemon that doesn't watch queries the store.
+	 * @param rank its rank among the daemons that don't watch
+	 * @return the age
+	 */
+	Duration checkDelay(int rank) {
+		return this.checkAfter.plus(RANK_DELAY.multipliedBy(Math.max(0, Math.min(MAX_RANK_DELAYS, rank))));
+	}
+
+	/**
+	 * How old copies get before each daemon queries the store.
+	 * @return the age
+	 */
+	Duration longestCheckDelay() {
+		return checkDelay(MAX_RANK_DELAYS);
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
@@ -13,6 +13,8 @@
 
 	private final long after;
 
+	private final long known;
+
 	private final long startedAt;
 
 	private final long dueAt;
@@ -20,11 +22,13 @@
 	/**
 	 * Creates a call.
 	 * @param after the revision from which it watches, or {@link #NO_WATCH}
+	 * @param known the revision that its answer reaches at least, 0 if it may be older
 	 * @param startedAt when it was made, by the scheduler's clock
 	 * @param dueAt when a store that answers has answered
 	 */
-	StoreCall(long after, long startedAt, long dueAt) {
+	StoreCall(long after, long known, long startedAt, long dueAt) {
 		this.after = after;
+		this.known = known;
 		this.startedAt = startedAt;
 		this.dueAt = dueAt;
 	}
@@ -33,6 +37,10 @@
 		return this.after;
 	}
 
+	long known() {
+		return this.known;
+	}
+
 	long startedAt() {
 		return this.startedAt;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -34,9 +34,10 @@
  * anything.
  *
  * <p>
- * Invariant: copies count as confirmed as of a time that isn't later than the time at
- * which the store made its answer, however long the answer waits to be read. Confined to
- * the scheduler's thread.
+ * Invariants: copies count as confirmed as of a time that isn't later than the time at
+ * which the store made its answer, however long the answer is under way or waits to be
+ * read; an answer that is older than what was known when it was asked for confirms
+ * nothing. Confined to the scheduler's thread.
  */
 public final class StoreFollower {
 
@@ -56,9 +57,6 @@
 	 */
 	static final Duration FIRST_WAIT = Duration.ofMillis(100);
 
-	/** How long a watch may lag behind copies of peers before it counts as silent. */
-	static final Duration STALLED_AFTER = Duration.ofMillis(500);
-
 	/** How long a daemon watches after it found a change that no watcher had pushed. */
 	static final Duration STAND_IN_TIME = Duration.ofSeconds(10);
 
@@ -70,15 +68,6 @@
 	/** The wait of a watch that is to return at once. */
 	private static final Duration NO_WAIT = Duration.ofMillis(1);
 
-	/** How much later each next rank queries, since updates need some ms to propagate. */
-	private static final Duration RANK_DELAY = Duration.ofMillis(100);
-
-	/**
-	 * The most delays added; daemons of higher ranks query together, which bounds the age
-	 * of copies.
-	 */
-	private static final int MAX_RANK_DELAYS = 8;
-
 	private final String kind;
 
 	private final Scheduler scheduler;
@@ -97,6 +86,8 @@
 
 	private final StoreAvailability availability;
 
+	private final WatchHealth watches;
+
 	private UpdateListener listener = (from) -> {
 	};
 
@@ -110,7 +101,7 @@
 
 	private boolean emptyAtStart;
 
-	private long upToDateAt;
+	private long gapsInARow;
 
 	private StoreCall pendingCall;
 
@@ -139,6 +130,7 @@
 		this.times = times;
 		this.log = log;
 		this.availability = new StoreAvailability(scheduler);
+		this.watches = new WatchHealth(kind, scheduler, copies, times, this.availability, log);
 		this.standInUntil = scheduler.nanos();
 	}
 
@@ -224,6 +216,22 @@
 		return this.availability.sinceOutage();
 	}
 
+	/**
+	 * The time since the last outage in which an object that is missing now may have
+	 * expired. A peer may have been cut off longer than others, and report the end of an
+	 * outage later than it was; an object that was there when the store last confirmed
+	 * the copies went missing after that.
+	 * @param reported the time since the last sign of an outage, as reported by peers
+	 * @return the time since the last outage, as far as it may concern such an object
+	 */
+	public Duration sinceOutage(Duration reported) {
+		Duration own = sinceOutage();
+		Duration sinceOutage = (own.compareTo(reported) < 0) ? own : reported;
+		long now = this.scheduler.nanos();
+		Duration sinceConfirmed = Duration.ofNanos(now - this.copies.confirmedAt());
+		return (unconfirmed(now) || sinceConfirmed.compareTo(sinceOutage) < 0) ? sinceOutage : sinceConfirmed;
+	}
+
 	/**
 	 * The time for which the store has not answered.
 	 * @return the time since its last answer
@@ -234,7 +242,9 @@
 
 	private void tick() {
 		long now = this.scheduler.nanos();
-		if (this.stopped || (this.pendingCall != null && !stalled(now)) || now - this.notBefore < 0) {
+		this.watches.observe(now);
+		if (this.stopped || now - this.notBefore < 0
+				|| (this.pendingCall != null && !this.watches.isStalled(this.pendingCall, now))) {
 			return;
 		}
 		if (!this.copies.listed()) {
@@ -243,7 +253,7 @@
 			}
 		}
 		else if (isWatcher(now)) {
-			watch((unavailable() || isOutdated(now)) ? NO_WAIT : this.times.watch());
+			watch((unavailable() || this.watches.abandoned() || isStale(now)) ? NO_WAIT : this.times.watch());
 		}
 		else if (now - this.copies.confirmedAt() >= checkDelay().toNanos()) {
 			watch(NO_WAIT);
@@ -263,32 +273,22 @@
 
 	/**
 	 * Whether exact copies need a confirmation sooner than at the end of a watch: they
-	 * come from a peer whose own may be old.
+	 * come from a peer whose own may be old. If the store has just answered this daemon,
+	 * a change since then ends the next watch at once.
 	 * @param now the time
 	 * @return true if the next call is to return at once
 	 */
-	private boolean isOutdated(long now) {
-		return this.copies.exact() && now - this.copies.confirmedAt() > this.times.checkAfter().toNanos();
+	private boolean isStale(long now) {
+		return isOutdated(now) && now - this.availability.lastAnswerAt() > this.times.checkAfter().toNanos();
 	}
 
 	/**
-	 * Whether the pending call is a watch on a connection that has gone silent: peers
-	 * have sent changes that should have completed it. Otherwise only the end of the
-	 * watch would show it, seconds later.
+	 * Whether exact copies haven't been confirmed for a while.
 	 * @param now the time
-	 * @return true if the watch is to be abandoned
+	 * @return true if their age exceeds that after which daemons query the store
 	 */
-	private boolean stalled(long now) {
-		if (this.pendingCall.after() < 0 || this.copies.lastChange() <= this.pendingCall.after()) {
-			this.upToDateAt = now;
-			return false;
-		}
-		if (now - this.upToDateAt < STALLED_AFTER.toNanos()) {
-			return false;
-		}
-		this.log.belief("store", this.kind, "watch", "silent", "after", StoreRevision.text(this.pendingCall.after()),
-				"known", StoreRevision.text(this.copies.lastChange()));
-		return true;
+	private boolean isOutdated(long now) {
+		return this.copies.exact() && now - this.copies.confirmedAt() > this.times.checkAfter().toNanos();
 	}
 
 	private boolean isWatcher(long now) {
@@ -296,8 +296,7 @@
 	}
 
 	private Duration checkDelay() {
-		int delays = Math.max(0, Math.min(MAX_RANK_DELAYS, this.order.rank() - WATCHERS));
-		return this.times.checkAfter().plus(RANK_DELAY.multipliedBy(delays));
+		return this.times.checkDelay(this.order.rank() - WATCHERS);
 	}
 
 	/**
@@ -307,7 +306,7 @@
 	 */
 	private void list(boolean first) {
 		if (first) {
-			track(this.store.listCached(this.kind), StoreCall.NO_WATCH, Duration.ZERO, (batch, startedAt) -> {
+			track(this.store.listCached(this.kind), StoreCall.NO_WATCH, 0, Duration.ZERO, (batch, startedAt) -> {
 				this.copies.applyList(upToNewestObject(batch));
 				this.emptyAtStart = batch.changed().isEmpty();
 				this.notBefore = this.scheduler.nanos() + PEER_WAIT.toNanos();
@@ -315,11 +314,14 @@
 			return;
 		}
 		long known = this.copies.complete();
-		track(this.store.list(this.kind), StoreCall.NO_WATCH, Duration.ZERO, (batch, startedAt) -> {
+		track(this.store.list(this.kind), StoreCall.NO_WATCH, known, Duration.ZERO, (batch, startedAt) -> {
 			if (StoreRevision.era(known) != 0 && StoreRevision.isOfEarlierEra(known, batch.revision())) {
 				cameBackOlder(known, batch.revision());
 			}
 			this.copies.applyList(batch);
+			if (this.gapsInARow > 1) {
+				this.notBefore = this.scheduler.nanos() + this.pauses.ofWatcher(this.gapsInARow - 1);
+			}
 			confirm(known, startedAt);
 		});
 	}
@@ -352,14 +354,16 @@
 	private void watch(Duration wait) {
 		long after = this.copies.complete();
 		boolean byNonWatcher = !isWatcher(this.scheduler.nanos());
-		track(this.store.watch(this.kind, after, wait), after, wait, (batch, startedAt) -> {
+		track(this.store.watch(this.kind, after, wait), after, after, wait, (batch, startedAt) -> {
 			if (batch.gap()) {
 				if (this.copies.everConfirmed()) {
 					this.log.belief("store", this.kind, "history", "lost", "revision", StoreRevision.text(after));
 				}
+				this.gapsInARow++;
 				list(false);
 				return;
 			}
+			this.gapsInARow = 0;
 			long known = this.copies.lastChange();
 			this.copies.applyChanges(batch);
 			boolean changed = this.copies.lastChange() > known;
@@ -374,8 +378,8 @@
 			// Only an empty result proves that nothing changed until the end of the
 			// watch.
 			boolean empty = batch.changed().isEmpty() && batch.deleted().isEmpty();
-			long answeredAt = empty ? startedAt + wait.toNanos() : startedAt;
-			confirm(after, Math.min(answeredAt, this.scheduler.nanos()));
+			confirm(after, (empty && this.watches.heldToItsEnd(startedAt, wait))
+					? Math.min(startedAt + wait.toNanos(), this.scheduler.nanos()) : startedAt);
 		});
 	}
 
@@ -385,11 +389,12 @@
 		this.listener.updated(from);
 	}
 
-	private void track(CompletableFuture<WatchBatch> call, long after, Duration wait, AnswerHandler handler) {
+	private void track(CompletableFuture<WatchBatch> call, long after, long known, Duration wait,
+			AnswerHandler handler) {
 		long now = this.scheduler.nanos();
-		StoreCall started = new StoreCall(after, now, now + wait.plus(CALL_OVERRUN).toNanos());
+		StoreCall started = new StoreCall(after, known, now, now + wait.plus(CALL_OVERRUN).toNanos());
 		this.pendingCall = started;
-		this.upToDateAt = now;
+		this.watches.started(now);
 		call.whenComplete((batch, failure) -> {
 			if (this.stopped || this.pendingCall != started) {
 				return;
@@ -403,6 +408,12 @@
 				failed(new PlatformException(PlatformException.Kind.UNAVAILABLE, "answer of an earlier era"), started);
 				return;
 			}
+			if (isOlderThanAsked(batch, started)) {
+				failed(new PlatformException(PlatformException.Kind.UNAVAILABLE, "answer of revision "
+						+ StoreRevision.text(batch.revision()) + " after " + StoreRevision.text(started.known())),
+						started);
+				return;
+			}
 			answered();
 			handler.handle(batch, started.startedAt());
 			tick();
@@ -420,6 +431,18 @@
 				&& StoreRevision.isOfEarlierEra(batch.revision(), this.copies.complete());
 	}
 
+	/**
+	 * Whether an answer holds less than what was known when it was asked for, so that it
+	 * may be a copy of the answer to an earlier call.
+	 * @param batch the answer
+	 * @param call the call
+	 * @return true if it is to be ignored
+	 */
+	private static boolean isOlderThanAsked(WatchBatch batch, StoreCall call) {
+		boolean sameEra = StoreRevision.era(batch.revision()) == StoreRevision.era(call.known());
+		return sameEra && !batch.gap() && batch.revision() < call.known();
+	}
+
 	private void failed(Throwable failure, StoreCall call) {
 		long now = this.scheduler.nanos();
 		this.availability.failed(call, unconfirmed(now));
@@ -466,6 +489,7 @@
 	}
 
 	private void answered() {
+		this.watches.answered();
 		if (unavailable()) {
 			this.log.belief("store", this.kind, "state", "back", "failures", this.availability.failures(), "away_ms",
 					silence().toMillis());
