Give up a watch that nobody's confirmation covers, in each fleet with peers

A daemon that started during a cut had heard no confirmation of peers yet, so a watch on a silent connection was kept to its end, for 6.2 s, though the daemon was in touch again. Whether others confirm is now expected of each fleet with more than one daemon, not of peers that did so lately. A daemon that is alone keeps its long watches, whose call counts EvacuationFollowTests bounds.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowOrder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/FollowOrder.java
@@ -21,4 +21,12 @@
 	 */
 	boolean isolated();
 
+	/**
+	 * Whether there are other daemons, of which some query the store when copies get old.
+	 * @return true if this daemon may expect that they confirm its copies
+	 */
+	default boolean hasPeers() {
+		return false;
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -130,7 +130,7 @@
 		this.times = times;
 		this.log = log;
 		this.availability = new StoreAvailability(scheduler);
-		this.watches = new WatchHealth(kind, scheduler, copies, times, this.availability, log);
+		this.watches = new WatchHealth(kind, scheduler, copies, order, times, this.availability, log);
 		this.standInUntil = scheduler.nanos();
 	}
 
@@ -242,7 +242,6 @@
 
 	private void tick() {
 		long now = this.scheduler.nanos();
-		this.watches.observe(now);
 		if (this.stopped || now - this.notBefore < 0
 				|| (this.pendingCall != null && !this.watches.isStalled(this.pendingCall, now))) {
 			return;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/WatchHealth.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/WatchHealth.java
@@ -20,9 +20,6 @@
 	/** How long a watch may lag behind copies of peers before it counts as silent. */
 	static final Duration STALLED_AFTER = Duration.ofMillis(500);
 
-	/** How long after their last confirmation peers are expected to confirm again. */
-	private static final Duration PEERS_EXPECTED = Duration.ofSeconds(10);
-
 	/** By how much timers of the store may be ahead of those of this daemon. */
 	private static final Duration TIMER_TOLERANCE = Duration.ofMillis(100);
 
@@ -32,6 +29,8 @@
 
 	private final ObjectCopies copies;
 
+	private final FollowOrder order;
+
 	private final FollowTimes times;
 
 	private final StoreAvailability availability;
@@ -40,31 +39,19 @@
 
 	private long upToDateAt;
 
-	private long peersConfirmedAt;
-
 	private boolean abandoned;
 
 	private boolean endsEarly;
 
-	WatchHealth(String kind, Clock clock, ObjectCopies copies, FollowTimes times, StoreAvailability availability,
-			DecisionLog log) {
+	WatchHealth(String kind, Clock clock, ObjectCopies copies, FollowOrder order, FollowTimes times,
+			StoreAvailability availability, DecisionLog log) {
 		this.kind = kind;
 		this.clock = clock;
 		this.copies = copies;
+		this.order = order;
 		this.times = times;
 		this.availability = availability;
 		this.log = log;
-		this.peersConfirmedAt = clock.nanos() - PEERS_EXPECTED.toNanos();
-	}
-
-	/**
-	 * Takes note of confirmations by peers; called several times a second.
-	 * @param now the time
-	 */
-	void observe(long now) {
-		if (this.copies.confirmedAt() - this.availability.lastAnswerAt() > 0) {
-			this.peersConfirmedAt = now;
-		}
 	}
 
 	/**
@@ -114,15 +101,15 @@
 	}
 
 	/**
-	 * Whether peers have lately confirmed the copies and stopped, for longer than any
-	 * daemon waits before it queries the store itself.
+	 * Whether no daemon has confirmed the copies for longer than any waits before it
+	 * queries the store itself.
 	 * @param call the pending watch
 	 * @param now the time
 	 * @return true if this daemon can't rely on its peers
 	 */
 	private boolean isUnconfirmedByPeers(StoreCall call, long now) {
 		long longestCheck = this.times.longestCheckDelay().toNanos();
-		boolean expected = now - this.peersConfirmedAt < PEERS_EXPECTED.toNanos() && this.availability.failures() == 0;
+		boolean expected = this.order.hasPeers() && this.availability.failures() == 0;
 		return expected && now - this.copies.confirmedAt() > longestCheck && now - call.startedAt() > longestCheck;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -385,8 +385,9 @@
 
 	private StoreFollower follower(String kind, ObjectStore store, ObjectCopies copies, FollowTimes times) {
 		StoreFollower follower = new StoreFollower(kind, this.dependencies.loop(), this.random, store, copies,
-				new StoreOrder(() -> this.directory.storeRank(), () -> this.copies.isolated()), times,
-				this.dependencies.log());
+				new StoreOrder(() -> this.directory.storeRank(), () -> this.copies.isolated(),
+						() -> this.membership.members().size() > 1),
+				times, this.dependencies.log());
 		follower
 			.onUpdate((from) -> this.copies.push(kind, from, follower.sinceOutage(), this.directory.storeRank() == 0));
 		return follower;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/StoreOrder.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/StoreOrder.java
@@ -17,9 +17,18 @@
 
 	private final BooleanSupplier currentlyIsolated;
 
-	StoreOrder(IntSupplier currentRank, BooleanSupplier currentlyIsolated) {
+	private final BooleanSupplier othersKnown;
+
+	/**
+	 * Creates the order.
+	 * @param currentRank the rank
+	 * @param currentlyIsolated whether no peer can be relied on
+	 * @param othersKnown whether the fleet has other daemons
+	 */
+	StoreOrder(IntSupplier currentRank, BooleanSupplier currentlyIsolated, BooleanSupplier othersKnown) {
 		this.currentRank = currentRank;
 		this.currentlyIsolated = currentlyIsolated;
+		this.othersKnown = othersKnown;
 	}
 
 	@Override
@@ -32,4 +41,9 @@
 		return this.currentlyIsolated.getAsBoolean();
 	}
 
+	@Override
+	public boolean hasPeers() {
+		return this.othersKnown.getAsBoolean();
+	}
+
 }
