Let no report of an outage outlast what the store has confirmed since

What callers see: after a daemon was cut off, requests reach an endpoint that was removed meanwhile for up to 0.8 s after the daemon is in touch again. Cause: a removal waits for 2 s from the end of an outage, as this daemon or a peer has seen it last. A peer that was cut off for longer reports an end that is later than it was, and a call that was lost is noticed 1.2 s and more after the return. Change: an entry that was there when the store last confirmed the copies went missing after that, so the grace ends 2 s after that confirmation, if it is recent. An outage that only this daemon's own calls show ends at most 1 s after the last lost call was made. Telling peers the shorter time too mends it but leaves endpoints less than 2 s after an outage of all (FollowFleetTests.allDaemonsKnowOfTheOutageWhenTheyReceiveTheChange), a failed trial.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.time.Clock;
 
 /**
@@ -16,6 +17,9 @@
 	/** Earlier than anything that is asked about. */
 	private static final Duration LONG_AGO = Duration.ofDays(1);
 
+	/** The time after which a daemon that reaches the store counts as in touch. */
+	private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
+
 	private final Clock clock;
 
 	private long failures;
@@ -100,6 +104,21 @@
 		return Duration.ofNanos(this.clock.nanos() - this.lastOutageAt);
 	}
 
+	/**
+	 * The time since the store returned from the last outage, at the earliest that a
+	 * daemon may assume that is in touch {@link #CONTACT_TIME} after the return: entries
+	 * that expired have {@link BackendTable#LAPSE_GRACE_PERIOD} of that time to come
+	 * back. The call that failed last was lost, so the store wasn't back when it was
+	 * made.
+	 * @return the time
+	 */
+	Duration sinceReturn() {
+		Duration uncertainty = CONTACT_TIME.minus(BackendTable.LAPSE_GRACE_PERIOD);
+		Duration sinceFailedCall = Duration.ofNanos(this.clock.nanos() - this.lastFailedCallAt).minus(uncertainty);
+		Duration sinceOutage = sinceOutage();
+		return (sinceOutage.compareTo(sinceFailedCall) < 0) ? sinceFailedCall : sinceOutage;
+	}
+
 	Duration silence() {
 		return Duration.ofNanos(this.clock.nanos() - this.lastAnswerAt);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -225,7 +225,7 @@
 	 * @return the time since the last outage, as far as it may concern such an object
 	 */
 	public Duration sinceOutage(Duration reported) {
-		Duration own = sinceOutage();
+		Duration own = this.availability.sinceReturn();
 		Duration sinceOutage = (own.compareTo(reported) < 0) ? own : reported;
 		long now = this.scheduler.nanos();
 		Duration sinceConfirmed = Duration.ofNanos(now - this.copies.confirmedAt());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -403,14 +403,12 @@
 	}
 
 	/**
-	 * The time since the store was last unavailable, to this daemon or to one that
-	 * reported it.
+	 * The time since the last outage in which an entry that is missing may have expired,
+	 * by the calls of this daemon and the reports of its peers.
 	 * @return the time
 	 */
 	private Duration sinceOutage() {
-		Duration own = this.backendFollower.sinceOutage();
-		Duration reported = this.copies.sinceOutage();
-		return (own.compareTo(reported) < 0) ? own : reported;
+		return this.backendFollower.sinceOutage(this.copies.sinceOutage());
 	}
 
 	private boolean accepts(Duration timeLeft) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/DepartureFaultsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/DepartureFaultsTests.java
@@ -20,7 +20,8 @@
  * Tests with random faults of peers, of the connections between them and of the store's
  * answers, while entries are written and removed. A daemon in contact, which has run for
  * {@link #CONTACT_TIME} with a store that answers it, must hold each entry as the store
- * confirmed it {@link #WITHIN} ago, whatever its peers know or confirm.
+ * confirmed it {@link #WITHIN} ago, whatever its peers know or confirm, and use none that
+ * was removed by then, unless it may have expired in an outage.
  *
  * <p>
  * To run more seeds: {@code -Ddeparture.seeds=2000}, from another one on
@@ -52,6 +53,8 @@
 
 	private final Set<String> violations = new TreeSet<>();
 
+	private long stableFrom;
+
 	private int daemons;
 
 	static LongStream seeds() {
@@ -103,7 +106,7 @@
 		int rank = random.nextInt(this.daemons);
 		SimulatedFleet.Daemon daemon = this.fleet.daemons().get(rank);
 		Duration span = Duration.ofMillis(random.nextInt(MAX_FAULT_MILLIS));
-		switch (random.nextInt(9)) {
+		switch (random.nextInt(10)) {
 			case 0 -> cutZone(random.nextInt(ZONES), span);
 			case 1 -> cutAtRandom(random, span);
 			case 2 -> failCalls(daemon, random, span);
@@ -118,6 +121,7 @@
 			}
 			case 6 -> slowAnswers(daemon, random, span);
 			case 7 -> this.fleet.store().loseHistory();
+			case 8 -> outage(random, span);
 			default -> this.fleet.cut((one, other) -> false);
 		}
 	}
@@ -143,6 +147,23 @@
 		this.scheduler.schedule(span, () -> daemon.store().outcome(SimulatedStore.CallOutcome.WORKS));
 	}
 
+	/**
+	 * Makes the store unavailable to all daemons, to some of them for longer.
+	 * @param random the random generator
+	 * @param span how long
+	 */
+	private void outage(Random random, Duration span) {
+		this.stableFrom = Math.max(this.stableFrom, this.scheduler.nanos() + span.plus(CONTACT_TIME).toNanos());
+		SimulatedStore.CallOutcome outcome = random.nextBoolean() ? SimulatedStore.CallOutcome.REFUSED
+				: SimulatedStore.CallOutcome.SILENT;
+		for (SimulatedFleet.Daemon daemon : this.fleet.daemons()) {
+			Duration own = (random.nextInt(4) == 0) ? span.plusMillis(random.nextInt(MAX_FAULT_MILLIS)) : span;
+			daemon.store().outcome(outcome);
+			outOfContact(daemon.rank(), own);
+			this.scheduler.schedule(own, () -> daemon.store().outcome(SimulatedStore.CallOutcome.WORKS));
+		}
+	}
+
 	private void slowAnswers(SimulatedFleet.Daemon daemon, Random random, Duration span) {
 		daemon.store().slowAnswers(Duration.ofMillis(random.nextInt(4_000)), Duration.ofMillis(300));
 		// The answer that is under way at the end still arrives late.
@@ -186,9 +207,11 @@
 		this.fleet.store().lastWrites().forEach((name, write) -> {
 			ObjectCopy copy = held.get(name);
 			boolean asWritten = write.deleted() ? copy == null : copy != null && copy.revision() == write.revision();
-			if (write.at() <= confirmedBefore && !asWritten) {
+			boolean usedStill = write.deleted() && write.at() >= this.stableFrom
+					&& daemon.usedUntil(name) > this.scheduler.nanos();
+			if (write.at() <= confirmedBefore && (!asWritten || usedStill)) {
 				this.violations.add("rank " + daemon.rank() + " has " + ((copy != null) ? copy.revision() : "no") + " "
-						+ name + " instead of " + write);
+						+ name + " instead of " + write + (usedStill ? ", used until " + daemon.usedUntil(name) : ""));
 			}
 		});
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedFleet.java
@@ -15,6 +15,7 @@
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
 import org.bramleyscale.internal.peer.PeerListener;
 import org.bramleyscale.internal.peer.PeerMessage;
@@ -214,8 +215,9 @@
 
 		private final Map<Class<?>, PeerListener<?>> listeners = new HashMap<>();
 
-		private final ObjectCopies copies = new ObjectCopies((object) -> {
-		});
+		private final ObjectCopies copies = new ObjectCopies(this::changed);
+
+		private final Map<String, Long> usedUntil = new HashMap<>();
 
 		private final PausableScheduler clock = new PausableScheduler(SimulatedFleet.this.scheduler);
 
@@ -259,9 +261,7 @@
 		 * @return the time
 		 */
 		Duration sinceOutage() {
-			Duration own = this.follower.sinceOutage();
-			Duration reported = this.exchange.sinceOutage();
-			return (own.compareTo(reported) < 0) ? own : reported;
+			return this.follower.sinceOutage(this.exchange.sinceOutage());
 		}
 
 		boolean connectedToPeers() {
@@ -332,6 +332,25 @@
 			((PeerListener<PeerMessage>) this.listeners.get(message.getClass())).received(from.self, message);
 		}
 
+		private void changed(ObjectCopy object) {
+			if (!object.deleted()) {
+				this.usedUntil.remove(object.name());
+				return;
+			}
+			Duration grace = BackendTable.LAPSE_GRACE_PERIOD.minus(sinceOutage());
+			this.usedUntil.putIfAbsent(object.name(), this.clock.nanos() + Math.max(0, grace.toNanos()));
+		}
+
+		/**
+		 * The time until which the endpoint of a removed entry is used, since the entry
+		 * may have expired in an outage.
+		 * @param name the entry's name
+		 * @return the time, by the scheduler
+		 */
+		long usedUntil(String name) {
+			return this.usedUntil.getOrDefault(name, Long.MIN_VALUE);
+		}
+
 		/**
 		 * The objects that the daemon takes for stored.
 		 * @return their copies
@@ -375,6 +394,11 @@
 			return this.rank;
 		}
 
+		@Override
+		public boolean hasPeers() {
+			return SimulatedFleet.this.daemons.size() > 1;
+		}
+
 		@Override
 		public boolean isolated() {
 			return this.exchange.isolated();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -240,6 +240,19 @@
 		Truth.assertThat(this.follower.sinceOutage()).isEqualTo(Duration.ZERO);
 	}
 
+	/**
+	 * Guards against a removed entry that is used for longer because a peer, which was
+	 * cut off, reports the end of an outage later than it was.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "500, 0, 500", "500, 900, 900", "3000, 0, 0" })
+	void outageReportedByPeersEndedBeforeTheStoreConfirmedTheCopies(long confirmedMillis, long reportedMillis,
+			long sinceMillis) {
+		this.copies.confirm(this.scheduler.nanos() - Duration.ofMillis(confirmedMillis).toNanos());
+		Truth.assertThat(this.follower.sinceOutage(Duration.ofMillis(reportedMillis)))
+			.isEqualTo(Duration.ofMillis(sinceMillis));
+	}
+
 	@Test
 	void singleFailedCallIsNoOutage() {
 		this.store.watches.poll()
