--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
@@ -11,6 +11,7 @@
 import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.platform.StoredObject;
 import org.bramleyscale.internal.platform.WatchBatch;
+import org.jboss.logging.Logger;
 
 /**
  * The copies of one kind of platform objects, deletions included.
@@ -46,6 +47,8 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private static final Logger logger = Logger.getLogger(ObjectCopies.class);
+
 	private final Map<String, ObjectCopy> copies = new HashMap<>();
 
 	private final Listener listener;
@@ -317,8 +320,23 @@
 			purgeTombstones();
 		}
 		if (!unknownDeleted) {
+			notifyListener(object);
+		}
+	}
+
+	/**
+	 * Calls the listener. If it fails, the copies behind this one still have to be
+	 * applied.
+	 * @param object the new copy, or the deletion
+	 */
+	private void notifyListener(ObjectCopy object) {
+		try {
 			this.listener.changed(object);
 		}
+		catch (RuntimeException | StackOverflowError ex) {
+			logger.errorf("The copy of object %s of revision %s can't be applied: %s", object.name(),
+					StoreRevision.text(object.revision()), ex);
+		}
 	}
 
 	private void purgeTombstones() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.random.RandomGenerator;
 
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -9,6 +10,7 @@
 import org.bramleyscale.internal.platform.PlatformException;
 import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.platform.StoredObject;
+import org.bramleyscale.internal.platform.UnreadableReplyException;
 import org.bramleyscale.internal.platform.WatchBatch;
 import org.bramleyscale.internal.time.Scheduler;
 
@@ -399,8 +401,13 @@
 				return;
 			}
 			this.pendingCall = null;
-			if (failure != null) {
-				failed(failure, started);
+			Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+			if (cause instanceof UnreadableReplyException) {
+				unreadable(cause);
+				return;
+			}
+			if (cause != null) {
+				failed(cause, started);
 				return;
 			}
 			if (isLate(batch)) {
@@ -419,6 +426,18 @@
 		});
 	}
 
+	/**
+	 * Records a reply that can't be read as a whole. The store is available, so its
+	 * entries don't expire, and calls in a row would bring the same.
+	 * @param cause why it can't be read
+	 */
+	private void unreadable(Throwable cause) {
+		this.log.belief("store", this.kind, "state", "unreadable", "cause", cause.getMessage(), "revision",
+				StoreRevision.text(this.copies.complete()));
+		answered();
+		this.notBefore = this.scheduler.nanos() + this.times.checkAfter().toNanos();
+	}
+
 	/**
 	 * Whether an answer was made before the store came back from the copy that is already
 	 * known. A cached list has no era, and is applied only if nothing better is known.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/ObjectCopiesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/ObjectCopiesTests.java
@@ -1,5 +1,6 @@
 package org.bramleyscale.internal.gateway.follow;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
@@ -62,6 +63,23 @@
 		Truth.assertThat(this.ours.covers(digest)).isFalse();
 	}
 
+	/** Guards against changes that are lost behind one that can't be applied. */
+	@Test
+	void changesBehindOneWhoseListenerFailsAreApplied() {
+		List<String> applied = new ArrayList<>();
+		ObjectCopies failing = new ObjectCopies((object) -> {
+			if (object.name().equals("x")) {
+				throw new IllegalStateException("x");
+			}
+			applied.add(object.name());
+		});
+		failing.applyList(list(80, "w", "x", "y"));
+		failing.applyChanges(
+				new WatchBatch(90, false, List.of(FakeStore.object("x", 85), FakeStore.object("z", 86)), List.of("w")));
+		Truth.assertThat(applied).containsExactly("w", "y", "z", "w");
+		Truth.assertThat(failing.complete()).isEqualTo(90);
+	}
+
 	private static void update(ObjectCopies from, ObjectCopies to, long after) {
 		long gapless = from.gaplessFrom(after);
 		to.applyFromPeer(gapless, from.complete(), from.changedAfter(gapless));
