Read a record that is null as one that can't be read

An object 'null' of another writer among the daemons' records ended the reading of the whole list with an exception, and among those of crashing requests the applying of all changes behind it. Before: one case each of RegisteredDaemonsTests and CrashRecordTests red. Now both pass.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecord.java
@@ -101,7 +101,11 @@
 	}
 
 	static CrashRecord read(byte[] json) throws IOException {
-		return mapper.readValue(json, CrashRecord.class);
+		CrashRecord record = mapper.readValue(json, CrashRecord.class);
+		if (record == null) {
+			throw new IOException("no record but null");
+		}
+		return record;
 	}
 
 	byte[] write() {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/DaemonRecord.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/DaemonRecord.java
@@ -36,7 +36,11 @@
 	}
 
 	static DaemonRecord read(byte[] json) throws IOException {
-		return mapper.readValue(json, DaemonRecord.class);
+		DaemonRecord record = mapper.readValue(json, DaemonRecord.class);
+		if (record == null) {
+			throw new IOException("no record but null");
+		}
+		return record;
 	}
 
 	byte[] write() {
