--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
@@ -22,6 +22,10 @@
 
 	private final Clock clock;
 
+	private final ObjectCopies copies;
+
+	private final FollowTimes times;
+
 	private long failures;
 
 	private long lastFailureAt;
@@ -32,8 +36,10 @@
 
 	private long lastFailedCallAt;
 
-	StoreAvailability(Clock clock) {
+	StoreAvailability(Clock clock, ObjectCopies copies, FollowTimes times) {
 		this.clock = clock;
+		this.copies = copies;
+		this.times = times;
 		this.lastAnswerAt = clock.nanos();
 		this.lastFailureAt = this.lastAnswerAt - LONG_AGO.toNanos();
 		this.lastOutageAt = this.lastFailureAt;
@@ -43,27 +49,25 @@
 	/**
 	 * Records a failed call. A single one is no sign of an outage unless it was overdue.
 	 * @param call the call
-	 * @param unconfirmed whether no daemon has received an answer for a while
 	 */
-	void failed(StoreCall call, boolean unconfirmed) {
+	void failed(StoreCall call) {
 		long now = this.clock.nanos();
 		this.lastFailureAt = now;
 		this.lastFailedCallAt = call.startedAt();
 		this.failures++;
-		if ((this.failures > 1 || now - call.dueAt() >= 0) && unconfirmed) {
+		if ((this.failures > 1 || now - call.dueAt() >= 0) && unconfirmed(now)) {
 			this.lastOutageAt = now;
 		}
 	}
 
 	/**
 	 * Records an answer.
-	 * @param unconfirmed whether no daemon had received an answer for a while
 	 */
-	void answered(boolean unconfirmed) {
+	void answered() {
 		long now = this.clock.nanos();
 		if (this.failures > 0) {
 			this.lastFailureAt = now;
-			if (unconfirmed) {
+			if (unconfirmed(now)) {
 				this.lastOutageAt = now;
 			}
 		}
@@ -80,6 +84,17 @@
 		this.lastOutageAt = this.lastFailureAt;
 	}
 
+	/**
+	 * Whether no daemon has received an answer of the store for a while. The store may
+	 * refuse single daemons while it serves the others and the endpoints, whose entries
+	 * don't expire then.
+	 * @param now the time
+	 * @return true if the store is unavailable to all daemons, as far as this one knows
+	 */
+	private boolean unconfirmed(long now) {
+		return now - this.copies.confirmedAt() > this.times.retryAfter().toNanos();
+	}
+
 	/**
 	 * The number of calls that have failed since the last answer.
 	 * @return the number
@@ -112,13 +127,27 @@
 	 * made.
 	 * @return the time
 	 */
-	Duration sinceReturn() {
+	private Duration sinceReturn() {
 		Duration uncertainty = CONTACT_TIME.minus(BackendTable.LAPSE_GRACE_PERIOD);
 		Duration sinceFailedCall = Duration.ofNanos(this.clock.nanos() - this.lastFailedCallAt).minus(uncertainty);
 		Duration sinceOutage = sinceOutage();
 		return (sinceOutage.compareTo(sinceFailedCall) < 0) ? sinceFailedCall : sinceOutage;
 	}
 
+	/**
+	 * The time since the last outage in which an object that is missing now may have
+	 * expired.
+	 * @param reported the time since the last sign of an outage, as reported by peers
+	 * @return the time, as far as it may concern such an object
+	 */
+	Duration sinceOutage(Duration reported) {
+		Duration own = sinceReturn();
+		Duration sinceOutage = (own.compareTo(reported) < 0) ? own : reported;
+		long now = this.clock.nanos();
+		Duration sinceConfirmed = Duration.ofNanos(now - this.copies.confirmedAt());
+		return (unconfirmed(now) || sinceConfirmed.compareTo(sinceOutage) < 0) ? sinceOutage : sinceConfirmed;
+	}
+
 	Duration silence() {
 		return Duration.ofNanos(this.clock.nanos() - this.lastAnswerAt);
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
@@ -1,5 +1,8 @@
 package org.bramleyscale.internal.gateway.follow;
 
+import org.bramleyscale.internal.platform.StoreRevision;
+import org.bramleyscale.internal.platform.WatchBatch;
+
 /**
  * A call to the store. Compared by identity: the answer of an abandoned call is ignored.
  *
@@ -49,4 +52,15 @@
 		return this.dueAt;
 	}
 
+	/**
+	 * Whether an answer holds less than what was known when the call was made, so that it
+	 * may be a copy of the answer to an earlier call.
+	 * @param batch the answer
+	 * @return true if it is to be ignored
+	 */
+	boolean knewMoreThan(WatchBatch batch) {
+		boolean sameEra = StoreRevision.era(batch.revision()) == StoreRevision.era(this.known);
+		return sameEra && !batch.gap() && batch.revision() < this.known;
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -131,7 +131,7 @@
 		this.order = order;
 		this.times = times;
 		this.log = log;
-		this.availability = new StoreAvailability(scheduler);
+		this.availability = new StoreAvailability(scheduler, copies, times);
 		this.watches = new WatchHealth(kind, scheduler, copies, order, times, this.availability, log);
 		this.standInUntil = scheduler.nanos();
 	}
@@ -227,11 +227,7 @@
 	 * @return the time since the last outage, as far as it may concern such an object
 	 */
 	public Duration sinceOutage(Duration reported) {
-		Duration own = this.availability.sinceReturn();
-		Duration sinceOutage = (own.compareTo(reported) < 0) ? own : reported;
-		long now = this.scheduler.nanos();
-		Duration sinceConfirmed = Duration.ofNanos(now - this.copies.confirmedAt());
-		return (unconfirmed(now) || sinceConfirmed.compareTo(sinceOutage) < 0) ? sinceOutage : sinceConfirmed;
+		return this.availability.sinceOutage(reported);
 	}
 
 	/**
@@ -414,7 +410,7 @@
 				failed(new PlatformException(PlatformException.Kind.UNAVAILABLE, "answer of an earlier era"), started);
 				return;
 			}
-			if (isOlderThanAsked(batch, started)) {
+			if (started.knewMoreThan(batch)) {
 				failed(new PlatformException(PlatformException.Kind.UNAVAILABLE, "answer of revision "
 						+ StoreRevision.text(batch.revision()) + " after " + StoreRevision.text(started.known())),
 						started);
@@ -449,21 +445,9 @@
 				&& StoreRevision.isOfEarlierEra(batch.revision(), this.copies.complete());
 	}
 
-	/**
-	 * Whether an answer holds less than what was known when it was asked for, so that it
-	 * may be a copy of the answer to an earlier call.
-	 * @param batch the answer
-	 * @param call the call
-	 * @return true if it is to be ignored
-	 */
-	private static boolean isOlderThanAsked(WatchBatch batch, StoreCall call) {
-		boolean sameEra = StoreRevision.era(batch.revision()) == StoreRevision.era(call.known());
-		return sameEra && !batch.gap() && batch.revision() < call.known();
-	}
-
 	private void failed(Throwable failure, StoreCall call) {
 		long now = this.scheduler.nanos();
-		this.availability.failed(call, unconfirmed(now));
+		this.availability.failed(call);
 		if (this.availability.failures() == 1) {
 			this.log.belief("store", this.kind, "state", "lost", "cause", failure.getMessage(), "revision",
 					StoreRevision.text(this.copies.complete()));
@@ -495,24 +479,13 @@
 		return (confirmedByPeers && unconfirmedAt - soon > 0) ? unconfirmedAt : soon;
 	}
 
-	/**
-	 * Whether no daemon has received an answer of the store for a while. The store may
-	 * refuse single daemons while it serves the others and the endpoints, whose entries
-	 * don't expire then.
-	 * @param now the time
-	 * @return true if the store is unavailable to all daemons, as far as this one knows
-	 */
-	private boolean unconfirmed(long now) {
-		return now - this.copies.confirmedAt() > this.times.retryAfter().toNanos();
-	}
-
 	private void answered() {
 		this.watches.answered();
 		if (unavailable()) {
 			this.log.belief("store", this.kind, "state", "back", "failures", this.availability.failures(), "away_ms",
 					silence().toMillis());
 		}
-		this.availability.answered(unconfirmed(this.scheduler.nanos()));
+		this.availability.answered();
 	}
 
 	/**
