--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/backend/BackendTable.java
@@ -167,6 +167,14 @@
 		removeEntry(id, "off the list");
 	}
 
+	/**
+	 * Removes an entry that can't be used any more, without a grace period.
+	 * @param id the entry's id
+	 */
+	public void removeAtOnce(EndpointId id) {
+		remove(id, LAPSE_GRACE_PERIOD);
+	}
+
 	/**
 	 * Removes the endpoints that didn't return within the grace period, and adds those
 	 * that were withheld and stayed on the list; called a few times a second.
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/BackendEntries.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/BackendEntries.java
@@ -128,7 +128,7 @@
 	private void markUnreadable(ObjectCopy object, String reason) {
 		EndpointStart start = this.starts.get(object.name());
 		if (start != null) {
-			this.backends.remove(start.id(), BackendTable.LAPSE_GRACE_PERIOD);
+			this.backends.removeAtOnce(start.id());
 		}
 		if (this.unreadable.add(object.name())) {
 			// Logged once until the entry can be read again, not for each version.
