Leave entries their time to return after a store came back from an older copy

And a watch that was lost counted as lost from its start, seconds before. Change: confirmations of an earlier era end with it, the return from an older copy counts as the end of an outage, and a lost call shows that the store was away at the end of its wait.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
@@ -173,6 +173,10 @@
 
 	private void applyAll(long revision, List<ObjectCopy> objects) {
 		boolean laterEra = StoreRevision.isOfEarlierEra(this.complete, revision);
+		if (laterEra) {
+			// What the store confirmed before doesn't hold for what it came back with.
+			this.confirmedAt = NEVER;
+		}
 		Set<String> missing = new HashSet<>(this.copies.keySet());
 		for (ObjectCopy object : objects) {
 			missing.remove(object.name());
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/PeerCopies.java
@@ -121,9 +121,8 @@
 	 * @param builder the catalog
 	 */
 	public static void register(MessageCatalog.Builder builder) {
-		// Codes 101 and 102 belong to versions that compare revisions without their era,
-		// 109
-		// and 110 to versions whose changes may lack removals.
+		// Codes 101 and 102 belong to versions that compare revisions without their era.
+		// Codes 109 and 110 belong to versions whose changes may lack removals.
 		builder.add(113, CopiesDigest.class, "CopiesHeld").add(114, CopiesUpdate.class, "CopiesTold");
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
@@ -36,6 +36,9 @@
 
 	private long lastFailedCallAt;
 
+	/** The latest time at which the store is known not to have been back. */
+	private long awayAt;
+
 	StoreAvailability(Clock clock, ObjectCopies copies, FollowTimes times) {
 		this.clock = clock;
 		this.copies = copies;
@@ -44,6 +47,7 @@
 		this.lastFailureAt = this.lastAnswerAt - LONG_AGO.toNanos();
 		this.lastOutageAt = this.lastFailureAt;
 		this.lastFailedCallAt = this.lastFailureAt;
+		this.awayAt = this.lastFailureAt;
 	}
 
 	/**
@@ -54,6 +58,7 @@
 		long now = this.clock.nanos();
 		this.lastFailureAt = now;
 		this.lastFailedCallAt = call.startedAt();
+		this.awayAt = Math.min(now, call.heldUntil());
 		this.failures++;
 		if ((this.failures > 1 || now - call.dueAt() >= 0) && unconfirmed(now)) {
 			this.lastOutageAt = now;
@@ -82,6 +87,7 @@
 	void cameBackOlder() {
 		this.lastFailureAt = this.clock.nanos();
 		this.lastOutageAt = this.lastFailureAt;
+		this.awayAt = this.lastFailureAt;
 	}
 
 	/**
@@ -123,15 +129,14 @@
 	 * The time since the store returned from the last outage, at the earliest that a
 	 * daemon may assume that is in touch {@link #CONTACT_TIME} after the return: entries
 	 * that expired have {@link BackendTable#LAPSE_GRACE_PERIOD} of that time to come
-	 * back. The call that failed last was lost, so the store wasn't back when it was
-	 * made.
+	 * back. A store that is back answers a call at the end of its wait.
 	 * @return the time
 	 */
 	private Duration sinceReturn() {
 		Duration uncertainty = CONTACT_TIME.minus(BackendTable.LAPSE_GRACE_PERIOD);
-		Duration sinceFailedCall = Duration.ofNanos(this.clock.nanos() - this.lastFailedCallAt).minus(uncertainty);
+		Duration atLeast = Duration.ofNanos(this.clock.nanos() - this.awayAt).minus(uncertainty);
 		Duration sinceOutage = sinceOutage();
-		return (sinceOutage.compareTo(sinceFailedCall) < 0) ? sinceFailedCall : sinceOutage;
+		return (sinceOutage.compareTo(atLeast) < 0) ? atLeast : sinceOutage;
 	}
 
 	/**
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
@@ -20,6 +20,8 @@
 
 	private final long startedAt;
 
+	private final long heldUntil;
+
 	private final long dueAt;
 
 	/**
@@ -27,12 +29,14 @@
 	 * @param after the revision from which it watches, or {@link #NO_WATCH}
 	 * @param known the revision that its answer reaches at least, 0 if it may be older
 	 * @param startedAt when it was made, by the scheduler's clock
+	 * @param heldUntil until when the store may hold it
 	 * @param dueAt when a store that answers has answered
 	 */
-	StoreCall(long after, long known, long startedAt, long dueAt) {
+	StoreCall(long after, long known, long startedAt, long heldUntil, long dueAt) {
 		this.after = after;
 		this.known = known;
 		this.startedAt = startedAt;
+		this.heldUntil = heldUntil;
 		this.dueAt = dueAt;
 	}
 
@@ -48,6 +52,10 @@
 		return this.startedAt;
 	}
 
+	long heldUntil() {
+		return this.heldUntil;
+	}
+
 	long dueAt() {
 		return this.dueAt;
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -389,7 +389,8 @@
 	private void track(CompletableFuture<WatchBatch> call, long after, long known, Duration wait,
 			AnswerHandler handler) {
 		long now = this.scheduler.nanos();
-		StoreCall started = new StoreCall(after, known, now, now + wait.plus(CALL_OVERRUN).toNanos());
+		StoreCall started = new StoreCall(after, known, now, now + wait.toNanos(),
+				now + wait.plus(CALL_OVERRUN).toNanos());
 		this.pendingCall = started;
 		this.watches.started(now);
 		call.whenComplete((batch, failure) -> {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/RestoredStoreTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/RestoredStoreTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import com.google.common.truth.Truth;
+import org.bramleyscale.internal.gateway.backend.BackendTable;
 import org.bramleyscale.internal.time.ManualScheduler;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,6 +64,24 @@
 		Truth.assertThat(ranksThatDoNotKnow("never-again")).hasSize(daemons);
 	}
 
+	/**
+	 * Guards against endpoints that are dropped before they can have registered again.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "2, 0", "9, 0", "80, 0", "2, 1000", "9, 1000", "80, 1000" })
+	void entriesThatTheOlderCopyLacksHaveTheirTimeToReturn(int daemons, long awayMillis) {
+		start(daemons);
+		SimulatedStore.Backup backup = this.fleet.store().backup();
+		this.fleet.store().change("lost");
+		this.scheduler.advance(WITHIN);
+		comeBackFrom(backup, Duration.ofMillis(awayMillis));
+		long dueAt = this.scheduler.nanos() + BackendTable.LAPSE_GRACE_PERIOD.toNanos();
+		this.scheduler.advance(WITHIN);
+		Truth.assertThat(ranksThatDoNotKnow("lost")).hasSize(daemons);
+		Truth.assertThat(this.fleet.daemons().stream().filter((daemon) -> daemon.usedUntil("lost") < dueAt).toList())
+			.isEmpty();
+	}
+
 	/** Guards against a fleet that lists and watches in a loop. */
 	@ParameterizedTest
 	@CsvSource({ "2", "9", "80" })
@@ -130,8 +149,12 @@
 	}
 
 	private void comeBackFrom(SimulatedStore.Backup backup) {
+		comeBackFrom(backup, AWAY);
+	}
+
+	private void comeBackFrom(SimulatedStore.Backup backup, Duration away) {
 		this.fleet.daemons().forEach((daemon) -> daemon.store().outcome(SimulatedStore.CallOutcome.REFUSED));
-		this.scheduler.advance(AWAY);
+		this.scheduler.advance(away);
 		this.fleet.store().restore(backup);
 		this.fleet.daemons().forEach((daemon) -> daemon.store().outcome(SimulatedStore.CallOutcome.WORKS));
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -253,6 +253,20 @@
 			.isEqualTo(Duration.ofMillis(sinceMillis));
 	}
 
+	/**
+	 * Guards against entries that expired in an outage but count as removed, because the
+	 * watch that was lost had been started long before.
+	 */
+	@Test
+	void outageThatEndsAWatchIsAsRecentAsTheEndOfTheWatch() {
+		this.scheduler.advance(TIMES.watch().plusMillis(1_200));
+		this.store.watches.poll()
+			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "silent"));
+		this.scheduler.advance(RetryPauses.MIN_BACKOFF.multipliedBy(2));
+		this.store.watches.poll().complete(new WatchBatch(12, false, List.of(), List.of("a")));
+		Truth.assertThat(this.follower.sinceOutage(Duration.ofDays(1))).isLessThan(Duration.ofMillis(500));
+	}
+
 	@Test
 	void singleFailedCallIsNoOutage() {
 		this.store.watches.poll()
