Try one suspect at a time if a request with fewer suspects comes

After a loss of all daemons, fleets of a drawn test served nothing for as long as they were observed: what most prompts share was suspected together with the part that crashes endpoints, and the requests that claimed the trials had both.

A request with several suspects now gives way to those with fewer, if such a one was judged within 5 s, and in any case for half a second. Requests that have the popular part alone decide about it, by their answer.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -67,6 +67,8 @@
 
 	private final HeldTrials trials;
 
+	private final RecentRequests recentRequests;
+
 	private final DecisionLog log;
 
 	private final MetricRegistry metrics;
@@ -88,6 +90,7 @@
 		this.evidence = new CrashEvidence(ports.scheduler(), this.stored);
 		this.judge = new CrashJudge(ports.scheduler(), this.evidence, this.stored);
 		this.trials = new HeldTrials(ports.scheduler());
+		this.recentRequests = new RecentRequests(ports.scheduler());
 		this.answeredParts = new AnsweredParts(ports.scheduler());
 		this.closedResponses = new ClosedResponses(ports.scheduler());
 		this.detector = new CrashDetector(ports.scheduler(), check, peerCheck, listed, this);
@@ -136,13 +139,18 @@
 
 	@Override
 	public Verdict verdict(CrashCauses causes) {
+		this.recentRequests.judged(causes);
 		if (this.evidence.suspectCount() == 0 && this.stored.causes().isEmpty() && !this.detector.checksPending()) {
 			return Verdict.CLEAR;
 		}
 		Verdict verdict = this.judge.verdict(causes, this::pendingChecks);
-		boolean blocked = verdict == Verdict.TRIAL
-				&& this.judge.withVerdict(causes, Verdict.TRIAL).stream().anyMatch(this.records::writeBlocked);
-		return blocked ? Verdict.WAIT : verdict;
+		return (verdict == Verdict.TRIAL && !mayTry(causes)) ? Verdict.WAIT : verdict;
+	}
+
+	private boolean mayTry(CrashCauses causes) {
+		List<CrashCause> suspects = this.judge.withVerdict(causes, Verdict.TRIAL);
+		return suspects.stream().noneMatch(this.records::writeBlocked) && !this.recentRequests.simplerThan(causes,
+				suspects, (other) -> this.judge.withVerdict(other, Verdict.TRIAL));
 	}
 
 	/**
