End a trial with the daemon that made it

A trial of a part is recorded in the store and counts as under way for 10 s after a daemon reads it. A fleet that starts anew after a loss of all reads the trial of a dead daemon, and waits for its outcome for 10 s from its own start: every request with the part is refused meanwhile.

The record names the daemon's start now. A trial whose daemon has started anew, or is dead by membership, is lost at once; one of a daemon that nobody has heard of for 3 s ends as well, but counts. Up to three lost trials don't count: a cause that crashes endpoints mostly does so before its daemon dies, and the drawn tests hold the bound of three late arrivals. Records without the new fields are read as before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashJudge.java
@@ -8,7 +8,6 @@
 import java.util.function.ToIntFunction;
 
 import org.bramleyscale.internal.gateway.backend.EndpointStart;
-import org.bramleyscale.internal.time.Clock;
 
 /**
  * Decides from the evidence and the stored records whether a request may be sent.
@@ -51,14 +50,11 @@
 	 */
 	static final Duration ANSWERS_UNDER_WAY = Duration.ofSeconds(2);
 
-	private final Clock clock;
-
 	private final CrashEvidence evidence;
 
 	private final StoredRecords records;
 
-	CrashJudge(Clock clock, CrashEvidence evidence, StoredRecords records) {
-		this.clock = clock;
+	CrashJudge(CrashEvidence evidence, StoredRecords records) {
 		this.evidence = evidence;
 		this.records = records;
 	}
@@ -145,16 +141,17 @@
 		if (record.isEmpty() && !suspected) {
 			return (count + pending == 0) ? Verdict.CLEAR : Verdict.SUSPECT;
 		}
-		boolean inProgress = record.filter((known) -> known.trialInProgress(this.clock.nanos())).isPresent();
-		if (!inProgress
-				&& record.filter((known) -> known.record().trials() >= maxTrials(cause, known, causes)).isPresent()) {
+		boolean inProgress = record.filter(this.records::trialInProgress).isPresent();
+		if (!inProgress && record
+			.filter((known) -> this.records.withoutLostTrial(known).trials() >= maxTrials(cause, known, causes))
+			.isPresent()) {
 			return this.evidence.crashedWithin(cause, ANSWERS_UNDER_WAY) ? Verdict.WAIT : Verdict.BLOCKED;
 		}
 		return (inProgress || pending > 0) ? Verdict.WAIT : Verdict.TRIAL;
 	}
 
 	private int maxTrials(CrashCause cause, StoredRecords.StoredRecord known, CrashCauses causes) {
-		boolean undecided = known.trialLost(this.clock.nanos()) || known.record().differs(causes)
+		boolean undecided = this.records.trialLost(known) || known.record().lost() > 0 || known.record().differs(causes)
 				|| lostWithOthers(cause, known.record());
 		if (!cause.shared() || !undecided) {
 			return MAX_TRIALS;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
@@ -121,7 +121,8 @@
 			this.lost.remove(cause);
 			this.records.put(cause, record, object.revision());
 			this.log.belief(cause.kind(), cause, "crashes", record.crashes(), "trials", record.trials(), "trying",
-					record.trying(), "revision", StoreRevision.text(object.revision()));
+					record.trying(), "by", record.by(), "lost", record.lost(), "revision",
+					StoreRevision.text(object.revision()));
 		}
 		catch (IOException ex) {
 			this.log.belief(cause.kind(), cause, "readable", false, "reason", ex.getMessage());
@@ -173,7 +174,10 @@
 			granted.accept(false);
 			return;
 		}
-		write(cause, known(cause).withTrial(this.judge.crashes(cause), others), granted);
+		CrashRecord before = this.records.get(cause)
+			.map(this.records::withoutLostTrial)
+			.orElseGet(() -> CrashRecord.untried(0));
+		write(cause, before.withTrial(this.judge.crashes(cause), others, this.records.self()), granted);
 	}
 
 	/**
@@ -286,8 +290,8 @@
 		this.store.write(key(cause), record.write(), expected).whenComplete((stored, failure) -> {
 			this.writing.remove(cause);
 			this.log.belief(cause.kind(), cause, "record", (failure != null) ? "not written" : "written", "crashes",
-					record.crashes(), "trials", record.trials(), "trying", record.trying(), "expected", expected,
-					"cause", (failure != null) ? failure.getMessage() : null);
+					record.crashes(), "trials", record.trials(), "trying", record.trying(), "lost", record.lost(),
+					"expected", expected, "cause", (failure != null) ? failure.getMessage() : null);
 			if (failure == null) {
 				storeConfirmed(cause, record, stored);
 			}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -86,9 +86,9 @@
 		this.clock = ports.scheduler();
 		this.log = ports.log();
 		this.metrics = ports.metrics();
-		this.stored = new StoredRecords(ports.scheduler());
+		this.stored = new StoredRecords(ports.scheduler(), ports.holders());
 		this.evidence = new CrashEvidence(ports.scheduler(), this.stored);
-		this.judge = new CrashJudge(ports.scheduler(), this.evidence, this.stored);
+		this.judge = new CrashJudge(this.evidence, this.stored);
 		this.trials = new HeldTrials(ports.scheduler());
 		this.recentRequests = new RecentRequests(ports.scheduler());
 		this.answeredParts = new AnsweredParts(ports.scheduler());
@@ -345,7 +345,8 @@
 	 * @param metrics the metric registry
 	 */
 	public record Ports(Scheduler scheduler, PeerNetwork network, UpdateRoutes routes, ObjectStore store,
-			DecisionLog log, MetricRegistry metrics) {
+			TrialHolders holders, DecisionLog log, MetricRegistry metrics) {
 	}
 
 }
+	 * @param holders knows which daemons may still make trials
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/StoredRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/StoredRecords.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.bramleyscale.Incarnation;
 import org.bramleyscale.internal.time.Clock;
 
 /**
@@ -15,10 +16,13 @@
 
 	private final Clock clock;
 
+	private final TrialHolders holders;
+
 	private final Map<CrashCause, StoredRecord> records = new HashMap<>();
 
-	StoredRecords(Clock clock) {
+	StoredRecords(Clock clock, TrialHolders holders) {
 		this.clock = clock;
+		this.holders = holders;
 	}
 
 	/**
@@ -31,7 +35,7 @@
 		StoredRecord known = this.records.get(cause);
 		if (known == null || version > known.version()) {
 			boolean sameTrial = known != null && record.trying() && known.record().trying()
-					&& known.record().trials() == record.trials();
+					&& known.record().trials() == record.trials() && known.record().by().equals(record.by());
 			this.records.put(cause, new StoredRecord(record, version, sameTrial ? known.at() : this.clock.nanos()));
 		}
 	}
@@ -57,6 +61,47 @@
 		return this.records.keySet();
 	}
 
+	/**
+	 * Whether the last trial of a cause may be in progress.
+	 * @param known the cause's record
+	 * @return false once it has ended, with its daemon too, or timed out
+	 */
+	boolean trialInProgress(StoredRecord known) {
+		return known.record().trying() && holderState(known) == TrialHolders.State.MAY_RUN
+				&& this.clock.nanos() - known.at() < CrashRecord.TRIAL_TIMEOUT.toNanos();
+	}
+
+	/**
+	 * Whether the last trial of a cause had no outcome.
+	 * @param known the cause's record
+	 * @return true once it can't have one any more
+	 */
+	boolean trialLost(StoredRecord known) {
+		return known.record().trying() && !trialInProgress(known);
+	}
+
+	/**
+	 * The record of a cause without a trial that was lost with its daemon.
+	 * @param known the cause's record
+	 * @return the record
+	 */
+	CrashRecord withoutLostTrial(StoredRecord known) {
+		boolean lost = known.record().trying() && holderState(known) == TrialHolders.State.ENDED;
+		return lost ? known.record().afterLostTrial() : known.record();
+	}
+
+	private TrialHolders.State holderState(StoredRecord known) {
+		return known.record().holder().map(this.holders::state).orElse(TrialHolders.State.MAY_RUN);
+	}
+
+	/**
+	 * The daemon that claims trials here.
+	 * @return its start
+	 */
+	Incarnation self() {
+		return this.holders.self();
+	}
+
 	/**
 	 * A cause's record as it was last read or written.
 	 *
@@ -65,25 +110,6 @@
 	 * @param at when this daemon read or wrote it, or learnt of the trial in progress
 	 */
 	record StoredRecord(CrashRecord record, long version, long at) {
-
-		/**
-		 * Whether a trial of the cause may be in progress.
-		 * @param now the time
-		 * @return false once the trial has ended or timed out
-		 */
-		boolean trialInProgress(long now) {
-			return this.record.trying() && now - this.at < CrashRecord.TRIAL_TIMEOUT.toNanos();
-		}
-
-		/**
-		 * Whether the last trial of the cause had no outcome.
-		 * @param now the time
-		 * @return true once it has timed out
-		 */
-		boolean trialLost(long now) {
-			return this.record.trying() && !trialInProgress(now);
-		}
-
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -183,8 +183,8 @@
 				this.backends, this.health, contention);
 		this.reachability.register(dependencies.metrics());
 		this.crashes = new FleetCrashGuard(
-				new FleetCrashGuard.Ports(loop, this.network, this.directory, dependencies.store(), log,
-						dependencies.metrics()),
+				new FleetCrashGuard.Ports(loop, this.network, this.directory, dependencies.store(),
+						new MemberTrialHolders(loop, this.membership, this.self), log, dependencies.metrics()),
 				new ComparingEndpointCheck(connections, paths),
 				new IndirectChecks(loop, this.network, connections, this.backends, this.random),
 				this.backends::acceptsRequests, () -> this.directory.storeRank() == 0);
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashEvidenceTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/CrashEvidenceTests.java
@@ -20,11 +20,11 @@
 
 	private final ManualScheduler scheduler = new ManualScheduler();
 
-	private final StoredRecords records = new StoredRecords(this.scheduler);
+	private final StoredRecords records = new StoredRecords(this.scheduler, new LoneHolder());
 
 	private final CrashEvidence evidence = new CrashEvidence(this.scheduler, this.records);
 
-	private final CrashJudge judge = new CrashJudge(this.scheduler, this.evidence, this.records);
+	private final CrashJudge judge = new CrashJudge(this.evidence, this.records);
 
 	/** Guards against unbounded memory use when callers send ever new requests. */
 	@Test
@@ -103,7 +103,7 @@
 	void causeTriedBesideAnotherIsTriedAgainWithoutIt(int trials, String with, String request, Verdict expected) {
 		CrashCause companion = CrashCause.part("a1");
 		Set<String> others = with.isEmpty() ? Set.of() : Set.of(with);
-		this.records.put(companion, new CrashRecord(5, trials, false, others), 1);
+		this.records.put(companion, new CrashRecord(5, trials, false, others, "", 0), 1);
 		CrashCauses causes = new CrashCauses(new CrashCause(request), List.of(companion));
 		Truth.assertThat(this.judge.verdict(causes, (cause) -> 0)).isEqualTo(expected);
 	}
@@ -111,11 +111,11 @@
 	/** Guards against blaming a cause for a trial that another one had in common. */
 	@Test
 	void recordKeepsWhatAllTrialsHadInCommon() throws Exception {
-		CrashRecord record = CrashRecord.untried(3).withTrial(3, Set.of("b", "c")).withCrashes(4);
-		Truth.assertThat(record.withTrial(4, Set.of("c", "d")).with()).containsExactly("c");
+		CrashRecord record = CrashRecord.untried(3).withTrial(3, Set.of("b", "c"), LoneHolder.SELF).withCrashes(4);
+		Truth.assertThat(record.withTrial(4, Set.of("c", "d"), LoneHolder.SELF).with()).containsExactly("c");
 		Truth.assertThat(CrashRecord.read(record.write())).isEqualTo(record);
 		Truth.assertThat(CrashRecord.read("{\"crashes\":4,\"trials\":2,\"trying\":false}".getBytes()))
-			.isEqualTo(new CrashRecord(4, 2, false, Set.of()));
+			.isEqualTo(new CrashRecord(4, 2, false, Set.of(), "", 0));
 	}
 
 	/** Guards against checks of lost connections that stall what was just answered. */
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/LostRecordTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/LostRecordTests.java
@@ -24,15 +24,15 @@
 
 	private static final CrashCause REQUEST = new CrashCause("d1");
 
-	private static final CrashRecord RECORD = new CrashRecord(4, 2, false, Set.of());
+	private static final CrashRecord RECORD = new CrashRecord(4, 2, false, Set.of(), "", 0);
 
 	private final ManualScheduler scheduler = new ManualScheduler();
 
-	private final StoredRecords stored = new StoredRecords(this.scheduler);
+	private final StoredRecords stored = new StoredRecords(this.scheduler, new LoneHolder());
 
 	private final CrashEvidence evidence = new CrashEvidence(this.scheduler, this.stored);
 
-	private final CrashJudge judge = new CrashJudge(this.scheduler, this.evidence, this.stored);
+	private final CrashJudge judge = new CrashJudge(this.evidence, this.stored);
 
 	private final List<Long> conditions = new ArrayList<>();
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/ReturnedTrialTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/ReturnedTrialTests.java
@@ -24,14 +24,14 @@
 
 	private final ManualScheduler scheduler = new ManualScheduler();
 
-	private final StoredRecords stored = new StoredRecords(this.scheduler);
+	private final StoredRecords stored = new StoredRecords(this.scheduler, new LoneHolder());
 
 	private final CrashEvidence evidence = new CrashEvidence(this.scheduler, this.stored);
 
 	private final List<CrashRecord> written = new ArrayList<>();
 
 	private final CrashRecords records = new CrashRecords(this.scheduler, new RecordingStore(), this.stored,
-			this.evidence, new CrashJudge(this.scheduler, this.evidence, this.stored), () -> true, DecisionLog.NONE);
+			this.evidence, new CrashJudge(this.evidence, this.stored), () -> true, DecisionLog.NONE);
 
 	/**
 	 * Guards against a store that is written to for each request while no endpoint is up.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/SimulatedDaemon.java
@@ -33,6 +33,7 @@
 import org.bramleyscale.internal.gateway.contention.ContentionMetrics;
 import org.bramleyscale.internal.gateway.contention.ContentionQueues;
 import org.bramleyscale.internal.gateway.crash.FleetCrashGuard;
+import org.bramleyscale.internal.gateway.crash.TrialHolders;
 import org.bramleyscale.internal.gateway.eligibility.EndpointRules;
 import org.bramleyscale.internal.gateway.eligibility.RequestedBackoff;
 import org.bramleyscale.internal.gateway.follow.UpdateRoutes;
@@ -65,13 +66,16 @@
  * One start of a daemon, which runs the production classes of the gateway on a simulated
  * network. Confined to the test's thread.
  */
-public final class SimulatedDaemon implements PeerNetwork, UpdateRoutes {
+public final class SimulatedDaemon implements PeerNetwork, UpdateRoutes, TrialHolders {
 
 	private static final RendezvousHash<VmId> HASH = new RendezvousHash<>(VmId::value);
 
 	/** Latency of a message between daemons. */
 	private static final Duration PEER_LATENCY = Duration.ofMillis(60);
 
+	/** Time within which a daemon's start is known to the others. */
+	private static final Duration START_LEARNT_WITHIN = Duration.ofMillis(500);
+
 	private static final Duration ADDRESSES_KEPT = Duration.ofSeconds(1);
 
 	private static final int LARGE_MILLICORES = 1_500;
@@ -117,6 +121,8 @@
 
 	private boolean killed;
 
+	private long killedAt;
+
 	SimulatedDaemon(GatewayFleet fleet, int index) {
 		this.fleet = fleet;
 		this.index = index;
@@ -129,7 +135,7 @@
 		this.paths = new PathMonitor(clock, this.connections, this.backends, new Random(index), DecisionLog.NONE);
 		this.connections.onConnection(this.paths);
 		this.crashes = new FleetCrashGuard(
-				new FleetCrashGuard.Ports(clock, this, this, this.fleet.store.during(() -> !this.killed),
+				new FleetCrashGuard.Ports(clock, this, this, this.fleet.store.during(() -> !this.killed), this,
 						DecisionLog.NONE, this.metrics),
 				new ComparingEndpointCheck(this.connections, this.paths),
 				new IndirectChecks(clock, this, this.connections, this.backends, new Random(index)),
@@ -170,6 +176,31 @@
 			.targetLatency(Duration.ofMillis(300));
 	}
 
+	@Override
+	public Incarnation self() {
+		return new Incarnation(this.vm, 1 + this.startedAt);
+	}
+
+	/**
+	 * {@inheritDoc} Daemons learn of each other's starts with some delay, and of one that
+	 * was lost before their own start never.
+	 */
+	@Override
+	public State state(Incarnation holder) {
+		long now = this.fleet.scheduler.nanos();
+		SimulatedDaemon daemon = this.fleet.daemons.stream()
+			.filter((each) -> each.vm.equals(holder.vm()))
+			.findFirst()
+			.orElseThrow();
+		boolean known = daemon == this || now - daemon.startedAt > START_LEARNT_WITHIN.toNanos();
+		if (!daemon.self().equals(holder) && known) {
+			return State.ENDED;
+		}
+		boolean lostBefore = daemon.killed && daemon.killedAt < this.startedAt;
+		return (lostBefore && now - this.startedAt > GatewayFleet.SETTLING_TIME.toNanos()) ? State.UNKNOWN
+				: State.MAY_RUN;
+	}
+
 	/**
 	 * The daemon's position in the fleet.
 	 * @param address an address that callers use
@@ -217,6 +248,7 @@
 	 */
 	void kill() {
 		this.killed = true;
+		this.killedAt = this.fleet.scheduler.nanos();
 		this.fleet.endpoints.values().forEach((endpoint) -> endpoint.running.removeIf((sent) -> sent.from == this));
 	}
 
