Let a trial run to its outcome, and end it when it can't have one

A trial was taken from an endpoint that had been silent for 1.4 s and sent elsewhere, so the answer that would have cleared the part was thrown away; its own request then waited for the trial until it was refused, and everybody else for 10 s. Likewise a trial whose caller left, whose endpoint answered with a failure, or whose broken connection was only a lost path, held all others back for 10 s.

A trial stays where it is, and is ended in its record as soon as it can have no outcome.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashGuard.java
@@ -37,6 +37,11 @@
 			// Nothing is recorded.
 		}
 
+		@Override
+		public void trialLost(CrashCauses causes) {
+			// Nothing is recorded.
+		}
+
 		@Override
 		public void trialNotMade(CrashCauses causes) {
 			// Nothing is recorded.
@@ -107,6 +112,13 @@
 	 */
 	void trialFailed(CrashCauses causes, Backend endpoint);
 
+	/**
+	 * Ends a trial that was made and can't have an outcome any more: its caller has gone,
+	 * or the endpoint has answered with a failure.
+	 * @param causes the request's causes
+	 */
+	void trialLost(CrashCauses causes);
+
 	/**
 	 * Returns a trial that was claimed and whose request reached no endpoint.
 	 * @param causes the request's causes
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/CrashRecords.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 import org.bramleyscale.internal.gateway.follow.ObjectCopy;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -198,16 +199,30 @@
 	 * @param cause the cause
 	 */
 	void endTrial(CrashCause cause) {
-		if (!known(cause).trying()) {
+		endOwnTrial(cause, (record) -> record.afterTrial(this.judge.crashes(cause)));
+	}
+
+	/**
+	 * Writes that the trial of a cause has ended without an outcome, as {@link #endTrial}
+	 * does.
+	 * @param cause the cause
+	 */
+	void loseTrial(CrashCause cause) {
+		endOwnTrial(cause, CrashRecord::afterLostTrial);
+	}
+
+	private void endOwnTrial(CrashCause cause, UnaryOperator<CrashRecord> ended) {
+		CrashRecord known = known(cause);
+		if (!known.trying() || known.holder().filter(this.records.self()::equals).isEmpty()) {
 			return;
 		}
 		if (writeBlocked(cause)) {
-			this.scheduler.schedule(PAUSE_AFTER_CONFLICT, () -> endTrial(cause));
+			this.scheduler.schedule(PAUSE_AFTER_CONFLICT, () -> endOwnTrial(cause, ended));
 			return;
 		}
-		write(cause, known(cause).afterTrial(this.judge.crashes(cause)), (written) -> {
+		write(cause, ended.apply(known), (written) -> {
 			if (!written) {
-				this.scheduler.schedule(PAUSE_AFTER_CONFLICT, () -> endTrial(cause));
+				this.scheduler.schedule(PAUSE_AFTER_CONFLICT, () -> endOwnTrial(cause, ended));
 			}
 		});
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -202,6 +202,15 @@
 		causes.all().forEach((cause) -> this.trials.lostAt(cause, endpoint.start()));
 	}
 
+	@Override
+	public void trialLost(CrashCauses causes) {
+		causes.all().forEach(this::loseTrial);
+	}
+
+	private void loseTrial(CrashCause cause) {
+		this.trials.remove(cause).ifPresent((before) -> this.records.loseTrial(cause));
+	}
+
 	@Override
 	public void trialNotMade(CrashCauses causes) {
 		causes.all().forEach(this::returnTrial);
@@ -302,6 +311,7 @@
 
 	@Override
 	public void foundAlive(EndpointStart endpoint) {
+		this.trials.lostAt(endpoint).forEach(this::loseTrial);
 		if (this.evidence.retractCrashes(endpoint)) {
 			this.log.belief("endpoint", endpoint, "ended", false);
 			this.exchange.retractCrashes(endpoint);
@@ -341,6 +351,7 @@
 	 * @param network the connections to peers
 	 * @param routes the peers that updates are sent to
 	 * @param store the platform's store
+	 * @param holders knows which daemons may still make trials
 	 * @param log the decision log
 	 * @param metrics the metric registry
 	 */
@@ -349,4 +360,3 @@
 	}
 
 }
-	 * @param holders knows which daemons may still make trials
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/HeldTrials.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/HeldTrials.java
@@ -1,6 +1,7 @@
 package org.bramleyscale.internal.gateway.crash;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -54,6 +55,16 @@
 		return held != null && held.endpoint.filter(endpoint::equals).isPresent();
 	}
 
+	/**
+	 * Returns the causes of the trials that ran at an endpoint until their connections
+	 * were lost.
+	 * @param endpoint the endpoint
+	 * @return a copy
+	 */
+	List<CrashCause> lostAt(EndpointStart endpoint) {
+		return this.trials.keySet().stream().filter((cause) -> ranAt(cause, endpoint)).toList();
+	}
+
 	/**
 	 * Ends a trial.
 	 * @param cause the cause
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/RelayedRequest.java
@@ -354,7 +354,7 @@
 			giveUp(BAD_GATEWAY, PATH_LOST, Duration.ZERO);
 			return;
 		}
-		if (!this.retryState.acquireRerun(1, urgency())) {
+		if (this.gate.trialRuns() || !this.retryState.acquireRerun(1, urgency())) {
 			return;
 		}
 		this.retryState.recordPossibleRun();
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -114,16 +114,26 @@
 		this.recheck = null;
 	}
 
+	/**
+	 * Whether a trial is under way whose outcome others wait for.
+	 * @return true if the request isn't to be taken from an endpoint that is silent
+	 */
+	boolean trialRuns() {
+		return this.lastSendWasTrial;
+	}
+
 	/**
 	 * Records that the last sending reached no endpoint, so that its trial remains
 	 * available.
 	 */
 	void notDelivered() {
 		this.trialGranted = this.lastSendWasTrial;
+		this.lastSendWasTrial = false;
 	}
 
 	void endpointFailed(Backend endpoint) {
 		if (this.lastSendWasTrial) {
+			this.lastSendWasTrial = false;
 			this.crashes.trialFailed(this.causes, endpoint);
 		}
 		this.crashes.connectionLost(this.causes, endpoint);
@@ -146,8 +156,10 @@
 	void responded(Attempt from, BackendHead head) {
 		if (!head.success()) {
 			this.crashes.survived(this.causes);
+			return;
 		}
-		else if (from.endedByFraming()) {
+		this.lastSendWasTrial = false;
+		if (from.endedByFraming()) {
 			this.crashes.completed(this.causes);
 		}
 		else {
@@ -162,6 +174,10 @@
 	void close() {
 		this.closed = true;
 		returnTrialIfClosed();
+		if (this.lastSendWasTrial) {
+			this.lastSendWasTrial = false;
+			this.crashes.trialLost(this.causes);
+		}
 		if (this.recheck != null) {
 			this.recheck.cancel();
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/fleet/GatewayFleet.java
@@ -201,6 +201,17 @@
 		return call(this.random.nextInt(this.daemons.size()), REPEATABLE, text, List.of(parts));
 	}
 
+	/**
+	 * Sends a request with a prompt to a daemon.
+	 * @param daemon the daemon's index
+	 * @param text the request's body
+	 * @param parts the shared parts of its prompt
+	 * @return the caller, which records the answer
+	 */
+	public SimulatedCaller callWithParts(int daemon, String text, List<String> parts) {
+		return call(daemon, REPEATABLE, text, parts);
+	}
+
 	private SimulatedCaller call(int daemon, String path, String text, List<String> parts) {
 		SimulatedCaller caller = new SimulatedCaller();
 		CallerRequest request = new CallerRequest("r" + ++this.requests, "POST", path + "1", "hire.example", List.of(),
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RecordingCrashGuard.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/RecordingCrashGuard.java
@@ -55,6 +55,11 @@
 		// Its outcome isn't of interest.
 	}
 
+	@Override
+	public void trialLost(CrashCauses causes) {
+		// These tests have no trials without an outcome.
+	}
+
 	@Override
 	public void trialNotMade(CrashCauses causes) {
 		// Only claims are counted.
