Refuse status lines that HTTP/1 doesn't define

Callers got statuses such as 000, 042 and 999 as they were, signed by the endpoint, and responses of HTTP/0.9, 1.2, 2.0 and 9.9 as 200. The check of heads let any three digits and any version pass, since it was made to find a second status line, not a wrong one; a status below 100 then counted as a final response that is no failure either.

A head is one of a response only if its version is 1.0 or 1.1 and its status 100 to 599. A higher minor version might be read as 1.1 (RFC 9110 2.5), but the endpoints and the store speak 1.1, so here it is a sign of damage, and a caller's library may refuse it. The check stands where responses of endpoints, of the store and of control calls are decoded.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseHeadCheck.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseHeadCheck.java
@@ -1,6 +1,8 @@
 package org.bramleyscale.internal.gateway.http;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ByteProcessor;
@@ -18,6 +20,8 @@
 
 	private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
+	private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
+
 	private static final String NO_STATUS_LINE = "no status line at its beginning";
 
 	private static final int DELETE = 0x7f;
@@ -48,9 +52,23 @@
 		ResponseHeadCheck check = new ResponseHeadCheck();
 		bytes.forEachByte(start, length, check);
 		check.require(length > StatusLineFinder.length(), NO_STATUS_LINE);
+		if (check.fault == null) {
+			check.requireStatusLine(bytes.toString(start, StatusLineFinder.length(), StandardCharsets.US_ASCII));
+		}
 		return Optional.ofNullable(check.fault);
 	}
 
+	/**
+	 * Requires that a status line means the same to each recipient: a caller's library
+	 * may refuse other versions and statuses, or take them for success.
+	 * @param line the version and the status
+	 */
+	private void requireStatusLine(String line) {
+		require(VERSIONS.contains(line.substring(0, line.indexOf(' '))), "a version other than HTTP/1.0 and HTTP/1.1");
+		char statusClass = line.charAt(line.indexOf(' ') + 1);
+		require(statusClass >= '1' && statusClass <= '5', "a status outside 100 to 599");
+	}
+
 	@Override
 	public boolean process(byte value) {
 		this.position++;
