Take no response without a length for whole before its request was read

A runner that answers a long upload at once, without a length, sends a part of its body, ends its output and resets the connection 50 ms later was taken for one whose response is whole: the end of the input arrives first, and the reset on a connection that has been closed on this side already. With Java's own transport a reset alone had the same effect: the failed write takes the socket's error with it, and the next read says end of input. Callers got the part as a complete success, signed.

A success without a length to a request of more than 16 KB ends only if the request was written, if no reset follows within 200 ms, and if the connection can still be shut down, which the system's own transport tells. Without it nothing tells a torn response from a whole one, so such a response counts as broken off. Failures are relayed as before.

The product's own interface refuses statuses outside 100 to 599, too.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendCall.java
@@ -125,6 +125,14 @@
 		return this.request.original().id();
 	}
 
+	/**
+	 * The length of the request's body.
+	 * @return the number of bytes
+	 */
+	int length() {
+		return this.request.original().body().length;
+	}
+
 	boolean headOnly() {
 		return HttpMethod.HEAD.name().equals(this.request.original().method());
 	}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
@@ -31,15 +32,24 @@
  * no id or failed and nothing else was ever read. A response to another request is
  * dropped and the right one is awaited, unless the other one doesn't end. A response
  * without a length ends with its connection, and only if it was the endpoint that closed
- * it in an orderly way; a reset, and closing the connection on this side, break the
- * response off. What nobody needs (interim responses, responses to other requests, the
- * rest of one that was skipped) is read only up to a bound, since it may have no end.
- * Confined to the loop's thread.
+ * it in an orderly way, after it had taken the request; a reset, and closing the
+ * connection on this side, break the response off. What nobody needs (interim responses,
+ * responses to other requests, the rest of one that was skipped) is read only up to a
+ * bound, since it may have no end. Confined to the loop's thread.
  */
 final class BackendChannel extends SimpleChannelInboundHandler<HttpObject> {
 
 	private static final Logger logger = Logger.getLogger(BackendChannel.class);
 
+	/** A longer request may be answered before it has been read. */
+	private static final int LONG_REQUEST_BYTES = 16 * 1024;
+
+	/**
+	 * Time within which an endpoint that closes without having read a request resets the
+	 * connection.
+	 */
+	private static final Duration RESET_WAIT = Duration.ofMillis(200);
+
 	/** How long the rest of a response may take to arrive that nobody needs. */
 	private static final Duration MAX_SKIP_TIME = Duration.ofSeconds(1);
 
@@ -61,6 +71,12 @@
 
 	private boolean delimited;
 
+	private boolean success;
+
+	private boolean requestWritten;
+
+	private boolean awaitsReset;
+
 	private boolean interim;
 
 	private boolean otherResponses;
@@ -112,9 +128,11 @@
 		this.call = call;
 		this.unneeded = new UnneededBytes();
 		this.partOfHeadBounded = false;
+		this.requestWritten = false;
 		call.assignChannel(this, this.requests++);
 		this.decoder.requestSent(call.id(), call.headOnly());
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
+			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
 				failCall("write: " + future.cause().getMessage());
 				this.channel.close();
@@ -188,7 +206,7 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof ChannelInputShutdownEvent) {
+		if (event instanceof ChannelInputShutdownEvent && !this.awaitsReset) {
 			close();
 		}
 	}
@@ -256,6 +274,7 @@
 		}
 		this.inResponse = true;
 		this.delimited = ResponseFraming.isDelimited(head, this.call.headOnly());
+		this.success = head.status().codeClass() == HttpStatusClass.SUCCESS;
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(head);
 		this.call.reached(stage);
 		this.call.head(head);
@@ -295,10 +314,51 @@
 			content.content().readBytes(data);
 			this.call.data(data);
 		}
-		if (content instanceof LastHttpContent end && this.call != null
-				&& (this.delimited || this.input.closedByPeer())) {
+		if (!(content instanceof LastHttpContent end) || this.call == null) {
+			return;
+		}
+		if (this.delimited
+				|| (this.input.closedByPeer() && (!this.success || this.call.length() <= LONG_REQUEST_BYTES))) {
 			endResponse(end);
 		}
+		else if (this.input.closedByPeer()) {
+			endIfRequestWasTaken(end);
+		}
+	}
+
+	/**
+	 * Ends a success without a length whose request may not have been read. An endpoint
+	 * that ends it by closing the connection on unread bytes resets the connection, which
+	 * may arrive after the end of the input. Only the system's own transport tells that;
+	 * without it, such a response is never whole.
+	 * @param end the end of the response
+	 */
+	private void endIfRequestWasTaken(LastHttpContent end) {
+		if (!this.requestWritten || !(this.channel instanceof EpollSocketChannel socket)) {
+			fail("the end of a response without a length before its request was surely read");
+			return;
+		}
+		BackendCall awaiting = this.call;
+		this.awaitsReset = true;
+		this.owner.schedule(RESET_WAIT, () -> {
+			if (this.call == awaiting) {
+				// Fails on a connection that was reset, whether or not that was noticed.
+				socket.shutdownOutput().addListener((future) -> endAfterShutdown(awaiting, end, future.isSuccess()));
+			}
+		});
+	}
+
+	private void endAfterShutdown(BackendCall awaiting, LastHttpContent end, boolean intact) {
+		this.awaitsReset = false;
+		if (this.call != awaiting) {
+			return;
+		}
+		if (intact) {
+			endResponse(end);
+		}
+		else {
+			fail("a reset after the end of a response without a length");
+		}
 	}
 
 	private void endResponse(LastHttpContent end) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/NettyLoop.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/NettyLoop.java
@@ -33,6 +33,16 @@
 		this(group(name));
 	}
 
+	/**
+	 * Creates a loop that doesn't use the system's own transport, as on systems for which
+	 * there is none.
+	 * @param name the name of its thread
+	 * @return the loop
+	 */
+	static NettyLoop portable(String name) {
+		return new NettyLoop(new NioEventLoopGroup(1, new DefaultThreadFactory(name, true)));
+	}
+
 	private NettyLoop(EventLoopGroup group) {
 		super(group.next());
 		this.group = group;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/http/WholeReply.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/http/WholeReply.java
@@ -25,6 +25,10 @@
 
 	private static final int LARGEST_BYTES = 32 << 20;
 
+	private static final int FIRST_STATUS = 100;
+
+	private static final int LAST_STATUS = 599;
+
 	private static final int NO_CONTENT = 204;
 
 	/**
@@ -47,6 +51,9 @@
 	 * @return the reply, or an {@link IOException} if it was broken off or is too large
 	 */
 	static Promise<WholeReply> withAnyEnd(StreamedResponse response) {
+		if (response.getStatusCode() < FIRST_STATUS || response.getStatusCode() > LAST_STATUS) {
+			return Promise.error(new IOException("a reply with status " + response.getStatusCode()));
+		}
 		return response.getBody()
 			.reduce(new ByteArrayOutputStream(), WholeReply::append)
 			.map((body) -> new WholeReply(response.getStatusCode(), response.getHeaders(), body.toByteArray()));
