Hold no request for good after an error in a starting daemon

Shown by tests only: an error (no exception) while a held request was passed on, or any failure of the question whether the daemon is ready, ended the polls of StartupQueue. What was held stayed held, and so did every later request: a daemon that says it is ready and answers nobody. Errors in scheduled tasks were in no log either, so nothing would have told why. The class is a state that is left only if nothing fails on the way out.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/StartupQueue.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/StartupQueue.java
@@ -81,7 +81,7 @@
 
 	private boolean checkOpen() {
 		boolean expired = this.scheduler.nanos() - this.startedAt >= MAX_HOLD.toNanos();
-		this.open = this.open || expired || this.ready.getAsBoolean();
+		this.open = this.open || expired || isReady();
 		return this.open && this.held.isEmpty();
 	}
 
@@ -92,15 +92,29 @@
 			return;
 		}
 		while (!this.held.isEmpty()) {
-			HeldRequest next = this.held.remove();
-			try {
-				next.pass();
-			}
-			catch (RuntimeException ex) {
-				// The others would stay held for good.
-				logger.errorf(ex, "A held request failed");
-				next.reply.abort();
-			}
+			passNext();
+		}
+	}
+
+	private void passNext() {
+		HeldRequest next = this.held.remove();
+		try {
+			next.pass();
+		}
+		catch (RuntimeException | Error ex) {
+			// The others would stay held for good.
+			logger.errorf(ex, "A held request failed");
+			next.reply.abort();
+		}
+	}
+
+	private boolean isReady() {
+		try {
+			return this.ready.getAsBoolean();
+		}
+		catch (RuntimeException | Error ex) {
+			logger.errorf(ex, "It can't be told whether this daemon is ready");
+			return false;
 		}
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/time/ExecutorScheduler.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/time/ExecutorScheduler.java
@@ -12,9 +12,9 @@
  * A scheduler based on a single-threaded executor and the system clocks.
  *
  * <p>
- * Invariant: an exception in one task is logged and never terminates the thread; a daemon
- * whose thread has terminated would keep its connections open without answering any
- * request. Safe for use by multiple threads.
+ * Invariant: an exception or error in one task is logged and never terminates the thread;
+ * a daemon whose thread has terminated would keep its connections open without answering
+ * any request. Safe for use by multiple threads.
  */
 public abstract class ExecutorScheduler implements Scheduler, AutoCloseable {
 
@@ -64,7 +64,7 @@
 			try {
 				task.run();
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				logger.error("Task of the event loop failed", ex);
 			}
 		};
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/StartupQueueTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests of {@link StartupQueue}.
@@ -18,6 +19,8 @@
 
 	private static final String FAILS = "fails";
 
+	private static final String OVERFLOWS = "overflows";
+
 	private final ManualScheduler scheduler = new ManualScheduler();
 
 	private final List<String> handled = new ArrayList<>();
@@ -28,7 +31,9 @@
 
 	private boolean ready;
 
-	private final StartupQueue queue = new StartupQueue(this.scheduler, () -> this.ready, this::handle);
+	private boolean readinessFails;
+
+	private final StartupQueue queue = new StartupQueue(this.scheduler, this::isReady, this::handle);
 
 	@ParameterizedTest
 	@CsvSource({ "20, 100, 110", "20, 495, 500", "400, 450, 460", "20, 10000, 500" })
@@ -90,6 +95,29 @@
 		Truth.assertThat(this.handled).containsExactly("second");
 	}
 
+	/** Guards against a daemon that holds each request for good after one error. */
+	@ParameterizedTest
+	@ValueSource(strings = { OVERFLOWS, "readiness" })
+	void anErrorDoesNotKeepOtherRequestsHeld(String failing) {
+		RecordingCaller caller = new RecordingCaller();
+		this.queue.handle(request(failing), caller);
+		this.queue.handle(request("second"), null);
+		this.readinessFails = failing.equals("readiness");
+		this.ready = true;
+		this.scheduler.advance(Duration.ofMillis(20));
+		this.scheduler.advance(StartupQueue.MAX_HOLD);
+		this.queue.handle(request("later"), null);
+		this.scheduler.advance(Duration.ofMillis(20));
+		Truth.assertThat(this.handled).containsAtLeast("second", "later").inOrder();
+	}
+
+	private boolean isReady() {
+		if (this.readinessFails) {
+			throw new IllegalStateException("the test wants it");
+		}
+		return this.ready;
+	}
+
 	private static CallerRequest request(String id) {
 		return new CallerRequest(id, "POST", "/quotes/1", "hire.example", List.of(), new byte[0], Optional.empty(),
 				Optional.of(Duration.ofSeconds(1)), 0, 0, Optional.empty(), List.of());
@@ -99,6 +127,9 @@
 		if (request.id().equals(FAILS)) {
 			throw new IllegalStateException("the test wants it");
 		}
+		if (request.id().equals(OVERFLOWS)) {
+			throw new StackOverflowError("the test wants it");
+		}
 		this.handled.add(request.id());
 		request.timeLeft().ifPresent(this.left::add);
 		return new RecordingRequest(request.id());
