Log what a starting daemon waits for, and end no process over its addresses

A daemon that isn't ready looked the same whether it lacked the configuration, the endpoints or the evacuations, so the hypotheses of the incident couldn't have been told apart by its log. Each change is a line now (waiting, for, uptime_ms), also after the start, and the dump has waitsFor.

If the addresses for callers couldn't be determined, the process ended, and would have done so at each start. It logs that and opens its port after the longest discovery time.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FirstAddresses.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/FirstAddresses.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 
 import org.bramleyscale.internal.time.Scheduler;
+import org.jboss.logging.Logger;
 
 /**
  * Waits until a daemon that has just started has an address to return to callers.
@@ -29,6 +30,8 @@
 	 */
 	private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
+	private static final Logger logger = Logger.getLogger(FirstAddresses.class);
+
 	private final Scheduler scheduler;
 
 	private final Supplier<List<String>> addresses;
@@ -42,17 +45,23 @@
 	 * Waits until the daemon has an address to return, or until it would return one
 	 * whatever daemons it has discovered.
 	 * @throws InterruptedException if the thread is interrupted
-	 * @throws ExecutionException if the addresses can't be determined
 	 */
-	public void await() throws InterruptedException, ExecutionException {
+	public void await() throws InterruptedException {
 		long end = this.scheduler.nanos() + EntryList.LARGEST_DISCOVERY_TIME.toNanos();
 		while (!available() && this.scheduler.nanos() - end < 0) {
 			TimeUnit.NANOSECONDS.sleep(POLL_INTERVAL.toNanos());
 		}
 	}
 
-	private boolean available() throws InterruptedException, ExecutionException {
-		return CompletableFuture.supplyAsync(() -> !this.addresses.get().isEmpty(), this.scheduler::execute).get();
+	private boolean available() throws InterruptedException {
+		try {
+			return CompletableFuture.supplyAsync(() -> !this.addresses.get().isEmpty(), this.scheduler::execute).get();
+		}
+		catch (ExecutionException ex) {
+			// Ending the process would only repeat this at its next start.
+			logger.errorf(ex.getCause(), "The addresses for callers can't be determined");
+			return false;
+		}
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -139,6 +139,8 @@
 
 	private final Registration registration;
 
+	private final StartConditions conditions;
+
 	private GatewayNode(GatewaySettings settings, Dependencies dependencies, RegisteredDaemons daemons,
 			Registration registration, Runnable onStopped) {
 		this.settings = settings;
@@ -202,6 +204,9 @@
 		this.evacuated = settings.features().evacuationLimit().map((limit) -> evacuatedDataCentres(limit, daemons));
 		Map<String, ObjectCopies> kinds = new HashMap<>(Map.of(dependencies.documents().catalogKind(), catalogCopies,
 				dependencies.documents().backendKind(), backendCopies, FleetCrashGuard.KIND, crashCopies));
+		this.conditions = new StartConditions(loop, log).add("configuration", () -> this.catalogs.current().isPresent())
+			.add("endpoints", () -> !this.backends.all().isEmpty())
+			.add("evacuations", () -> this.evacuated.map(EvacuatedDataCentres::known).orElse(true));
 		this.evacuated
 			.ifPresent((evacuations) -> kinds.put(dependencies.documents().evacuationKind(), evacuations.copies()));
 		this.copies = new PeerCopies(this.self, loop, this.network, kinds, this.directory, log);
@@ -294,8 +299,7 @@
 	}
 
 	private boolean configured() {
-		return this.catalogs.current().isPresent() && !this.backends.all().isEmpty()
-				&& this.evacuated.map(EvacuatedDataCentres::known).orElse(true);
+		return this.conditions.allMet();
 	}
 
 	private boolean isEvacuated(Backend endpoint) {
@@ -340,6 +344,7 @@
 		Map<String, Object> state = new LinkedHashMap<>();
 		state.put("daemon", this.self.toString());
 		state.put("ready", ready());
+		state.put("waitsFor", this.conditions.unmet());
 		state.put("leaving", this.leave.begun());
 		state.put("catalog", this.catalogs.current().map(Catalog::version).orElse(0L));
 		state.put("routes", this.catalogs.current().map(Catalog::routeCount).orElse(0));
@@ -379,6 +384,7 @@
 			this.crashes.expire();
 			this.cold.expire();
 			this.entries.observe();
+			this.conditions.observe();
 		});
 		this.registration.register();
 	}
