--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/BackendChannel.java
@@ -6,7 +6,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
@@ -41,15 +40,6 @@
 
 	private static final Logger logger = Logger.getLogger(BackendChannel.class);
 
-	/** A longer request may be answered before it has been read. */
-	private static final int LONG_REQUEST_BYTES = 16 * 1024;
-
-	/**
-	 * Time within which an endpoint that closes without having read a request resets the
-	 * connection.
-	 */
-	private static final Duration RESET_WAIT = Duration.ofMillis(200);
-
 	/** How long the rest of a response may take to arrive that nobody needs. */
 	private static final Duration MAX_SKIP_TIME = Duration.ofSeconds(1);
 
@@ -73,16 +63,14 @@
 
 	private boolean success;
 
-	private boolean requestWritten;
-
-	private boolean awaitsReset;
-
 	private boolean interim;
 
 	private boolean otherResponses;
 
 	private boolean partOfHeadBounded;
 
+	private final UnreadRequestCheck unreadRequest;
+
 	private SkippedResponse other;
 
 	private UnneededBytes unneeded = new UnneededBytes();
@@ -114,6 +102,7 @@
 		this.owner = owner;
 		this.endpoint = endpoint;
 		this.channel = channel;
+		this.unreadRequest = new UnreadRequestCheck(channel, owner);
 	}
 
 	void send(BackendCall call) {
@@ -128,11 +117,11 @@
 		this.call = call;
 		this.unneeded = new UnneededBytes();
 		this.partOfHeadBounded = false;
-		this.requestWritten = false;
+		this.unreadRequest.written(false);
 		call.assignChannel(this, this.requests++);
 		this.decoder.requestSent(call.id(), call.headOnly());
 		this.channel.writeAndFlush(call.toHttpRequest()).addListener((future) -> {
-			this.requestWritten = future.isSuccess();
+			this.unreadRequest.written(future.isSuccess());
 			if (!future.isSuccess()) {
 				failCall("write: " + future.cause().getMessage());
 				this.channel.close();
@@ -206,7 +195,7 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof ChannelInputShutdownEvent && !this.awaitsReset) {
+		if (event instanceof ChannelInputShutdownEvent && !this.unreadRequest.inProgress()) {
 			close();
 		}
 	}
@@ -317,48 +306,19 @@
 		if (!(content instanceof LastHttpContent end) || this.call == null) {
 			return;
 		}
-		if (this.delimited
-				|| (this.input.closedByPeer() && (!this.success || this.call.length() <= LONG_REQUEST_BYTES))) {
+		if (this.delimited || (this.input.closedByPeer() && !this.success)) {
 			endResponse(end);
 		}
 		else if (this.input.closedByPeer()) {
-			endIfRequestWasTaken(end);
-		}
-	}
-
-	/**
-	 * Ends a success without a length whose request may not have been read. An endpoint
-	 * that ends it by closing the connection on unread bytes resets the connection, which
-	 * may arrive after the end of the input. Only the system's own transport tells that;
-	 * without it, such a response is never whole.
-	 * @param end the end of the response
-	 */
-	private void endIfRequestWasTaken(LastHttpContent end) {
-		if (!this.requestWritten || !(this.channel instanceof EpollSocketChannel socket)) {
-			fail("the end of a response without a length before its request was surely read");
-			return;
+			BackendCall ending = this.call;
+			this.unreadRequest.start(ending.length(), () -> endIfPending(ending, end), this::fail);
 		}
-		BackendCall awaiting = this.call;
-		this.awaitsReset = true;
-		this.owner.schedule(RESET_WAIT, () -> {
-			if (this.call == awaiting) {
-				// Fails on a connection that was reset, whether or not that was noticed.
-				socket.shutdownOutput().addListener((future) -> endAfterShutdown(awaiting, end, future.isSuccess()));
-			}
-		});
 	}
 
-	private void endAfterShutdown(BackendCall awaiting, LastHttpContent end, boolean intact) {
-		this.awaitsReset = false;
-		if (this.call != awaiting) {
-			return;
-		}
-		if (intact) {
+	private void endIfPending(BackendCall ending, LastHttpContent end) {
+		if (this.call == ending) {
 			endResponse(end);
 		}
-		else {
-			fail("a reset after the end of a response without a length");
-		}
 	}
 
 	private void endResponse(LastHttpContent end) {
