Take no later start of a daemon for a sign that its trial is over

Found by reading the change again: a daemon that has started anew and made a trial, while a peer's membership still knew its earlier start, counted as ended there, and its trial as one that doesn't count. Only a later start than the one that made the trial shows its end now. In a large fleet, whose daemons don't know each other all, one that nobody has heard of isn't taken for gone.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/GatewayNode.java
@@ -186,7 +186,8 @@
 		this.reachability.register(dependencies.metrics());
 		this.crashes = new FleetCrashGuard(
 				new FleetCrashGuard.Ports(loop, this.network, this.directory, dependencies.store(),
-						new MemberTrialHolders(loop, this.membership, this.self), log, dependencies.metrics()),
+						new MemberTrialHolders(loop, this.membership, this.self, this.directory::flat), log,
+						dependencies.metrics()),
 				new ComparingEndpointCheck(connections, paths),
 				new IndirectChecks(loop, this.network, connections, this.backends, this.random),
 				this.backends::acceptsRequests, () -> this.directory.storeRank() == 0);
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/MemberTrialHolders.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/MemberTrialHolders.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.bramleyscale.Incarnation;
 import org.bramleyscale.internal.gateway.crash.TrialHolders;
@@ -10,8 +11,12 @@
 import org.bramleyscale.internal.time.Clock;
 
 /**
- * Tells by membership which daemons may still make trials. Confined to the scheduler's
- * thread.
+ * Tells by membership which daemons may still make trials.
+ *
+ * <p>
+ * Invariants: a start that is later than the one that membership knows may run; in a
+ * large fleet, whose daemons don't know each other all, so may one that nobody has heard
+ * of. Confined to the scheduler's thread.
  */
 final class MemberTrialHolders implements TrialHolders {
 
@@ -24,12 +29,22 @@
 
 	private final Incarnation self;
 
+	private final BooleanSupplier knowsAll;
+
 	private final long startedAt;
 
-	MemberTrialHolders(Clock clock, MembershipView membership, Incarnation self) {
+	/**
+	 * Creates the view of a daemon that has just started.
+	 * @param clock the daemon's clock
+	 * @param membership the daemons that it knows
+	 * @param self its start
+	 * @param knowsAll whether the fleet is so small that it gets to know all daemons
+	 */
+	MemberTrialHolders(Clock clock, MembershipView membership, Incarnation self, BooleanSupplier knowsAll) {
 		this.clock = clock;
 		this.membership = membership;
 		this.self = self;
+		this.knowsAll = knowsAll;
 		this.startedAt = clock.nanos();
 	}
 
@@ -46,10 +61,11 @@
 		Optional<Member> member = this.membership.member(holder.vm());
 		if (member.isEmpty()) {
 			boolean discovered = this.clock.nanos() - this.startedAt >= DISCOVERY_TIME.toNanos();
-			return discovered ? State.UNKNOWN : State.MAY_RUN;
+			return (discovered && this.knowsAll.getAsBoolean()) ? State.UNKNOWN : State.MAY_RUN;
 		}
-		boolean laterStart = !member.get().incarnation().equals(holder);
-		return (laterStart || member.get().state() == Member.State.DEAD) ? State.ENDED : State.MAY_RUN;
+		long known = member.get().incarnation().start();
+		boolean dead = known == holder.start() && member.get().state() == Member.State.DEAD;
+		return (known > holder.start() || dead) ? State.ENDED : State.MAY_RUN;
 	}
 
 }
