End a trial at once if its endpoint answers with a failure

A request whose trial was answered with an error waited, if it was sent again, for its own trial, until it was refused; the trial ended only with the request. One case of SendGateTests failed before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/SendGate.java
@@ -156,6 +156,7 @@
 	void responded(Attempt from, BackendHead head) {
 		if (!head.success()) {
 			this.crashes.survived(this.causes);
+			loseTrial();
 			return;
 		}
 		this.lastSendWasTrial = false;
@@ -174,13 +175,17 @@
 	void close() {
 		this.closed = true;
 		returnTrialIfClosed();
+		loseTrial();
+		if (this.recheck != null) {
+			this.recheck.cancel();
+		}
+	}
+
+	private void loseTrial() {
 		if (this.lastSendWasTrial) {
 			this.lastSendWasTrial = false;
 			this.crashes.trialLost(this.causes);
 		}
-		if (this.recheck != null) {
-			this.recheck.cancel();
-		}
 	}
 
 	private void returnTrialIfClosed() {
