--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/FleetCrashGuard.java
@@ -149,7 +149,7 @@
 
 	private boolean mayTry(CrashCauses causes) {
 		List<CrashCause> suspects = this.judge.withVerdict(causes, Verdict.TRIAL);
-		return suspects.stream().noneMatch(this.records::writeBlocked) && !this.recentRequests.simplerThan(causes,
+		return suspects.stream().noneMatch(this.records::writeBlocked) && !this.recentRequests.givesWay(causes,
 				suspects, (other) -> this.judge.withVerdict(other, Verdict.TRIAL));
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/RecentRequests.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/crash/RecentRequests.java
@@ -22,7 +22,7 @@
 	/** How long a request counts as one whose like may come again. */
 	static final Duration RETENTION = Duration.ofSeconds(5);
 
-	/** How long a request with several suspects waits for the first with fewer. */
+	/** How long a request with several suspects waits for another to come. */
 	static final Duration FIRST_WAIT = Duration.ofMillis(500);
 
 	private static final int MAX_REQUESTS = 64;
@@ -60,9 +60,10 @@
 	 * @param causes the request's causes
 	 * @param suspects those of its causes that would be tried
 	 * @param suspectsOf the causes of another request that would be tried
-	 * @return false if no request that shares a suspect has fewer of them
+	 * @return true if a request that shares a suspect and has fewer of them has come
+	 * lately, or if this one has only just come
 	 */
-	boolean simplerThan(CrashCauses causes, List<CrashCause> suspects,
+	boolean givesWay(CrashCauses causes, List<CrashCause> suspects,
 			Function<CrashCauses, List<CrashCause>> suspectsOf) {
 		if (suspects.size() < 2) {
 			return false;
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/RecentRequestsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/crash/RecentRequestsTests.java
@@ -27,7 +27,7 @@
 		this.requests.judged(causes("other", others));
 		this.requests.judged(request);
 		this.scheduler.advance(Duration.ofMillis(laterMillis));
-		Truth.assertThat(this.requests.simplerThan(request, request.parts(), CrashCauses::parts)).isEqualTo(expected);
+		Truth.assertThat(this.requests.givesWay(request, request.parts(), CrashCauses::parts)).isEqualTo(expected);
 	}
 
 	private static CrashCauses causes(String id, String parts) {
