--- a/standins/src/test/java/org/bramleyscale/standins/response/OwnResponseTests.java
+++ b/standins/src/test/java/org/bramleyscale/standins/response/OwnResponseTests.java
@@ -86,6 +86,24 @@
 		}
 	}
 
+	static Stream<Arguments> oddStatuses() {
+		return Exchange.all()
+			.stream()
+			.filter((exchange) -> !exchange.name().contains("stream"))
+			.flatMap((exchange) -> Stream.of("000", "099", "600", "999")
+				.map((status) -> Arguments.of(exchange, status)));
+	}
+
+	/** Guards against a status that is none and passes for an answer. */
+	@ParameterizedTest(name = "{0}, {1}")
+	@MethodSource("oddStatuses")
+	void aWholeReplyWithAStatusThatIsNoneIsAFailure(Exchange exchange, String status) throws Exception {
+		String odd = exchange.next().replaceFirst("HTTP/1.1 ...", "HTTP/1.1 " + status);
+		try (RepeatingServer server = new RepeatingServer(odd, "", Moment.WITH_THE_FIRST, odd)) {
+			Truth.assertThat(exchange.send(this.clients, server.port(), 2)).isEqualTo(Clients.FAILED);
+		}
+	}
+
 	private String next(Exchange exchange, String copy, Moment moment) throws Exception {
 		try (RepeatingServer server = new RepeatingServer(exchange.first(), copy, moment, exchange.next())) {
 			Truth.assertThat(exchange.send(this.clients, server.port(), 1)).isEqualTo(exchange.firstTold());
