--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
@@ -161,14 +161,19 @@
 	}
 
 	/**
-	 * Applies a complete list of the objects.
+	 * Applies a list of the objects. Copies that it lacks have been deleted, unless it
+	 * has a gap.
 	 * @param list the list; ignored if it is older than the copies
 	 */
 	public void applyList(WatchBatch list) {
 		if (list.revision() < this.complete) {
 			return;
 		}
-		applyAll(list.revision(), list.changed().stream().map(ObjectCopies::copy).toList());
+		List<ObjectCopy> objects = new ArrayList<>(list.changed().stream().map(ObjectCopies::copy).toList());
+		if (list.gap() && !StoreRevision.isOfEarlierEra(this.complete, list.revision())) {
+			this.copies.values().forEach(objects::add);
+		}
+		applyAll(list.revision(), objects);
 	}
 
 	private void applyAll(long revision, List<ObjectCopy> objects) {
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreCall.java
@@ -68,7 +68,8 @@
 	 */
 	boolean knewMoreThan(WatchBatch batch) {
 		boolean sameEra = StoreRevision.era(batch.revision()) == StoreRevision.era(this.known);
-		return sameEra && !batch.gap() && batch.revision() < this.known;
+		boolean hasToList = batch.gap() && this.after != NO_WATCH;
+		return sameEra && !hasToList && batch.revision() < this.known;
 	}
 
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -345,7 +345,7 @@
 	 */
 	private static WatchBatch upToNewestObject(WatchBatch cached) {
 		long newest = cached.changed().stream().mapToLong(StoredObject::version).max().orElse(0);
-		return new WatchBatch(Math.min(newest, cached.revision()), false, cached.changed());
+		return new WatchBatch(Math.min(newest, cached.revision()), cached.gap(), cached.changed());
 	}
 
 	private void watch(Duration wait) {
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/ObjectCopiesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/ObjectCopiesTests.java
@@ -41,6 +41,17 @@
 		Truth.assertThat(names(this.ours)).containsExactly("y");
 	}
 
+	/** Guards against entries that count as removed since a list couldn't go on. */
+	@Test
+	void copiesThatAListWithAGapLacksRemain() {
+		this.ours.applyList(list(60, "x", "y"));
+		this.ours.applyList(new WatchBatch(80, true, List.of(FakeStore.object("y", 70), FakeStore.object("z", 75))));
+		Truth.assertThat(names(this.ours)).containsExactly("x", "y", "z");
+		Truth.assertThat(this.ours.complete()).isEqualTo(80);
+		this.ours.applyList(list(90, "y"));
+		Truth.assertThat(names(this.ours)).containsExactly("y");
+	}
+
 	/** Guards against a removed entry that comes back from a peer's older copies. */
 	@ParameterizedTest
 	@EnumSource(Sent.class)
