--- a/bramleyscale/src/main/java/org/bramleyscale/internal/platform/PlatformCodec.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/PlatformCodec.java
@@ -1,25 +1,32 @@
 package org.bramleyscale.internal.platform;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.bramleyscale.DataCentre;
 import org.bramleyscale.VmId;
+import org.jboss.logging.Logger;
 
 /**
  * Encodes and decodes the platform's lists as JSON.
  *
  * <p>
  * Values are base64-encoded. Unknown fields are ignored, so that the platform can add
- * fields. Stateless and safe for use by multiple threads.
+ * fields. Invariant: an entry that can't be read costs that entry alone. Stateless and
+ * safe for use by multiple threads.
  */
 public final class PlatformCodec {
 
-	private static final TypeReference<List<VmDocument>> VM_LIST = new TypeReference<>() {
+	private static final Logger logger = Logger.getLogger(PlatformCodec.class);
+
+	private static final TypeReference<List<JsonNode>> ENTRIES = new TypeReference<>() {
 	};
 
 	private static final ObjectMapper mapper = new ObjectMapper()
@@ -34,15 +41,16 @@
 	}
 
 	/**
-	 * Reads the objects of one kind.
+	 * Reads the objects of one kind. One that can't be read is left out.
 	 * @param kind the kind that was requested
 	 * @param json the document
 	 * @return the batch
 	 * @throws IOException if the document is malformed
 	 */
 	public static WatchBatch readBatch(String kind, byte[] json) throws IOException {
-		BatchDocument document = mapper.readValue(json, BatchDocument.class);
-		List<StoredObject> changed = document.changed().stream().map((entry) -> entry.toObject(kind)).toList();
+		ReceivedBatch document = mapper.readValue(json, ReceivedBatch.class);
+		List<StoredObject> changed = readEach(document.changed(), ObjectDocument.class,
+				(entry) -> entry.toObject(kind));
 		return new WatchBatch(document.revision(), document.gap(), changed);
 	}
 
@@ -50,8 +58,30 @@
 		return write(vms.stream().map(VmDocument::of).toList());
 	}
 
+	/**
+	 * Reads the list of VMs. One that can't be read is left out.
+	 * @param json the document
+	 * @return the VMs
+	 * @throws IOException if the document is malformed
+	 */
 	public static List<VmRecord> readVms(byte[] json) throws IOException {
-		return mapper.readValue(json, VM_LIST).stream().map(VmDocument::toRecord).toList();
+		return readEach(mapper.readValue(json, ENTRIES), VmDocument.class, VmDocument::toRecord);
+	}
+
+	private static <D, T> List<T> readEach(List<JsonNode> entries, Class<D> type, Function<D, T> reader) {
+		List<T> found = new ArrayList<>();
+		for (JsonNode entry : entries) {
+			try {
+				if (!entry.isObject()) {
+					throw new IllegalArgumentException("it is no object");
+				}
+				found.add(reader.apply(mapper.treeToValue(entry, type)));
+			}
+			catch (JsonProcessingException | IllegalArgumentException ex) {
+				logger.warnf("An entry of the platform can't be read: %s", ex.getMessage());
+			}
+		}
+		return found;
 	}
 
 	public static byte[] writeVm(VmRecord vm) {
@@ -77,6 +107,12 @@
 	private record BatchDocument(long revision, boolean gap, List<ObjectDocument> changed) {
 	}
 
+	/**
+	 * The JSON form of a batch as received, whose objects may not be readable.
+	 */
+	private record ReceivedBatch(long revision, boolean gap, List<JsonNode> changed) {
+	}
+
 	/**
 	 * The JSON form of an object within a batch.
 	 */
@@ -87,6 +123,9 @@
 		}
 
 		StoredObject toObject(String kind) {
+			if (this.name == null || this.value == null) {
+				throw new IllegalArgumentException("object '" + this.name + "' without a name or a value");
+			}
 			return new StoredObject(new ObjectKey(kind, this.name), this.version, this.value);
 		}
 
