--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/ObjectCopies.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.LongConsumer;
 
+import org.bramleyscale.internal.platform.ObjectKey;
 import org.bramleyscale.internal.platform.StoreRevision;
 import org.bramleyscale.internal.platform.StoredObject;
 import org.bramleyscale.internal.platform.WatchBatch;
@@ -294,7 +295,8 @@
 	 * Applies the copies of a peer. Changes from revision 0 on are all of the objects,
 	 * and those that are missing have been deleted. Copies that are no newer than these
 	 * are ignored: an object that a peer still has from before it was deleted must not
-	 * return.
+	 * return. So are those whose names have no key, which peers of other versions may
+	 * send.
 	 * @param from the peer sent all changes after this revision
 	 * @param to the revision up to which the peer knows all changes
 	 * @param objects the copies
@@ -305,14 +307,15 @@
 		if (listed() && to <= this.complete) {
 			return true;
 		}
+		List<ObjectCopy> usable = objects.stream().filter((object) -> ObjectKey.isValidName(object.name())).toList();
 		if (from == 0) {
-			applyAll(to, objects);
+			applyAll(to, usable);
 			return true;
 		}
 		if (!listed() || from > this.complete || StoreRevision.isOfEarlierEra(this.complete, to)) {
 			return false;
 		}
-		applyNewer(objects, to);
+		applyNewer(usable, to);
 		return true;
 	}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/ObjectCopiesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/ObjectCopiesTests.java
@@ -8,6 +8,7 @@
 import org.bramleyscale.internal.platform.WatchBatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
@@ -52,6 +53,21 @@
 		Truth.assertThat(names(this.ours)).containsExactly("y");
 	}
 
+	/** Guards against names that can't be used and are passed on for ever. */
+	@ParameterizedTest
+	@CsvSource({ "0, b&z", "0, ..", "60, ''", "60, b c" })
+	void copiesOfAPeerUnderNamesWithoutAKeyAreIgnored(long from, String name) {
+		this.ours.applyList(list(60, "a"));
+		this.ours.applyFromPeer(from, 80,
+				List.of(copy("a", 60), new ObjectCopy(name, 70, null), copy(name, 75), copy("c", 80)));
+		Truth.assertThat(this.ours.changedAfter(1).stream().map(ObjectCopy::name).toList()).containsExactly("a", "c");
+		Truth.assertThat(this.ours.complete()).isEqualTo(80);
+	}
+
+	private static ObjectCopy copy(String name, long revision) {
+		return new ObjectCopy(name, revision, new byte[0]);
+	}
+
 	/** Guards against a removed entry that comes back from a peer's older copies. */
 	@ParameterizedTest
 	@EnumSource(Sent.class)
