--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonClient.java
@@ -153,6 +153,19 @@
 
 	}
 
+	/**
+	 * Thrown if the server has answered with more bytes than are read.
+	 */
+	public static final class TooLargeException extends IOException {
+
+		private static final long serialVersionUID = 1L;
+
+		TooLargeException(String message) {
+			super(message);
+		}
+
+	}
+
 	/**
 	 * Thrown if the request was certainly not sent.
 	 */
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/JsonConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
@@ -72,7 +73,13 @@
 			.addLast(connection.decoder)
 			.addLast(new HttpRequestEncoder())
 			.addLast(connection.filter)
-			.addLast(new HttpObjectAggregator(maxResponseBytes))
+			.addLast(new HttpObjectAggregator(maxResponseBytes) {
+				@Override
+				protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+					connection.fail(new JsonClient.TooLargeException(
+							server + ": response of more than " + maxResponseBytes + " bytes"));
+				}
+			})
 			.addLast(connection);
 		return connection;
 	}
@@ -180,13 +187,17 @@
 	}
 
 	private void fail(String cause) {
+		fail(new IOException(this.server + ": " + cause));
+	}
+
+	private void fail(IOException cause) {
 		this.timer.cancel();
 		close();
 		this.owner.remove(this);
 		if (this.result != null) {
 			CompletableFuture<JsonClient.Response> pending = this.result;
 			this.result = null;
-			pending.completeExceptionally(new IOException(this.server + ": " + cause));
+			pending.completeExceptionally(cause);
 		}
 	}
 
