--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseBodyCheck.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/http/ResponseBodyCheck.java
@@ -1,10 +1,11 @@
 package org.bramleyscale.internal.gateway.http;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 
 /**
  * Checks that a body is that of one response.
@@ -16,8 +17,15 @@
  */
 final class ResponseBodyCheck {
 
-	private static final ObjectMapper mapper = new ObjectMapper()
-		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+	/** Without bounds: a document with parts that can't be read is one, too. */
+	private static final JsonFactory factory = JsonFactory.builder()
+		.streamReadConstraints(StreamReadConstraints.builder()
+			.maxNestingDepth(Integer.MAX_VALUE)
+			.maxNumberLength(Integer.MAX_VALUE)
+			.maxNameLength(Integer.MAX_VALUE)
+			.maxStringLength(Integer.MAX_VALUE)
+			.build())
+		.build();
 
 	private ResponseBodyCheck() {
 	}
@@ -42,11 +50,12 @@
 	}
 
 	private static boolean isDocument(byte[] body) {
-		try {
-			mapper.readTree(new String(body, StandardCharsets.UTF_8));
-			return true;
+		try (JsonParser parser = factory.createParser(new String(body, StandardCharsets.UTF_8))) {
+			parser.nextToken();
+			parser.skipChildren();
+			return parser.nextToken() == null;
 		}
-		catch (JsonProcessingException ex) {
+		catch (IOException ex) {
 			return false;
 		}
 	}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonClientBytesTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/http/JsonClientBytesTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
 import org.junit.jupiter.api.Test;
@@ -135,9 +136,17 @@
 		exchange.close();
 	}
 
+	static Stream<String> documentsWithAStatusLine() {
+		return Stream.of("{\"check\": \"HTTP/1.1 200 OK\"}", "{\"check\": \"H\"}", "[\"HTTP/1.1 200\"]\n",
+				"{\"check\": \"HTTP/1.1 200 OK\", \"deep\": " + "[".repeat(30_000) + "]".repeat(30_000) + "}",
+				"{\"check\": \"HTTP/1.1 200 OK\", \"number\": " + "9".repeat(1_200) + "}",
+				"{\"check\": \"HTTP/1.1 200 OK\", \"number\": 1e999999999}",
+				"{\"check\": \"HTTP/1.1 200 OK\", \"" + "n".repeat(60_000) + "\": 1}");
+	}
+
 	/** Guards against a document that can't be read for the words that it holds. */
 	@ParameterizedTest
-	@ValueSource(strings = { "{\"check\": \"HTTP/1.1 200 OK\"}", "{\"check\": \"H\"}", "[\"HTTP/1.1 200\"]\n" })
+	@MethodSource("documentsWithAStatusLine")
 	void documentsMayHoldAStatusLine(String document) {
 		JsonExchange exchange = used();
 		exchange.call();
