Ask for keys wherever the operator's document has a list of accounts

Callers saw: once the last client account is off the list ("tenants": []), calls with keys that were taken away, and with keys that no document ever held, ran on every route; at daemons that started later and on open connections alike.

Cause: Catalog.Builder set keysNeeded when an account was added, so a document with an empty list, or with null in its place, couldn't be told from one without the list.

The line of a document that comes into force says keys_needed and keys.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/Catalog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/Catalog.java
@@ -167,7 +167,7 @@
 
 	/**
 	 * Whether callers of routes that aren't keyless need a key.
-	 * @return true if the document has client accounts
+	 * @return true if the document has a list of client accounts, even an empty one
 	 */
 	public boolean keysNeeded() {
 		return this.keysNeeded;
@@ -182,6 +182,10 @@
 		return Optional.ofNullable(this.accountsByKey.get(key));
 	}
 
+	public int keyCount() {
+		return this.accountsByKey.size();
+	}
+
 	public CallerLimits limits() {
 		return this.limits;
 	}
@@ -221,6 +225,16 @@
 			return this;
 		}
 
+		/**
+		 * Has callers of routes that aren't keyless need a key, whether or not there are
+		 * accounts.
+		 * @return this builder
+		 */
+		public Builder keysNeeded() {
+			this.keysNeeded = true;
+			return this;
+		}
+
 		/**
 		 * Adds an account. From then on callers need keys, even if the account has none.
 		 * @param account the account
@@ -228,7 +242,7 @@
 		 * @return this builder
 		 */
 		public Builder account(Account account, Collection<String> keys) {
-			this.keysNeeded = true;
+			keysNeeded();
 			keys.forEach((key) -> this.accountsByKey.put(key, account));
 			return this;
 		}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/CatalogEntry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/CatalogEntry.java
@@ -51,7 +51,8 @@
 			Catalog catalog = this.documents.catalog(object.value());
 			boolean applied = this.catalogs.offer(catalog);
 			this.log.belief("catalog", catalog.version(), "in_force", applied, "revision",
-					StoreRevision.text(object.revision()), "routes", catalog.routeCount());
+					StoreRevision.text(object.revision()), "routes", catalog.routeCount(), "keys_needed",
+					catalog.keysNeeded(), "keys", catalog.keyCount());
 			if (applied) {
 				logRoutesWithoutRegion(catalog);
 			}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/catalog/CatalogTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/catalog/CatalogTests.java
@@ -46,6 +46,19 @@
 		Truth.assertThat(keyed.account("any").isPresent()).isFalse();
 	}
 
+	/** Guards against routes that open once the last account is gone. */
+	@Test
+	void keysAreNeededWithoutAccounts() {
+		Catalog keyed = Catalog.builder(1)
+			.keysNeeded()
+			.service(new Service(new ServiceName("quotes"), 9, Optional.empty()))
+			.route(Route.builder("a", "hire.example", "/a/").service("quotes").priority(1).build())
+			.route(Route.builder("b", "hire.example", "/b/").service("quotes").priority(2).build())
+			.build();
+		Truth.assertThat(keyed.keysNeeded()).isTrue();
+		Truth.assertThat(keyed.service(new ServiceName("quotes")).orElseThrow().prioritiesDiffer()).isFalse();
+	}
+
 	@Test
 	void rejectsOlderDocument() {
 		// Guards against a revoked key that works again for a moment: version 9 is in
