Refuse requests of routes whose services have no weight

Callers could see: requests of a route whose split gives every service the weight 0, or no weight, ran at the first of them. Found by reading the class of the empty list of accounts: a share of 0 means no requests, and a list in which nothing is allowed let the first entry have all.

Cause: GatewayService started with the first share and kept it if none had a weight.

Change: without a weight there is no service; the request is refused at once as not run (503), since only a new document can change that.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/request/GatewayService.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
+import org.bramleyscale.ServiceName;
 import org.bramleyscale.internal.gateway.catalog.Account;
 import org.bramleyscale.internal.gateway.catalog.Catalog;
 import org.bramleyscale.internal.gateway.catalog.CatalogHolder;
@@ -30,6 +31,9 @@
 	/** A daemon obtains the catalog within a second of its start. */
 	private static final Duration NO_CATALOG_RETRY_AFTER = Duration.ofMillis(500);
 
+	/** Only a new document can change the answer. */
+	private static final Duration NO_SERVICE_RETRY_AFTER = Duration.ofSeconds(1);
+
 	private static final int UNAUTHORIZED = 401;
 
 	private static final int NOT_FOUND = 404;
@@ -77,9 +81,13 @@
 		if (!this.admits.test(request.timeWithin(route.get().timeout()))) {
 			return refuse(request, reply, UNAVAILABLE, "daemon leaves", LEAVING_RETRY_AFTER, catalog.version());
 		}
-		Service service = chooseService(catalog, route.get());
+		Optional<Service> service = chooseService(catalog, route.get());
+		if (service.isEmpty()) {
+			return refuse(request, reply, UNAVAILABLE, "no service takes requests of the route", NO_SERVICE_RETRY_AFTER,
+					catalog.version());
+		}
 		RelayedRequest relayed = new RelayedRequest(this.ports, request, reply,
-				new ResolvedRoute(route.get(), service, account, catalog.version()));
+				new ResolvedRoute(route.get(), service.get(), account, catalog.version()));
 		relayed.start();
 		return relayed;
 	}
@@ -88,23 +96,24 @@
 	 * Chooses one of a route's services by weight.
 	 * @param catalog the catalog
 	 * @param route the route
-	 * @return the service; one that the catalog doesn't describe counts as a service
-	 * without engines
+	 * @return the service, empty if none has a weight; one that the catalog doesn't
+	 * describe counts as a service without engines
 	 */
-	private Service chooseService(Catalog catalog, Route route) {
+	private Optional<Service> chooseService(Catalog catalog, Route route) {
 		List<ServiceShare> shares = route.services();
 		int totalWeight = shares.stream().mapToInt(ServiceShare::weight).sum();
 		int position = (totalWeight > 0) ? this.random.nextInt(totalWeight) : 0;
-		ServiceShare chosen = shares.get(0);
 		for (ServiceShare share : shares) {
 			if (position < share.weight()) {
-				chosen = share;
-				break;
+				return Optional.of(service(catalog, share.service()));
 			}
 			position -= share.weight();
 		}
-		ServiceShare share = chosen;
-		return catalog.service(share.service()).orElseGet(() -> new Service(share.service(), 1, Optional.empty()));
+		return Optional.empty();
+	}
+
+	private static Service service(Catalog catalog, ServiceName name) {
+		return catalog.service(name).orElseGet(() -> new Service(name, 1, Optional.empty()));
 	}
 
 	private HandledRequest refuse(CallerRequest request, CallerReply reply, int status, String reason,
