Refuse empty lists of an account's services

Operators could see: an account of the product's own rules whose last service was taken off its list (`services: []`) could use all services. Found by reading the class of the empty list of accounts on the product's own interface.

Cause: "empty means all" for the entry in memory was also the meaning of the document, in which an empty list looks like a list of nothing; and the writer wrote `services: []` for accounts without a restriction.

Change: the document means all only by leaving the field out, and the writer leaves it out; an empty list is refused with its line and what to do. The stored and exchanged form of entries is as it was, so daemons of two versions run side by side; a file that an earlier version wrote for accounts without a restriction is refused until its empty lists are taken out.

Evidence: DocumentTests failed in two cases before and passes. AllowedRegions says why an empty list of regions restricts nothing: the rule binds who has regions.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/DocumentWriter.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/DocumentWriter.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Function;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonSerializer;
@@ -22,6 +24,7 @@
 import org.bramleyscale.ModelName;
 import org.bramleyscale.ServiceName;
 import org.bramleyscale.VmId;
+import org.bramleyscale.internal.configuration.AccountRule;
 import org.bramleyscale.internal.configuration.ServiceEntry;
 
 /**
@@ -38,6 +41,7 @@
 		.enable(YAMLGenerator.Feature.ALWAYS_QUOTE_NUMBERS_AS_STRINGS)
 		.enable(YAMLGenerator.Feature.INDENT_ARRAYS_WITH_INDICATOR)
 		.addModule(module())
+		.addMixIn(AccountRule.class, AccountFields.class)
 		.build();
 
 	private DocumentWriter() {
@@ -72,4 +76,14 @@
 		});
 	}
 
+	/**
+	 * Leaves out what doesn't restrict an account, as the documents that are read do.
+	 */
+	private interface AccountFields {
+
+		@JsonInclude(JsonInclude.Include.NON_EMPTY)
+		List<ServiceName> services();
+
+	}
+
 }
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/MappingReader.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/MappingReader.java
@@ -119,6 +119,21 @@
 		return values;
 	}
 
+	/**
+	 * Reads a list of scalars that is left out if it isn't to restrict anything. An empty
+	 * one is a problem, since it could be meant to allow nothing.
+	 * @param <T> the type of the values
+	 * @param key the field
+	 * @param type how each is read
+	 * @return the values without problems; none if the field is missing
+	 */
+	public <T> List<T> restriction(String key, FieldType<T> type) {
+		if (this.fields.get(key) instanceof SequenceNode sequence && sequence.getValue().isEmpty()) {
+			add(line(sequence), key, "[]", "at least one entry; without the field all are meant");
+		}
+		return list(key, type);
+	}
+
 	/**
 	 * Reads a list of maps.
 	 * @param key the field
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/RulesDocument.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/configuration/document/RulesDocument.java
@@ -70,7 +70,7 @@
 		Integer weight = fields.optional("weight", FieldType.INTEGER, DEFAULT_WEIGHT);
 		Long tokensPerSecond = fields.required("tokensPerSecond", FieldType.LONG);
 		Long burstTokens = fields.optional("burstTokens", FieldType.LONG, defaultBurst(tokensPerSecond));
-		List<ServiceName> services = fields.list("services", FieldType.name(ServiceName::new));
+		List<ServiceName> services = fields.restriction("services", FieldType.name(ServiceName::new));
 		Integer entries = fields.optional("entries", FieldType.INTEGER, DEFAULT_ENTRIES);
 		if (!fields.valid()) {
 			return null;
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/AllowedRegions.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/AllowedRegions.java
@@ -27,7 +27,9 @@
 	}
 
 	/**
-	 * Creates a restriction as configured by the operator.
+	 * Creates a restriction as configured by the operator. The restriction binds owners
+	 * that have regions, and one with an empty list has none: unlike a list of accounts,
+	 * it isn't a list of who may.
 	 * @param regions the regions; an empty list means no restriction
 	 * @return the restriction
 	 */
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/document/DocumentTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/document/DocumentTests.java
@@ -113,6 +113,8 @@
 			tokensPerSecond: 5000  | weight: 0                 | accounts[foremen].tokensPerSecond | 3
 			services:              | entries: 99               | accounts[foremen].entries         | 6
 			[hire-assistant]       | hire-assistant            | urgent                            | 1
+			services: [hire-assistant] | services: []          | accounts[foremen].services        | 6
+			services: [hire-assistant] | services:             | accounts[foremen].services        | 6
 			""")
 	void refusesRules(String from, String to, String key, int line) {
 		String yaml = RULES.replace("entries: 99 [hire-assistant]", "entries: 99").replace(from, to);
@@ -122,6 +124,18 @@
 		Truth.assertThat(problems.toString()).doesNotContain("a-key-in-the-clear");
 	}
 
+	/** Guards against an account that may use all services once its last one is gone. */
+	@Test
+	void anAccountMayUseAllServicesOnlyIfItHasNoListOfThem() throws InvalidConfigurationException {
+		Rules rules = RulesDocument.parse(RULES.replace("    services: [hire-assistant]\n", ""));
+		Truth.assertThat(rules.accounts().get(0).mayUse(new ServiceName("bookings"))).isTrue();
+		String written = RulesDocument.format(rules);
+		Truth.assertThat(written).doesNotContain("services");
+		Truth.assertThat(RulesDocument.parse(written)).isEqualTo(rules);
+		Truth.assertThat(problems(RULES.replace("services: [hire-assistant]", "services: []"), false).get(0).allowed())
+			.isEqualTo("at least one entry; without the field all are meant");
+	}
+
 	@Test
 	void refusesTwoAccountsWithOneKey() {
 		String second = "  - {name: drivers, keyHash: %s, tokensPerSecond: 1}\n".formatted(HASH);
