--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/CatalogEntry.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/CatalogEntry.java
@@ -17,7 +17,7 @@
  * Invariant: a document that can't be read or was deleted changes nothing. Confined to
  * the scheduler's thread.
  */
-final class CatalogEntry {
+public final class CatalogEntry {
 
 	/** The most routes in a line of the log. */
 	private static final int MAX_LOGGED = 16;
@@ -32,7 +32,7 @@
 
 	private final DecisionLog log;
 
-	CatalogEntry(Documents documents, CatalogHolder catalogs, RegionMap regions, DecisionLog log) {
+	public CatalogEntry(Documents documents, CatalogHolder catalogs, RegionMap regions, DecisionLog log) {
 		this.documents = documents;
 		this.catalogs = catalogs;
 		this.regions = regions;
@@ -43,7 +43,7 @@
 	 * Applies the new copy of an object, or its deletion.
 	 * @param object the copy
 	 */
-	void changed(ObjectCopy object) {
+	public void changed(ObjectCopy object) {
 		if (object.deleted() || !object.name().equals(this.documents.catalogName())) {
 			return;
 		}
