--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/AllowedRegions.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/AllowedRegions.java
@@ -27,9 +27,9 @@
 	}
 
 	/**
-	 * Creates a restriction as configured by the operator. The restriction binds owners
-	 * that have regions, and one with an empty list has none: unlike a list of accounts,
-	 * it isn't a list of who may.
+	 * Creates a restriction as configured by the operator. A route or account with an
+	 * empty list has no regions to keep to; an empty list of accounts, which names who
+	 * may call, lets nobody in.
 	 * @param regions the regions; an empty list means no restriction
 	 * @return the restriction
 	 */
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/GatewayServiceTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/GatewayServiceTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 import com.google.common.truth.Truth;
@@ -64,6 +65,24 @@
 		Truth.assertThat(this.fixture.sent).hasSize(sent);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "/other/1, key, own 404", "/log/1, wrong, own 401" })
+	void refusesUnknownRouteOrKey(String path, String key, String got) {
+		RecordingCaller caller = new RecordingCaller();
+		this.fixture.service.handle(request(path, key), caller);
+		Truth.assertThat(caller.received.toString()).isEqualTo(got);
+		Truth.assertThat(this.fixture.sent).isEmpty();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "900, 1, ''", "1100, 0, own 503" })
+	void leavingDaemonRefusesRequestsWithTooMuchTimeLeft(long left, int sent, String got) {
+		this.fixture.maxTimeLeft = Duration.ofSeconds(1);
+		RecordingCaller caller = this.fixture.call("/book/1", Duration.ofMillis(left));
+		Truth.assertThat(this.fixture.sent).hasSize(sent);
+		Truth.assertThat(caller.received.toString()).isEqualTo(got);
+	}
+
 	private void offer(Route route) {
 		offer(2, Catalog.builder(2).route(route));
 	}
@@ -72,6 +91,11 @@
 		Truth.assertWithMessage("version %s", version).that(this.fixture.catalogs.offer(catalog.build())).isTrue();
 	}
 
+	private static CallerRequest request(String path, String key) {
+		return new CallerRequest("r1", "GET", path, "hire.example", List.of(), new byte[0], Optional.of(key),
+				Optional.empty(), 0, 0, Optional.empty(), List.of());
+	}
+
 	private static Account account() {
 		return new Account(new ClientAccountId("hule"), OptionalInt.empty());
 	}
