--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/Catalog.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/catalog/Catalog.java
@@ -226,8 +226,8 @@
 		}
 
 		/**
-		 * Has callers of routes that aren't keyless need a key, whether or not there are
-		 * accounts.
+		 * Makes callers of routes that aren't keyless need a key, whether or not there
+		 * are accounts.
 		 * @return this builder
 		 */
 		public Builder keysNeeded() {
