--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/HoldingRequestTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/request/HoldingRequestTests.java
@@ -54,8 +54,8 @@
 	}
 
 	/**
-	 * Guards against sending to an endpoint that became cold, or lost its this.holder,
-	 * while the request waited for memory, and against places that stay reserved.
+	 * Guards against sending to an endpoint that became cold, or lost its holder, while
+	 * the request waited for memory, and against places that stay reserved.
 	 */
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
