Let an outage end with the first page of a list, not with its last

Cause, from the daemons' logs of a start beside 40 busy processes: one daemon loses its first call to the store (no response within 1.2 s), has no copies yet, and so takes that for an outage; the first answer after it is a list of 60 pages, 3.4 s long. The outage counted until the list was whole, 0.3 s before the removal was read; peers heard so and put the removal off too: all three wrote 'lapsed' within 0.13 s of the removal and 'lapsed and not back' 1.76 to 1.80 s after it. Where the list ends behind the removal, the sum passes 2 s. Change: a store tells of each page that it answers, and the outage ends with the first page after the failure. A list that is one answer, and watches, are as before.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreAvailability.java
@@ -10,7 +10,8 @@
  *
  * <p>
  * Invariant: an outage lasts until the first answer after it, since that answer may
- * report entries that expired meanwhile. Confined to the scheduler's thread.
+ * report entries that expired meanwhile; the first part of a list is such an answer,
+ * however long the rest takes. Confined to the scheduler's thread.
  */
 final class StoreAvailability {
 
@@ -36,6 +37,11 @@
 
 	private long lastFailedCallAt;
 
+	/** Whether the store has answered a part of the pending list. */
+	private boolean answeredInPart;
+
+	private long firstPartAt;
+
 	/** The latest time at which the store is known not to have been back. */
 	private long awayAt;
 
@@ -60,23 +66,35 @@
 		this.lastFailedCallAt = call.startedAt();
 		this.awayAt = Math.min(now, call.heldUntil());
 		this.failures++;
+		this.answeredInPart = false;
 		if ((this.failures > 1 || now - call.dueAt() >= 0) && unconfirmed(now)) {
 			this.lastOutageAt = now;
 		}
 	}
 
 	/**
-	 * Records an answer.
+	 * Records an answer that holds a part of a list.
+	 */
+	void answeredInPart() {
+		if (!this.answeredInPart) {
+			this.answeredInPart = true;
+			this.firstPartAt = this.clock.nanos();
+		}
+	}
+
+	/**
+	 * Records an answer, or the end of a list that was answered in parts.
 	 */
 	void answered() {
 		long now = this.clock.nanos();
 		if (this.failures > 0) {
 			this.lastFailureAt = now;
 			if (unconfirmed(now)) {
-				this.lastOutageAt = now;
+				this.lastOutageAt = this.answeredInPart ? this.firstPartAt : now;
 			}
 		}
 		this.failures = 0;
+		this.answeredInPart = false;
 		this.lastAnswerAt = now;
 	}
 
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/follow/StoreFollower.java
@@ -311,7 +311,8 @@
 			return;
 		}
 		long known = this.copies.complete();
-		track(this.store.list(this.kind), StoreCall.NO_WATCH, known, Duration.ZERO, (batch, startedAt) -> {
+		CompletableFuture<WatchBatch> call = this.store.list(this.kind, this.availability::answeredInPart);
+		track(call, StoreCall.NO_WATCH, known, Duration.ZERO, (batch, startedAt) -> {
 			if (StoreRevision.era(known) != 0 && StoreRevision.isOfEarlierEra(known, batch.revision())) {
 				cameBackOlder(known, batch.revision());
 			}
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/platform/ObjectStore.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/ObjectStore.java
@@ -33,6 +33,18 @@
 	 */
 	CompletableFuture<WatchBatch> list(String kind);
 
+	/**
+	 * Reads all objects of a kind. A long list takes many calls, and their answers show
+	 * that the platform is available long before the list is whole.
+	 * @param kind the kind
+	 * @param answered run after the answer to each call that reads a part, if the
+	 * platform lists in parts
+	 * @return the objects and the revision from which a watch continues
+	 */
+	default CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
+		return list(kind);
+	}
+
 	/**
 	 * Reads all objects of a kind as of some moment within the last seconds, at a
 	 * fraction of the cost where the platform supports it.
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
@@ -17,6 +17,10 @@
 
 	final Deque<CompletableFuture<WatchBatch>> lists = new ArrayDeque<>();
 
+	/** Run when a part of the list that was asked for last is answered. */
+	Runnable partAnswered = () -> {
+	};
+
 	final Deque<CompletableFuture<WatchBatch>> cachedLists = new ArrayDeque<>();
 
 	final Deque<CompletableFuture<WatchBatch>> watches = new ArrayDeque<>();
@@ -32,6 +36,12 @@
 		return call;
 	}
 
+	@Override
+	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
+		this.partAnswered = answered;
+		return list(kind);
+	}
+
 	@Override
 	public CompletableFuture<WatchBatch> listCached(String kind) {
 		CompletableFuture<WatchBatch> call = new CompletableFuture<>();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.Range;
 import com.google.common.truth.Truth;
 import org.bramleyscale.internal.gateway.log.DecisionLog;
@@ -41,20 +42,23 @@
 
 	private final List<Long> updates = new ArrayList<>();
 
-	private final StoreFollower follower = new StoreFollower("servers", this.scheduler, new Random(1), this.store,
-			this.copies, new FollowOrder() {
+	private final StoreFollower follower = follower(this.copies);
 
-				@Override
-				public int rank() {
-					return StoreFollowerTests.this.rank;
-				}
+	private StoreFollower follower(ObjectCopies followed) {
+		return new StoreFollower("servers", this.scheduler, new Random(1), this.store, followed, new FollowOrder() {
 
-				@Override
-				public boolean isolated() {
-					return StoreFollowerTests.this.isolated;
-				}
+			@Override
+			public int rank() {
+				return StoreFollowerTests.this.rank;
+			}
+
+			@Override
+			public boolean isolated() {
+				return StoreFollowerTests.this.isolated;
+			}
 
-			}, TIMES, DecisionLog.NONE);
+		}, TIMES, DecisionLog.NONE);
+	}
 
 	@BeforeEach
 	void start() {
@@ -267,6 +271,30 @@
 		Truth.assertThat(this.follower.sinceOutage(Duration.ofDays(1))).isLessThan(Duration.ofMillis(500));
 	}
 
+	/**
+	 * Guards against entries that are used for up to 2 s after their removal everywhere,
+	 * because a daemon that starts lost its first call and then read a long list.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "100 900 500, 1400", "'', 0" })
+	void outageEndsWithTheFirstPartOfAList(String parts, long sinceMillis) {
+		StoreFollower starting = follower(new ObjectCopies((object) -> {
+		}));
+		starting.start();
+		this.scheduler.advance(Duration.ofMillis(1_200));
+		this.store.cachedLists.poll()
+			.completeExceptionally(new PlatformException(PlatformException.Kind.UNAVAILABLE, "no response"));
+		while (this.store.lists.isEmpty()) {
+			this.scheduler.advance(StoreFollower.TICK);
+		}
+		for (String millis : Splitter.on(' ').omitEmptyStrings().split(parts)) {
+			this.scheduler.advance(Duration.ofMillis(Long.parseLong(millis)));
+			this.store.partAnswered.run();
+		}
+		this.store.lists.poll().complete(new WatchBatch(12, false, List.of(FakeStore.object("a", 3))));
+		Truth.assertThat(starting.sinceOutage()).isEqualTo(Duration.ofMillis(sinceMillis));
+	}
+
 	@Test
 	void singleFailedCallIsNoOutage() {
 		this.store.watches.poll()
