--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/StoreFollowerTests.java
@@ -44,22 +44,6 @@
 
 	private final StoreFollower follower = follower(this.copies);
 
-	private StoreFollower follower(ObjectCopies followed) {
-		return new StoreFollower("servers", this.scheduler, new Random(1), this.store, followed, new FollowOrder() {
-
-			@Override
-			public int rank() {
-				return StoreFollowerTests.this.rank;
-			}
-
-			@Override
-			public boolean isolated() {
-				return StoreFollowerTests.this.isolated;
-			}
-
-		}, TIMES, DecisionLog.NONE);
-	}
-
 	@BeforeEach
 	void start() {
 		this.follower.onUpdate(this.updates::add);
@@ -397,4 +381,20 @@
 		Truth.assertThat(emptyStore.lists).hasSize(lists);
 	}
 
+	private StoreFollower follower(ObjectCopies followed) {
+		return new StoreFollower("servers", this.scheduler, new Random(1), this.store, followed, new FollowOrder() {
+
+			@Override
+			public int rank() {
+				return StoreFollowerTests.this.rank;
+			}
+
+			@Override
+			public boolean isolated() {
+				return StoreFollowerTests.this.isolated;
+			}
+
+		}, TIMES, DecisionLog.NONE);
+	}
+
 }
