--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/ConfigurationFailureTests.java
@@ -47,13 +47,9 @@
 		assertFresh(ALL);
 	}
 
+	/** Guards against a change that is overwritten or merged unseen by a racing one. */
 	@Test
 	void oneOfTwoRacingOperatorsSeesBothSides() {
-		// Symptom: an operator's change vanishes. Sequence: two operators change
-		// different
-		// entries of version 1 on two daemons at the same time. Cause: whoever writes
-		// last
-		// overwrites a whole document, or entries are merged without anybody looking.
 		CompletableFuture<ChangeResult> left = this.fleet.daemon("a-0").service.propose(rules("left-one", 1, 1, 2, 3));
 		CompletableFuture<ChangeResult> right = this.fleet.daemon("b-2").service
 			.propose(Change.of("right-one", 1, "binh", Samples.register(4)));
@@ -71,27 +67,22 @@
 		Truth.assertThat(partsAfterWaiting()).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a change that counts as failed, or is made twice, if its reply is
+	 * lost.
+	 */
 	@ParameterizedTest
 	@ValueSource(strings = { "configuration", "configuration-part" })
 	void aLostReplyIsSettledByReadingBack(String kind) {
-		// Symptom: the operator is told that a change failed, repeats it by hand and
-		// races
-		// himself, or the change is made twice. Sequence: the platform takes the write,
-		// its
-		// reply is lost. Cause: a missing reply says nothing about the effect.
 		this.fleet.platform.loseReplyOfNextWrite(kind);
 		Truth.assertThat(accepted("a-0", rules("change-2", 1, 1, 2, 3))).isEqualTo(2);
 		this.fleet.advance(2000);
 		assertAllHold(2);
 	}
 
+	/** Guards against a change made twice after an outcome that nobody could tell. */
 	@Test
 	void anUnknownOutcomeIsSettledByRepeatingTheChangeElsewhere() throws InterruptedException {
-		// Symptom: a change takes effect twice, or its operator never learns that it did.
-		// Sequence: the head is written, the reply is lost, and the platform goes down
-		// for
-		// longer than the operator waits. Cause: nobody can tell then whether it is
-		// written.
 		Change change = rules("change-2", 1, 1, 2, 3);
 		this.fleet.platform.loseReplyOfNextWrite("configuration");
 		CompletableFuture<ChangeResult> result = this.fleet.daemon("a-0").service.propose(change);
@@ -139,13 +130,11 @@
 			.containsExactly("urgent", "accounts[account-1].services", "accounts[account-2].services");
 	}
 
+	/**
+	 * Guards against an outage that takes back an accepted change, or stops all traffic.
+	 */
 	@Test
 	void anOutageRightAfterAcceptanceRevertsNothingAndStopsNobody() {
-		// Symptom: an accepted change is gone after an outage, or an outage of the
-		// platform
-		// stops all traffic. Sequence: the platform goes down at the moment of
-		// acceptance.
-		// Cause: daemons that trust the platform alone.
 		accepted("a-2", rules("change-2", 1, 1, 2, 3));
 		this.fleet.platform.down(true);
 		for (int second = 0; second < 60; second++) {
@@ -155,11 +144,9 @@
 		assertAllHold(2);
 	}
 
+	/** Guards against a start that takes the first answer of a peer for the newest. */
 	@Test
 	void aDaemonThatStartsDuringAnOutageTakesTheNewestVersionOfItsPeers() {
-		// Symptom: a replaced daemon doesn't serve, or serves outdated rules, while the
-		// platform is down. Sequence: c-0 missed version 2 when the outage began; c-2 is
-		// replaced and hears c-0 first. Cause: taking the first answer.
 		this.fleet.platform.down(true);
 		this.fleet.platform.cutOff(this.fleet.daemon("c-0").vm(), true);
 		this.fleet.platform.down(false);
@@ -177,12 +164,9 @@
 		Truth.assertThat(this.fleet.daemon("c-2").versions).containsExactly(2L);
 	}
 
+	/** Guards against a daemon that comes back and serves by its old copy. */
 	@Test
 	void aDaemonWithAnOldCopyCatchesUpAndDoesNotAdmitUntilThen() {
-		// Symptom: an account that was blocked is served again by one daemon. Sequence: a
-		// daemon is cut off, a change is accepted, the daemon comes back. Cause: it goes
-		// on
-		// with its copy.
 		this.fleet.partition(Set.of("b-2"));
 		this.fleet.cutOffPlatform(Set.of("b-2"));
 		accepted("a-0", rules("change-2", 1, 1));
@@ -198,6 +182,7 @@
 		assertFresh(ALL);
 	}
 
+	/** Guards against parts of the fleet that serve by different rules. */
 	@ParameterizedTest
 	@CsvSource(delimiter = '|',
 			textBlock = """
@@ -211,9 +196,6 @@
 					""")
 	void whoeverCanNotKnowStopsAdmitting(String situation, String group, String withoutPlatform, boolean groupAdmits,
 			boolean restAdmits) {
-		// Symptom: two parts of the fleet serve by different rules. Sequence: connections
-		// between a group and the rest, or to the platform, are cut. Cause: a group that
-		// goes on although changes may be accepted without it.
 		Set<String> cut = names(group);
 		this.fleet.partition(cut);
 		this.fleet.cutOffPlatform(names(withoutPlatform));
@@ -232,12 +214,9 @@
 		assertFresh(ALL);
 	}
 
+	/** Guards against a change that only those accept who reach the platform. */
 	@Test
 	void aMinorityCanNotChangeTheConfigurationBehindTheBackOfTheRest() throws InterruptedException {
-		// Symptom: most daemons serve by rules that were changed. Sequence: three daemons
-		// reach the platform, the six others hear each other only; an operator changes
-		// the
-		// rules at one of the three. Cause: the platform alone decides about acceptance.
 		this.fleet.partition(Set.of("b-0", "b-1", "b-2"));
 		this.fleet.cutOffPlatform(List.of("a-0", "a-1", "a-2", "c-0", "c-1", "c-2"));
 		this.fleet.advance(4000);
@@ -249,14 +228,9 @@
 		assertAllHold(2);
 	}
 
+	/** Guards against a change called spread since the rest is no longer heard. */
 	@Test
 	void aChangeThatOnlyASplitOffGroupHoldsIsNotCalledSpread() {
-		// Symptom: an operator is told that a change is in force while most daemons serve
-		// by
-		// the rules before. Sequence: six daemons lose the platform; the fleet splits;
-		// before
-		// anybody notices, a change is made in the smaller part. Cause: counting holders
-		// against those that are still heard.
 		this.fleet.cutOffPlatform(List.of("a-0", "a-1", "b-0", "b-1", "b-2", "c-1"));
 		this.fleet.advance(7000);
 		this.fleet.partition(Set.of("a-2", "c-0", "c-2"));
@@ -266,12 +240,10 @@
 		Truth.assertThat(result.members()).isEqualTo(9);
 	}
 
+	/** Guards against a data centre without a version whose relays died. */
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 6, 12, 18, 24 })
 	void aRelayThatDiesMidSpreadLeavesNoGap(long millis) {
-		// Symptom: one data centre never gets a version. Sequence: its relays die right
-		// after
-		// they took the change from the platform. Cause: a push that nobody repeats.
 		CompletableFuture<ChangeResult> result = this.fleet.daemon("a-2").service
 			.propose(rules("change-2", 1, 1, 2, 3));
 		this.fleet.advance(millis);
@@ -295,11 +267,9 @@
 		Truth.assertThat(accepted("b-2", rules("change-2", 1, 1, 2, 3))).isEqualTo(2);
 	}
 
+	/** Guards against a version that a watch has lost. */
 	@Test
 	void aGapInTheWatchIsClosedFromThePlatform() {
-		// Symptom: a relay never hears of a version. Sequence: connections between
-		// daemons
-		// are down, and the watch loses the change. Cause: going on after the gap.
 		this.fleet.peers.link((from, to) -> false);
 		this.fleet.advance(4000);
 		this.fleet.platform.gapsInWatches(true);
@@ -308,12 +278,9 @@
 		assertAllHold(2);
 	}
 
+	/** Guards against daemons that wait for their relays alone. */
 	@Test
 	void aVersionComesFromThePlatformWhenDaemonsDoNotHearEachOther() {
-		// Symptom: all daemons but the relays stop admitting. Sequence: messages between
-		// daemons are lost while membership still counts everybody as well. Cause: a
-		// daemon
-		// that waits for its relays alone.
 		this.fleet.peers.faultRate(1);
 		ChangeResult.Accepted result = (ChangeResult.Accepted) result("a-2", rules("change-2", 1, 1, 2, 3));
 		Truth.assertThat(result.spread()).isFalse();
@@ -333,10 +300,9 @@
 		assertAllHold(11);
 	}
 
+	/** Guards against a platform restored from a copy, whose word goes first. */
 	@Test
 	void aRestoredPlatformDoesNotBringBackAnEarlierVersion() throws InterruptedException {
-		// Symptom: a change that was accepted is gone. Sequence: the platform's data is
-		// restored from a copy. Cause: the platform's word goes before what is held.
 		Head earlier = new Head(1, ContentHash.NONE, List.of(), List.of(), null, this.fleet.daemon("a-0").vm());
 		accepted("a-0", rules("change-2", 1, 1, 2, 3));
 		this.fleet.platform.replace(Head.KEY, ConfigurationCodec.encode(earlier));
@@ -369,11 +335,9 @@
 		assertAllHold(2);
 	}
 
+	/** Guards against a start of all at which each daemon reads all parts. */
 	@Test
 	void aFleetThatStartsAsAWholeReadsThePartsOnlyOnItsRelays() {
-		// Symptom: after a power failure the platform is at its rate limit for minutes.
-		// Sequence: all daemons start at once and hold nothing. Cause: each reads all
-		// parts.
 		accepted("a-2",
 				new Change("large-one", 1, "mei", Optional.of(Samples.register(3000)), Optional.empty(), false));
 		this.fleet.advance(65_000);
