Tell a daemon of each part of a list behind the registered daemons, too

The method with the signal is now the one that stores implement, and the one without it the default, so that a store that wraps another one can't forget it: RegisteredDaemons and WatchedObjectStore pass it on.

RegisteredDaemonsTests.eachPartOfAListIsTold failed before. With it pass StoreFollowerTests, OddNameTests, EndlessReplyTests, NodeEvacuationTests and ObjectStoreContractTests.

--- a/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/gateway/node/RegisteredDaemons.java
@@ -50,8 +50,8 @@
 	}
 
 	@Override
-	public CompletableFuture<WatchBatch> list(String kind) {
-		return this.store.list(kind);
+	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
+		return this.store.list(kind, answered);
 	}
 
 	@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/node/WatchedObjectStore.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/node/WatchedObjectStore.java
@@ -47,8 +47,8 @@
 	}
 
 	@Override
-	public CompletableFuture<WatchBatch> list(String kind) {
-		return watched(this.store.list(kind));
+	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
+		return watched(this.store.list(kind, answered));
 	}
 
 	@Override
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/platform/HttpObjectStore.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/HttpObjectStore.java
@@ -67,7 +67,7 @@
 	}
 
 	@Override
-	public CompletableFuture<WatchBatch> list(String kind) {
+	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 		String path = PlatformPaths.OBJECTS + "/" + kind;
 		return call("list", Call.reading(path),
 				(reply) -> PlatformCodec.readBatch(kind, reply.requireSuccess().body()));
--- a/bramleyscale/src/main/java/org/bramleyscale/internal/platform/ObjectStore.java
+++ b/bramleyscale/src/main/java/org/bramleyscale/internal/platform/ObjectStore.java
@@ -31,19 +31,20 @@
 	 * @param kind the kind
 	 * @return the objects and the revision from which a watch continues
 	 */
-	CompletableFuture<WatchBatch> list(String kind);
+	default CompletableFuture<WatchBatch> list(String kind) {
+		return list(kind, () -> {
+		});
+	}
 
 	/**
 	 * Reads all objects of a kind. A long list takes many calls, and their answers show
 	 * that the platform is available long before the list is whole.
 	 * @param kind the kind
-	 * @param answered run after the answer to each call that reads a part, if the
-	 * platform lists in parts
+	 * @param answered run after the answer to each call that reads a part, before the
+	 * result completes; never if the platform doesn't list in parts
 	 * @return the objects and the revision from which a watch continues
 	 */
-	default CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
-		return list(kind);
-	}
+	CompletableFuture<WatchBatch> list(String kind, Runnable answered);
 
 	/**
 	 * Reads all objects of a kind as of some moment within the last seconds, at a
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePlatform.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/configuration/FakePlatform.java
@@ -146,7 +146,7 @@
 		}
 
 		@Override
-		public CompletableFuture<WatchBatch> list(String kind) {
+		public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 			return call(false, "", () -> new WatchBatch(FakePlatform.this.log.size(), false, ofKind(kind)));
 		}
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/evacuation/EvacuationStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/evacuation/EvacuationStore.java
@@ -164,7 +164,7 @@
 		}
 
 		@Override
-		public CompletableFuture<WatchBatch> list(String kind) {
+		public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 			CompletableFuture<WatchBatch> call = begin(Duration.ZERO);
 			if (answers()) {
 				EvacuationStore.this.scheduler.schedule(LATENCY,
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/FakeStore.java
@@ -30,18 +30,13 @@
 	Duration waited = Duration.ZERO;
 
 	@Override
-	public CompletableFuture<WatchBatch> list(String kind) {
+	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
+		this.partAnswered = answered;
 		CompletableFuture<WatchBatch> call = new CompletableFuture<>();
 		this.lists.add(call);
 		return call;
 	}
 
-	@Override
-	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
-		this.partAnswered = answered;
-		return list(kind);
-	}
-
 	@Override
 	public CompletableFuture<WatchBatch> listCached(String kind) {
 		CompletableFuture<WatchBatch> call = new CompletableFuture<>();
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/follow/SimulatedStore.java
@@ -288,7 +288,7 @@
 		}
 
 		@Override
-		public CompletableFuture<WatchBatch> list(String kind) {
+		public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 			count();
 			if (this.outcome != CallOutcome.WORKS) {
 				return deliver(unanswered(Duration.ZERO));
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/NodeEvacuationTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/NodeEvacuationTests.java
@@ -184,7 +184,7 @@
 		}
 
 		@Override
-		public CompletableFuture<WatchBatch> list(String kind) {
+		public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 			count(kind);
 			return kind.equals(EVACUATIONS) ? this.evacuations : CompletableFuture.completedFuture(batch(kind));
 		}
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/RegisteredDaemonsTests.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/gateway/node/RegisteredDaemonsTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
@@ -13,11 +14,12 @@
 import org.bramleyscale.internal.platform.StoredObject;
 import org.bramleyscale.internal.platform.VmRecord;
 import org.bramleyscale.internal.platform.WatchBatch;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Tests of {@link RegisteredDaemons} with a record of another writer.
+ * Tests of {@link RegisteredDaemons} with a record of another writer and a list in parts.
  */
 class RegisteredDaemonsTests {
 
@@ -39,6 +41,23 @@
 		Truth.assertThat(daemons.vms().join().stream().map(VmRecord::vm)).containsExactly(new VmId("vm-a"));
 	}
 
+	/** Guards against an outage that lasts until a long list is whole. */
+	@Test
+	void eachPartOfAListIsTold() {
+		AtomicInteger answers = new AtomicInteger();
+		new RegisteredDaemons(new PartialStore() {
+
+			@Override
+			public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
+				answered.run();
+				answered.run();
+				return new CompletableFuture<>();
+			}
+
+		}).list("servers", answers::incrementAndGet);
+		Truth.assertThat(answers.get()).isEqualTo(2);
+	}
+
 	private static PartialStore listOf(byte[] odd, byte[] sound) {
 		return new PartialStore() {
 
--- a/bramleyscale/src/test/java/org/bramleyscale/internal/platform/PartialStore.java
+++ b/bramleyscale/src/test/java/org/bramleyscale/internal/platform/PartialStore.java
@@ -18,7 +18,7 @@
 	}
 
 	@Override
-	default CompletableFuture<WatchBatch> list(String kind) {
+	default CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 		throw new UnsupportedOperationException();
 	}
 
--- a/standins/src/main/java/org/bramleyscale/standins/platform/InMemoryObjectStore.java
+++ b/standins/src/main/java/org/bramleyscale/standins/platform/InMemoryObjectStore.java
@@ -61,7 +61,7 @@
 	}
 
 	@Override
-	public CompletableFuture<WatchBatch> list(String kind) {
+	public CompletableFuture<WatchBatch> list(String kind, Runnable answered) {
 		return call(PlatformOperation.LIST, this.timeout, () -> this.service.list(kind));
 	}
 
